--- /dev/null
+++ b/Makefile
@@ -0,0 +1,42 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+SEEDS ?= 200
+
+.PHONY: setup format lint test demo bench soak fuzz report binary clean lock
+
+setup: $(STAMP)
+
+$(STAMP): requirements/dev.txt
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --require-hashes -r requirements/dev.txt
+	touch $@
+
+format: setup
+	$(BIN)/black .
+	$(BIN)/ruff check --fix .
+
+lint: setup
+	$(BIN)/black --check --quiet .
+	$(BIN)/ruff check --quiet .
+	$(BIN)/mypy
+
+test: lint
+	$(BIN)/python -m tests
+
+demo: setup
+	$(BIN)/python -m shallotshore demo
+
+bench: setup
+	$(BIN)/python -m bench
+
+soak: setup
+	$(BIN)/python -m bench.soak --seeds $(SEEDS)
+
+clean:
+	rm -rf build dist .mypy_cache .ruff_cache
+
+lock: setup
+	$(BIN)/uv pip compile -q --generate-hashes -p 3.11 -o requirements/run.txt requirements/run.in
+	$(BIN)/uv pip compile -q --generate-hashes -p 3.11 -o requirements/dev.txt requirements/dev.in
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; run them all with `python -m bench`."""
