Add the stand-ins of the platform, upstreams and callers

Each is a core driven by messages and time, so that the demo on sockets and the scenarios on a virtual clock share the code.

--- /dev/null
+++ b/standins/configuration_service.py
@@ -0,0 +1,179 @@
+"""Stand-in of the platform's configuration service: read and watched only, rate limited."""
+
+__all__ = ["ConfigurationService", "Mode", "PlatformService"]
+
+from collections.abc import Mapping
+from enum import Enum
+
+from shallotshore.codes import Code
+from shallotshore.messages import Address, Entry, PlatformRead, PlatformReply, Source
+from shallotshore.systems import Core
+
+READS_PER_SECOND = 2000  # the platform's limit across all readers; a waiting watch counts as one
+WATCH_LIMIT = 30_000  # ms that the service holds a watch at most
+
+
+class Mode(Enum):
+    """How the service behaves."""
+
+    UP = "up"
+    DOWN = "down"
+    STALE = "stale"
+
+
+class PlatformService(Core):
+    """A map from keys to texts whose revision rises with each publication.
+
+    Attributes:
+        mode: UP answers, DOWN is silent, STALE answers with the revision of the moment it began.
+        lag: Milliseconds after which a publication becomes visible.
+        reads: Calls received, for the checker.
+        refused: Calls refused by the rate limit.
+    """
+
+    __slots__ = (
+        "_log",
+        "_now",
+        "_source",
+        "_stale_revision",
+        "_window",
+        "_window_reads",
+        "lag",
+        "mode",
+        "reads",
+        "refused",
+        "watches",
+    )
+
+    def __init__(self, source: Source, lag: int = 0) -> None:
+        super().__init__()
+        self.mode = Mode.UP
+        self.lag = lag
+        self.reads = 0
+        self.refused = 0
+        self.watches: list[tuple[Address, int, int]] = []
+        self._source = source
+        self._log: list[tuple[int, Entry]] = []
+        self._stale_revision = 0
+        self._window = -1
+        self._window_reads = 0
+        self._now = 0
+        self._systems = [_Reads(self), _Watches(self)]
+
+    @property
+    def revision(self) -> int:
+        """The highest revision published."""
+        return self._log[-1][1].revision if self._log else 0
+
+    def publish(self, texts: Mapping[str, bytes], now: int, revision: int | None = None) -> int:
+        """Publishes records as one revision; an empty text deletes its key.
+
+        Args:
+            texts: New texts by key.
+            now: Time in ms.
+            revision: The number of the revision; by default one above the last.
+
+        Returns:
+            The revision's number.
+        """
+        number = self.revision + 1 if revision is None else revision
+        self._log.extend((now, Entry(key, number, text)) for key, text in texts.items())
+        return number
+
+    def become(self, mode: Mode) -> None:
+        """Changes the mode; a stale service goes on showing what is visible now."""
+        self._stale_revision = self.visible_revision()
+        self.mode = mode
+
+    def visible_revision(self) -> int:
+        """Returns the revision that a reader sees at present."""
+        if self.mode is Mode.STALE:
+            return self._stale_revision
+        revisions = [entry.revision for at, entry in self._log if at + self.lag <= self._now]
+        return revisions[-1] if revisions else 0
+
+    def tick(self, now: int) -> None:
+        """Answers reads and due watches."""
+        self._now = now
+        super().tick(now)
+
+    def next_due(self) -> int | None:
+        """Returns when a tick is needed without an arrival."""
+        if not self.watches:
+            return None
+        return min(self._now + 20, *(due for _, _, due in self.watches))
+
+    def count_read(self, now: int) -> bool:
+        """Counts one call and tells whether the rate limit allows it."""
+        self.reads += 1
+        if now // 1000 != self._window:
+            self._window, self._window_reads = now // 1000, 0
+        self._window_reads += 1
+        if self._window_reads > READS_PER_SECOND:
+            self.refused += 1
+            return False
+        return True
+
+    def answer(self, reader: Address, after: int, code: Code = Code.OK) -> None:
+        """Sends the newest entry of each key above a revision."""
+        upto = self.visible_revision()
+        newest = {
+            entry.key: entry
+            for _, entry in self._log
+            if after < entry.revision <= upto and code == Code.OK
+        }
+        reply = PlatformReply(self._source, code, after, upto, tuple(newest.values()))
+        self.outbox.send(reader, reply)
+
+
+class ConfigurationService(PlatformService):
+    """The operators' records."""
+
+    __slots__ = ()
+
+    def __init__(self) -> None:
+        super().__init__(Source.CONFIGURATION)
+
+
+class _Reads:
+    """Answers reads and keeps watches that have nothing to tell yet."""
+
+    __slots__ = ("_core",)
+
+    def __init__(self, core: PlatformService) -> None:
+        self._core = core
+
+    def run(self, now: int) -> None:
+        core = self._core
+        for reader, read in core.inbox.take(PlatformRead):
+            if core.mode is Mode.DOWN:
+                continue
+            if not core.count_read(now):
+                core.answer(reader, read.after, Code.SERVICE_RATE_LIMITED)
+            elif read.wait <= 0 or core.visible_revision() != read.after:
+                core.answer(reader, read.after)
+            else:
+                core.watches.append((reader, read.after, now + min(read.wait, WATCH_LIMIT)))
+
+
+class _Watches:
+    """Ends watches when something was published or their time is over."""
+
+    __slots__ = ("_core",)
+
+    def __init__(self, core: PlatformService) -> None:
+        self._core = core
+
+    def run(self, now: int) -> None:
+        core = self._core
+        if core.mode is Mode.DOWN:
+            core.watches.clear()
+            return
+        revision = core.visible_revision()
+        waiting = []
+        for reader, after, due in core.watches:
+            if revision > after or now >= due:
+                core.answer(reader, after)
+            else:
+                waiting.append((reader, after, due))
+        core.watches = waiting
--- /dev/null
+++ b/standins/deployments.py
@@ -0,0 +1,183 @@
+"""The two users' deployments: their servers, data centres, customers, records and delays."""
+
+__all__ = ["KOLTSEGTER", "VATULELE", "Deployment", "Server", "deployment"]
+
+import json
+from dataclasses import dataclass, field
+
+from shallotshore.messages import Address
+from standins.caller_state import CallerLoad
+from standins.upstream_state import UpstreamSettings
+
+BALANCER_PORT = 7000
+AGENT_PORT = 7100
+SERVER_PORT = 7200
+VIP_PORT = 443
+
+
+@dataclass(slots=True)
+class Server:
+    """One server: its settings, its own address and that of the agent beside it."""
+
+    settings: UpstreamSettings
+    address: Address
+    agent: Address
+
+
+@dataclass(slots=True)
+class Deployment:
+    """One user's set-up; delays in ms one way.
+
+    Attributes:
+        user: Short name of the user.
+        region: Name of the region.
+        data_centres: Names of the data centres.
+        between: Delay between two data centres.
+        to_callers: Delay between callers and any data centre.
+        servers: Servers by name.
+        balancers: (address, data centre) of balancers by name.
+        customers: Share of each customer.
+        vips: Address by (customer, service).
+        loads: What each customer does at each service, at 70% of the slots in total.
+    """
+
+    user: str
+    region: str
+    data_centres: tuple[str, ...]
+    between: int
+    to_callers: int
+    servers: dict[str, Server] = field(default_factory=dict)
+    balancers: dict[str, tuple[Address, str]] = field(default_factory=dict)
+    customers: dict[str, int] = field(default_factory=dict)
+    vips: dict[tuple[str, str], Address] = field(default_factory=dict)
+    loads: dict[str, CallerLoad] = field(default_factory=dict)
+
+    @property
+    def services(self) -> tuple[str, ...]:
+        """Names of the services."""
+        return tuple(self.loads)
+
+    def records(self) -> dict[str, bytes]:
+        """Returns the operators' records as JSON text by key."""
+        texts = {f"service/{name}": service_record(name) for name in self.services}
+        for name in self.data_centres:
+            texts[f"data_centre/{name}"] = data_centre_record(name, self.region)
+        for name, server in self.servers.items():
+            texts[f"upstream/{name}"] = upstream_record(server)
+        for name in self.customers:
+            texts[f"customer/{name}"] = self.customer_record(name)
+        return texts
+
+    def customer_record(self, name: str) -> bytes:
+        """Returns the record of one customer."""
+        addresses = [
+            {"service": service, "address": text_of(vip)}
+            for (customer, service), vip in self.vips.items()
+            if customer == name
+        ]
+        share = self.customers[name]
+        return _text("customer", 1, name=name, share=share, addresses=addresses)
+
+    def add_server(self, service: str, data_centre: str, slots: int) -> Server:
+        """Adds a server of a service and returns it."""
+        number = sum(s.settings.service == service for s in self.servers.values()) + 1
+        host = f"10.{self.services.index(service) + 1}.0.{number}"
+        settings = UpstreamSettings(f"{service}-{number}", service, data_centre, slots, 2000)
+        server = Server(settings, (host, SERVER_PORT), (host, AGENT_PORT))
+        self.servers[settings.name] = server
+        return server
+
+    def add_balancer(self, data_centre: str) -> str:
+        """Adds a balancer and returns its name."""
+        number = len(self.balancers) + 1
+        name = f"balancer-{number}"
+        self.balancers[name] = ((f"10.0.0.{number}", BALANCER_PORT), data_centre)
+        return name
+
+
+def text_of(address: Address) -> str:
+    """Returns an address as records write it."""
+    return f"{address[0]}:{address[1]}"
+
+
+def _text(kind: str, schema: int, **fields: object) -> bytes:
+    return json.dumps({"kind": kind, "schema": schema, **fields}).encode()
+
+
+def service_record(name: str) -> bytes:
+    """Returns the record of a service."""
+    return _text("service", 1, name=name)
+
+
+def data_centre_record(name: str, region: str, state: str = "in") -> bytes:
+    """Returns the record of a data centre."""
+    return _text("data_centre", 1, name=name, region=region, state=state)
+
+
+def upstream_record(server: Server, state: str = "active") -> bytes:
+    """Returns the record of an upstream."""
+    settings = server.settings
+    return _text(
+        "upstream",
+        1,
+        name=settings.name,
+        service=settings.service,
+        data_centre=settings.data_centre,
+        address=text_of(server.agent),
+        state=state,
+        slots=settings.slots,
+        connections=settings.connections,
+        cold_limit=settings.cold_limit,
+        warmup=settings.warmup,
+        customers=list(settings.customers),
+    )
+
+
+def _build(
+    base: Deployment, servers: dict[str, int], slots: int, customers: dict[str, int]
+) -> Deployment:
+    base.customers = customers
+    for service, count in servers.items():
+        for number in range(count):
+            base.add_server(service, base.data_centres[number % len(base.data_centres)], slots)
+        for number, customer in enumerate(customers, start=1):
+            host = f"192.0.{base.services.index(service) + 1}.{number}"
+            base.vips[(customer, service)] = (host, VIP_PORT)
+    for data_centre in base.data_centres:
+        base.add_balancer(data_centre)
+    return base
+
+
+def _koltsegter() -> Deployment:
+    loads = {
+        "spend-stream": CallerLoad(feeds=40, rate=60.0, non_repeatable=0.6),
+        "report-export": CallerLoad(feeds=5, rate=10.0, non_repeatable=0.0, size=(5000, 20000)),
+    }
+    base = Deployment(
+        "koltsegter", "hu-central", ("bud-a", "bud-b", "bud-c", "gyor-a"), 4, 3, loads=loads
+    )
+    servers = {"spend-stream": 7, "report-export": 4}
+    return _build(base, servers, 3, {"alma": 3, "bodza": 2, "cseresznye": 1})
+
+
+def _vatulele() -> Deployment:
+    loads = {
+        "spotdesk": CallerLoad(feeds=40, rate=20.0, non_repeatable=0.7),
+        "docvault": CallerLoad(feeds=5, rate=4.0, non_repeatable=0.0, size=(5000, 20000)),
+    }
+    base = Deployment("vatulele", "suva", ("suva-a", "suva-b", "suva-c"), 3, 1, loads=loads)
+    return _build(base, {"spotdesk": 7, "docvault": 3}, 1, {"ba": 2, "lami": 2, "nadi": 1})
+
+
+KOLTSEGTER = "koltsegter"
+VATULELE = "vatulele"
+_BUILDERS = {KOLTSEGTER: _koltsegter, VATULELE: _vatulele}
+
+
+def deployment(user: str) -> Deployment:
+    """Returns a fresh copy of a user's deployment, which its holder may change.
+
+    Args:
+        user: KOLTSEGTER or VATULELE.
+    """
+    return _BUILDERS[user]()
--- /dev/null
+++ b/standins/fabric.py
@@ -0,0 +1,84 @@
+"""Stand-in of the platform's fabric, which may hand any packet to any balancer."""
+
+__all__ = ["CallerDatagram", "Fabric"]
+
+import random
+from dataclasses import dataclass
+
+from shallotshore.messages import Address, FabricPacket, Message
+from shallotshore.systems import Core
+
+
+@dataclass(slots=True)
+class CallerDatagram(Message):
+    """A caller's datagram with the address that it was sent to."""
+
+    vip: Address
+    payload: Message
+
+
+class Fabric(Core):
+    """Sprays callers' datagrams at random over its balancers and hands answers back.
+
+    Attributes:
+        balancers: Addresses of the balancers; whoever runs the fabric edits the list.
+    """
+
+    __slots__ = ("_rng", "balancers")
+
+    def __init__(self, balancers: list[Address], rng: random.Random) -> None:
+        super().__init__()
+        self.balancers = balancers
+        self._rng = rng
+        self._systems = [_Spray(self), _Answers(self)]
+
+    def receive_at(self, local: Address, source: Address, message: Message) -> None:
+        """Queues a message that came to one of the fabric's addresses.
+
+        Args:
+            local: The VIP, or the fabric's own address for balancers' answers.
+            source: Who sent it.
+            message: A caller's message or a balancer's `FabricPacket`.
+        """
+        if not isinstance(message, FabricPacket):
+            message = CallerDatagram(local, message)
+        self.receive(source, message)
+
+    def next_due(self) -> int | None:
+        """Returns None: the fabric acts on arrivals only."""
+        return None
+
+    def pick(self) -> Address | None:
+        """Returns a random balancer."""
+        return self._rng.choice(self.balancers) if self.balancers else None
+
+
+class _Spray:
+    """Hands each caller's datagram to a random balancer."""
+
+    __slots__ = ("_fabric",)
+
+    def __init__(self, fabric: Fabric) -> None:
+        self._fabric = fabric
+
+    def run(self, now: int) -> None:
+        fabric = self._fabric
+        for caller, datagram in fabric.inbox.take(CallerDatagram):
+            balancer = fabric.pick()
+            if balancer is None:
+                fabric.counters.add("fabric.no_balancer")
+                continue
+            fabric.outbox.send(balancer, FabricPacket(caller, datagram.vip, datagram.payload))
+
+
+class _Answers:
+    """Hands balancers' answers to the callers."""
+
+    __slots__ = ("_fabric",)
+
+    def __init__(self, fabric: Fabric) -> None:
+        self._fabric = fabric
+
+    def run(self, now: int) -> None:
+        for _, packet in self._fabric.inbox.take(FabricPacket):
+            self._fabric.outbox.send(packet.caller, packet.payload)
--- /dev/null
+++ b/standins/timers.py
@@ -0,0 +1,29 @@
+"""Due times of rows, so that a stand-in looks only at the rows that have something to do."""
+
+__all__ = ["Timers"]
+
+import heapq
+from collections.abc import Iterator
+
+
+class Timers:
+    """A heap of (due time, key); a key may be set several times, and its reader checks the row."""
+
+    __slots__ = ("_heap",)
+
+    def __init__(self) -> None:
+        self._heap: list[tuple[int, int]] = []
+
+    def set(self, due: int, key: int) -> None:
+        """Makes a key due at a time in milliseconds."""
+        heapq.heappush(self._heap, (due, key))
+
+    def due(self, now: int) -> Iterator[int]:
+        """Removes and yields the keys that are due."""
+        while self._heap and self._heap[0][0] <= now:
+            yield heapq.heappop(self._heap)[1]
+
+    @property
+    def next_due(self) -> int | None:
+        """The earliest due time, or None."""
+        return self._heap[0][0] if self._heap else None
--- /dev/null
+++ b/standins/upstream.py
@@ -0,0 +1,453 @@
+"""Stand-in of a users' server: slots, service time, cold start, shedding, feeds and its health."""
+
+__all__ = ["Upstream"]
+
+from collections import deque
+
+import msgspec
+
+from shallotshore.codes import Code
+from shallotshore.hashing import name_id
+from shallotshore.messages import (
+    Address,
+    UpstreamAnswer,
+    UpstreamCancel,
+    UpstreamClose,
+    UpstreamData,
+    UpstreamHealth,
+    UpstreamOpen,
+    UpstreamProbe,
+    UpstreamRequest,
+)
+from shallotshore.systems import Core
+from shallotshore.tables import MISSING
+from standins.application import (
+    FeedPacket,
+    Order,
+    answer_of,
+    checksum_of,
+    decode_feed,
+    decode_order,
+    encode,
+    split,
+)
+from standins.timers import Timers
+from standins.upstream_state import (
+    FeedTable,
+    Health,
+    RequestTable,
+    Run,
+    UpstreamLog,
+    UpstreamSettings,
+    WorkState,
+)
+
+FEED_IDLE_LIMIT = 60_000  # ms without a keepalive after which a feed's server drops it
+COLD_SLOWNESS = 2  # factor on the service time while cold
+COLLAPSE_SLOWNESS = 5  # factor on the service time while over the cold bound
+REQUEST_LIMIT = 10_000
+_MASK = (1 << 64) - 1
+
+
+def _row_key(request: int, attempt: int) -> int:
+    return (request ^ (attempt * 0x9E3779B97F4A7C15)) & _MASK
+
+
+class Upstream(Core):
+    """One process of a users' server.
+
+    Attributes:
+        settings: What it is.
+        log: What it saw.
+        incarnation: Rises with each start.
+        health: How truthful its health endpoint is.
+        health_lag: Age in ms of what a lagging endpoint tells.
+        slowness: Factor on the service time.
+        draining: Whether its health endpoint says that it is not ready.
+        cold_since: When it last turned cold.
+    """
+
+    __slots__ = (
+        "_answers_due",
+        "_feeds_due",
+        "_now",
+        "_opens",
+        "cold_since",
+        "draining",
+        "feeds",
+        "health",
+        "health_lag",
+        "incarnation",
+        "log",
+        "past_health",
+        "requests",
+        "settings",
+        "slowness",
+        "waiting",
+    )
+
+    def __init__(
+        self, settings: UpstreamSettings, log: UpstreamLog, incarnation: int, cold_since: int
+    ) -> None:
+        super().__init__()
+        self.settings = settings
+        self.log = log
+        self.incarnation = incarnation
+        self.cold_since = cold_since
+        self.health = Health.HONEST
+        self.health_lag = 2000
+        self.slowness = 1.0
+        self.draining = False
+        self.feeds = FeedTable(settings.connections)
+        self.requests = RequestTable(REQUEST_LIMIT)
+        self.waiting: deque[int] = deque()
+        self.past_health: deque[tuple[int, bool, int, int]] = deque(maxlen=200)
+        self._now = 0
+        self._opens: deque[int] = deque()
+        self._answers_due = Timers()
+        self._feeds_due = Timers()
+        self._systems = [
+            _Probes(self),
+            _FeedPackets(self),
+            _Cancels(self),
+            _Completions(self, self._answers_due),
+            _Arrivals(self),
+            _Starts(self, self._answers_due),
+            _FeedSends(self, self._feeds_due),
+        ]
+
+    @property
+    def running(self) -> int:
+        """Requests that run."""
+        return len(self.requests) - len(self.waiting)
+
+    def tick(self, now: int) -> None:
+        """Runs every system; remembers the time for `next_due`."""
+        self._now = now
+        super().tick(now)
+
+    def next_due(self) -> int | None:
+        """Returns when a tick is needed without an arrival."""
+        due = [t for t in (self._answers_due.next_due, self._feeds_due.next_due) if t is not None]
+        return min(due) if due else None
+
+    def is_cold(self, now: int) -> bool:
+        """Whether it bears less than its slots."""
+        return now - self.cold_since < self.settings.warmup
+
+    def bound(self, now: int) -> int:
+        """Returns the number of requests in hand that it bears."""
+        settings = self.settings
+        if not self.is_cold(now):
+            return settings.slots
+        gained = (settings.slots - settings.cold_limit) * (now - self.cold_since)
+        return settings.cold_limit + gained // settings.warmup
+
+    def turn_cold(self, now: int) -> None:
+        """Loses its caches without a restart."""
+        self.cold_since = now
+
+    def stop(self) -> None:
+        """Notes the requests that a planned stop ends while they run."""
+        for row in self.requests.rows():
+            if self.requests.state[row] == WorkState.RUNNING:
+                self.log.cut.append(self.requests.order[row].ident)
+
+    def note_open(self, now: int) -> None:
+        """Records a feed opening, and whether a cold server had too many within a second."""
+        self.log.new_work.append(now)
+        self._opens.append(now)
+        while self._opens[0] <= now - 1000:
+            self._opens.popleft()
+        allowed = self.settings.cold_opens * self.bound(now)
+        if self.is_cold(now) and len(self._opens) > allowed:
+            self.log.over_bound.append((now, len(self._opens), allowed))
+
+    def note_request(self, now: int) -> None:
+        """Records a request's arrival, and whether a cold server has too much in hand."""
+        self.log.new_work.append(now)
+        in_hand = len(self.requests) + 1
+        if self.is_cold(now) and in_hand > self.bound(now):
+            self.log.over_bound.append((now, in_hand, self.bound(now)))
+
+    def note_crossing(self, service: str, customer: str, told: int) -> bool:
+        """Records a payload that belongs to another service or customer; tells if it does."""
+        settings = self.settings
+        wrong = service != settings.service or name_id("customer", customer) != told
+        if settings.customers and customer not in settings.customers:
+            wrong = True
+        if wrong:
+            self.log.crossed.append(f"{settings.name} received {service} of {customer}")
+        return wrong
+
+    def service_time(self, order: Order, now: int) -> int:
+        """Returns how long an order takes at present, in ms."""
+        factor = self.slowness
+        if self.is_cold(now):
+            factor *= COLD_SLOWNESS
+            if len(self.requests) > self.bound(now):
+                factor *= COLLAPSE_SLOWNESS
+        return max(1, int(order.work * factor))
+
+    def answer(
+        self, agent: Address, request: UpstreamRequest, code: Code, whole: bytes = b""
+    ) -> None:
+        """Sends an answer in parts."""
+        parts = split(whole) or [b""]
+        checksum = checksum_of(whole)
+        for part, payload in enumerate(parts):
+            self.outbox.send(
+                agent,
+                UpstreamAnswer(
+                    request.key,
+                    request.attempt,
+                    request.customer,
+                    self.incarnation,
+                    code,
+                    part,
+                    len(parts),
+                    checksum,
+                    payload,
+                ),
+            )
+
+
+class _Probes:
+    """Answers the agent's probes, truthfully or not."""
+
+    __slots__ = ("_core",)
+
+    def __init__(self, core: Upstream) -> None:
+        self._core = core
+
+    def run(self, now: int) -> None:
+        core = self._core
+        for agent, probe in core.inbox.take(UpstreamProbe):
+            ready = not core.draining
+            core.past_health.append((now, ready, core.running, len(core.feeds)))
+            if core.health is Health.SILENT:
+                continue
+            ready, running, connections = self._told(now)
+            health = UpstreamHealth(core.incarnation, probe.sequence, ready, running, connections)
+            core.outbox.send(agent, health)
+
+    def _told(self, now: int) -> tuple[bool, int, int]:
+        core = self._core
+        if core.health is Health.LYING:
+            return True, 0, 0
+        told = core.past_health[-1]
+        if core.health is Health.LAGGING:
+            old = [past for past in core.past_health if past[0] <= now - core.health_lag]
+            told = old[-1] if old else core.past_health[0]
+        return told[1], told[2], told[3]
+
+
+class _FeedPackets:
+    """Opens and closes feeds and counts what they receive."""
+
+    __slots__ = ("_core",)
+
+    def __init__(self, core: Upstream) -> None:
+        self._core = core
+
+    def run(self, now: int) -> None:
+        core = self._core
+        for agent, message in core.inbox.take(UpstreamOpen):
+            self._open(agent, message, now)
+        for agent, data in core.inbox.take(UpstreamData):
+            self._data(agent, data, now)
+        for _agent, close in core.inbox.take(UpstreamClose):
+            core.feeds.remove(close.key)
+
+    def _open(self, agent: Address, message: UpstreamOpen, now: int) -> None:
+        core = self._core
+        try:
+            opening = decode_feed(message.payload)
+        except msgspec.MsgspecError:
+            core.log.crossed.append(f"{core.settings.name} received an unreadable opening")
+            return
+        if core.note_crossing(opening.service, opening.customer, message.customer):
+            return
+        if message.key in core.feeds:
+            return
+        core.note_open(now)
+        row = core.feeds.add(message.key)
+        if row == MISSING:
+            core.outbox.send(agent, UpstreamClose(message.key, Code.OVERLOADED))
+            return
+        core.log.opened += 1
+        feeds = core.feeds
+        feeds.agent[row], feeds.customer[row] = agent, message.customer
+        feeds.opening[row], feeds.heard[row] = opening, now
+        feeds.session[row] = f"{core.settings.name}/{core.incarnation}/{core.log.opened}"
+        core._feeds_due.set(now, message.key)
+
+    def _data(self, agent: Address, message: UpstreamData, now: int) -> None:
+        core = self._core
+        feeds = core.feeds
+        row = feeds.row(message.key)
+        if row == MISSING:
+            core.outbox.send(agent, UpstreamClose(message.key, Code.FLOW_LOST))
+            return
+        try:
+            packet = decode_feed(message.payload)
+        except msgspec.MsgspecError:
+            core.log.crossed.append(f"{core.settings.name} received an unreadable packet")
+            return
+        core.note_crossing(packet.service, packet.customer, message.customer)
+        opening = feeds.opening[row]
+        if (packet.customer, packet.feed) != (opening.customer, opening.feed):
+            core.log.crossed.append(f"feed of {opening.customer} received one of {packet.customer}")
+            return
+        feeds.agent[row], feeds.heard[row] = agent, now
+        feeds.received[row] += 1
+
+
+class _FeedSends:
+    """Sends each feed's next numbered packet when it is due."""
+
+    __slots__ = ("_core", "_due")
+
+    def __init__(self, core: Upstream, due: Timers) -> None:
+        self._core = core
+        self._due = due
+
+    def run(self, now: int) -> None:
+        core = self._core
+        feeds = core.feeds
+        for key in self._due.due(now):
+            row = feeds.row(key)
+            if row == MISSING or feeds.due[row] > now:
+                continue
+            if now - feeds.heard[row] > FEED_IDLE_LIMIT:
+                feeds.remove(key)
+                continue
+            opening = feeds.opening[row]
+            packet = FeedPacket(
+                opening.service, opening.customer, opening.feed, feeds.sent[row], feeds.session[row]
+            )
+            feeds.sent[row] += 1
+            core.outbox.send(
+                feeds.agent[row], UpstreamData(key, feeds.customer[row], encode(packet))
+            )
+            feeds.due[row] = now + core.settings.feed_interval
+            self._due.set(feeds.due[row], key)
+
+
+class _Arrivals:
+    """Takes requests, or sheds those that neither run nor wait."""
+
+    __slots__ = ("_core",)
+
+    def __init__(self, core: Upstream) -> None:
+        self._core = core
+
+    def run(self, now: int) -> None:
+        for agent, request in self._core.inbox.take(UpstreamRequest):
+            self._arrive(agent, request, now)
+
+    def _arrive(self, agent: Address, request: UpstreamRequest, now: int) -> None:
+        core = self._core
+        try:
+            order = decode_order(request.payload)
+        except msgspec.MsgspecError:
+            core.log.crossed.append(f"{core.settings.name} received an unreadable order")
+            return
+        if core.note_crossing(order.service, order.customer, request.customer):
+            return
+        core.note_request(now)
+        if _row_key(request.key, request.attempt) in core.requests:
+            core.log.runs.append(Run(order.ident, order.customer, core.incarnation, now, now))
+            return
+        if len(core.requests) >= core.settings.slots + core.settings.backlog:
+            core.counters.add("upstream.shed")
+            core.answer(agent, request, Code.OVERLOADED)
+            return
+        table = core.requests
+        key = _row_key(request.key, request.attempt)
+        row = table.add(key)
+        table.request[row], table.attempt[row] = request.key, request.attempt
+        table.deadline[row], table.state[row] = now + request.budget, WorkState.WAITING
+        table.agent[row], table.order[row] = (agent, request), order
+        core.waiting.append(key)
+
+
+class _Starts:
+    """Starts waiting requests while slots are free; drops those past their deadline."""
+
+    __slots__ = ("_core", "_due")
+
+    def __init__(self, core: Upstream, due: Timers) -> None:
+        self._core = core
+        self._due = due
+
+    def run(self, now: int) -> None:
+        core = self._core
+        while core.waiting and core.running < core.settings.slots:
+            key = core.waiting.popleft()
+            row = core.requests.row(key)
+            agent, request = core.requests.agent[row]
+            if core.requests.deadline[row] <= now:
+                core.requests.remove(key)
+                core.answer(agent, request, Code.DEADLINE_EXPIRED)
+                continue
+            self._start(key, row, now)
+
+    def _start(self, key: int, row: int, now: int) -> None:
+        core = self._core
+        order = core.requests.order[row]
+        run = Run(order.ident, order.customer, core.incarnation, now)
+        core.log.runs.append(run)
+        core.requests.run[row] = run
+        core.requests.state[row] = WorkState.RUNNING
+        core.requests.ends[row] = now + core.service_time(order, now)
+        self._due.set(core.requests.ends[row], key)
+
+
+class _Completions:
+    """Answers requests whose service time is over."""
+
+    __slots__ = ("_core", "_due")
+
+    def __init__(self, core: Upstream, due: Timers) -> None:
+        self._core = core
+        self._due = due
+
+    def run(self, now: int) -> None:
+        core = self._core
+        table = core.requests
+        for key in self._due.due(now):
+            row = table.row(key)
+            if row == MISSING or table.ends[row] > now:
+                continue
+            agent, request = table.agent[row]
+            table.run[row].ended = now
+            whole = answer_of(table.order[row])
+            table.remove(key)
+            core.answer(agent, request, Code.OK, whole)
+
+
+class _Cancels:
+    """Drops requests that wait and ends those that run."""
+
+    __slots__ = ("_core",)
+
+    def __init__(self, core: Upstream) -> None:
+        self._core = core
+
+    def run(self, now: int) -> None:
+        core = self._core
+        for _, cancel in core.inbox.take(UpstreamCancel):
+            key = _row_key(cancel.key, cancel.attempt)
+            row = core.requests.row(key)
+            if row == MISSING:
+                continue
+            agent, request = core.requests.agent[row]
+            if core.requests.state[row] == WorkState.WAITING:
+                core.waiting.remove(key)
+                code = Code.CANCELLED
+            else:
+                core.requests.run[row].ended = now
+                code = Code.UPSTREAM_FAILED
+            core.requests.remove(key)
+            core.answer(agent, request, code)
--- /dev/null
+++ b/standins/vm_list.py
@@ -0,0 +1,41 @@
+"""Stand-in of the platform's list of live and leaving VMs, which lags."""
+
+__all__ = ["VmList", "vm_text"]
+
+import json
+
+from shallotshore.messages import Address, Source
+from standins.configuration_service import PlatformService
+
+USUAL_LAG = 1000  # ms between a VM's change and its line in the list
+
+
+class VmList(PlatformService):
+    """The platform's list, read in the same way as the configuration service."""
+
+    __slots__ = ()
+
+    def __init__(self, lag: int = USUAL_LAG) -> None:
+        super().__init__(Source.VM_LIST, lag)
+
+
+def vm_text(name: str, role: str, address: Address, data_centre: str, state: str = "live") -> bytes:
+    """Returns the text of one VM's line.
+
+    Args:
+        name: Name of the VM.
+        role: "balancer" or "agent".
+        address: Where its process is reached.
+        data_centre: Name of its data centre.
+        state: "live" or "leaving".
+    """
+    line = {
+        "kind": "vm",
+        "schema": 1,
+        "name": name,
+        "role": role,
+        "address": f"{address[0]}:{address[1]}",
+        "data_centre": data_centre,
+        "state": state,
+    }
+    return json.dumps(line).encode()
--- /dev/null
+++ b/tests/test_standins.py
@@ -0,0 +1,127 @@
+"""Tests of the stand-ins, whose faults would hide faults of the product."""
+
+import random
+import unittest
+
+from shallotshore.codes import Code
+from shallotshore.hashing import name_id
+from shallotshore.messages import (
+    PlatformRead,
+    PlatformReply,
+    Source,
+    UpstreamAnswer,
+    UpstreamOpen,
+    UpstreamRequest,
+)
+from standins.application import FeedPacket, Order, answer_of, encode
+from standins.configuration_service import READS_PER_SECOND, ConfigurationService, Mode
+from standins.deployments import KOLTSEGTER, deployment
+from standins.fabric import Fabric
+from standins.upstream import Upstream
+from standins.upstream_state import UpstreamLog
+from standins.vm_list import VmList
+
+AGENT = ("10.0.0.1", 1)
+CUSTOMER = name_id("customer", "alma")
+
+
+def order_payload(service: str = "spend-stream") -> bytes:
+    return encode(Order(service, "alma", b"i" * 16, 100, 2500))
+
+
+class UpstreamTest(unittest.TestCase):
+    """Guards the evidence that P2, P3 and P7 are judged by."""
+
+    def setUp(self) -> None:
+        self.settings = deployment(KOLTSEGTER).servers["spend-stream-1"].settings
+        self.log = UpstreamLog()
+
+    def start(self, cold_since: int) -> Upstream:
+        return Upstream(self.settings, self.log, 1, cold_since)
+
+    def test_cold_upstream_records_work_over_its_bound(self) -> None:
+        upstream = self.start(cold_since=0)
+        for attempt in range(2):
+            upstream.receive(AGENT, UpstreamRequest(1, attempt, CUSTOMER, 500, order_payload()))
+        upstream.tick(10)
+        self.assertEqual(self.log.over_bound, [(10, 2, 1)])
+
+    def test_warm_upstream_runs_its_slots_and_sheds_past_its_backlog(self) -> None:
+        upstream = self.start(cold_since=-20_000)
+        for attempt in range(5):
+            upstream.receive(AGENT, UpstreamRequest(1, attempt, CUSTOMER, 500, order_payload()))
+        upstream.tick(10)
+        self.assertEqual((upstream.running, len(self.log.runs)), (3, 3))
+        self.assertEqual([m.code for _, m in upstream.outbox.drain()], [Code.OVERLOADED])
+
+    def test_answer_parts_make_up_the_only_right_answer(self) -> None:
+        upstream = self.start(cold_since=-20_000)
+        upstream.receive(AGENT, UpstreamRequest(1, 1, CUSTOMER, 500, order_payload()))
+        upstream.tick(0)
+        upstream.tick(100)
+        parts = [m for _, m in upstream.outbox.drain() if isinstance(m, UpstreamAnswer)]
+        whole = b"".join(part.payload for part in parts)
+        order = Order("spend-stream", "alma", b"i" * 16, 100, 2500)
+        self.assertEqual(whole, answer_of(order))
+
+    def test_packets_of_another_service_or_customer_are_recorded(self) -> None:
+        upstream = self.start(cold_since=-20_000)
+        foreign = encode(FeedPacket("report-export", "alma", 1, 0, ""))
+        upstream.receive(AGENT, UpstreamOpen(1, CUSTOMER, foreign))
+        upstream.receive(AGENT, UpstreamRequest(2, 1, CUSTOMER + 1, 500, order_payload()))
+        upstream.tick(0)
+        self.assertEqual(len(self.log.crossed), 2)
+
+
+class PlatformTest(unittest.TestCase):
+    """Guards the read protocol: rate limit, staleness and lag."""
+
+    def read(self, service: ConfigurationService | VmList, after: int, now: int) -> list:
+        service.receive(AGENT, PlatformRead(Source.CONFIGURATION, after, 0))
+        service.tick(now)
+        return [message for _, message in service.outbox.drain()]
+
+    def test_reads_above_the_limit_are_refused(self) -> None:
+        service = ConfigurationService()
+        replies: list[PlatformReply] = []
+        for _ in range(READS_PER_SECOND + 1):
+            replies += self.read(service, 0, 10)
+        self.assertEqual(replies[-2].code, Code.OK)
+        self.assertEqual(replies[-1].code, Code.SERVICE_RATE_LIMITED)
+
+    def test_stale_service_shows_its_old_revision_and_down_is_silent(self) -> None:
+        service = ConfigurationService()
+        service.publish({"a": b"1"}, 0)
+        self.read(service, 0, 1)
+        service.become(Mode.STALE)
+        service.publish({"a": b"2"}, 2)
+        self.assertEqual(self.read(service, 0, 3)[0].revision, 1)
+        service.become(Mode.DOWN)
+        self.assertEqual(self.read(service, 0, 4), [])
+
+    def test_watch_answers_when_something_is_published(self) -> None:
+        service = ConfigurationService()
+        service.receive(AGENT, PlatformRead(Source.CONFIGURATION, 0, 1000))
+        service.tick(0)
+        self.assertEqual(service.outbox.drain(), [])
+        service.publish({"a": b"1"}, 5)
+        service.tick(6)
+        self.assertEqual(service.outbox.drain()[0][1].entries[0].text, b"1")
+
+    def test_vm_list_shows_a_change_only_after_its_lag(self) -> None:
+        service = VmList(lag=1000)
+        service.publish({"vm/a": b"{}"}, 0)
+        self.assertEqual(self.read(service, 0, 999)[0].revision, 0)
+        self.assertEqual(self.read(service, 0, 1000)[0].revision, 1)
+
+
+class FabricTest(unittest.TestCase):
+    """Guards the spraying that makes every balancer see packets of one flow."""
+
+    def test_packets_of_one_caller_reach_every_balancer(self) -> None:
+        balancers = [("b", 1), ("b", 2), ("b", 3)]
+        fabric = Fabric(balancers, random.Random(1))
+        for _ in range(50):
+            fabric.receive_at(("vip", 1), AGENT, PlatformRead(Source.VM_LIST, 0, 0))
+        fabric.tick(0)
+        self.assertEqual({to for to, _ in fabric.outbox.drain()}, set(balancers))
