--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -26,6 +26,7 @@
 
 
 def order_payload(service: str = "spend-stream") -> bytes:
+    """Returns an order of 100 ms for 2,500 bytes."""
     return encode(Order(service, "alma", b"i" * 16, 100, 2500))
 
 
