--- a/shallotshore/codes.py
+++ b/shallotshore/codes.py
@@ -1,6 +1,6 @@
 """Numbered result codes, used in messages, logs, counters and exit reports."""
 
-__all__ = ["Code", "Outcome", "describe", "outcome_of"]
+__all__ = ["Code", "Outcome", "describe", "markdown_table", "outcome_of"]
 
 from enum import IntEnum
 
@@ -88,6 +88,17 @@
     SERVICE_RATE_LIMITED = 804
 
 
+_FAMILIES = {
+    1: "Done",
+    2: "Not run",
+    3: "Unknown outcome and claim verdicts",
+    4: "Flows and packets",
+    5: "Records and revisions",
+    6: "Messages",
+    7: "Settings",
+    8: "Peers and platform",
+}
+
 _DESCRIPTIONS: dict[Code, str] = {
     Code.OK: "The request was run and its whole answer was returned.",
     Code.OVERLOADED: "Every candidate was at its limit and its queue was full.",
@@ -181,3 +192,16 @@
     if family == 2:
         return Outcome.NOT_RUN
     return Outcome.UNKNOWN
+
+
+def markdown_table() -> str:
+    """Returns the table of all codes as it stands in docs/result-codes.md."""
+    lines = ["| Code | Name | Meaning |", "| --- | --- | --- |"]
+    for family, title in _FAMILIES.items():
+        lines.append(f"| **{family}xx** | | **{title}** |")
+        lines.extend(
+            f"| {code.value} | {code.name} | {describe(code)} |"
+            for code in Code
+            if code // 100 == family
+        )
+    return "\n".join(lines) + "\n"
