--- a/standins/deployments.py
+++ b/standins/deployments.py
@@ -3,7 +3,7 @@
 __all__ = ["KOLTSEGTER", "VATULELE", "Deployment", "Server", "deployment"]
 
 import json
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from shallotshore.messages import Address
 from standins.caller_state import CallerLoad
@@ -57,6 +57,10 @@
         """Names of the services."""
         return tuple(self.loads)
 
+    def idle_load(self, service: str) -> CallerLoad:
+        """Returns the service's load without feeds and requests."""
+        return replace(self.loads[service], feeds=0, rate=0.0)
+
     def records(self) -> dict[str, bytes]:
         """Returns the operators' records as JSON text by key."""
         texts = {f"service/{name}": service_record(name) for name in self.services}
--- /dev/null
+++ b/standins/events.py
@@ -0,0 +1,372 @@
+"""The verbs of the scenario language: each does one thing to a deployment."""
+
+__all__ = ["VERBS", "Event", "options"]
+
+import json
+from collections.abc import Callable
+from dataclasses import fields
+from typing import TypeAlias
+
+from standins.caller_state import CallerLoad
+from standins.configuration_service import Mode
+from standins.deployments import data_centre_record, text_of
+from standins.network import Link
+from standins.planned import (
+    add_upstream,
+    churn,
+    refill_upstream,
+    stop_balancer,
+    upgrade_agent,
+)
+from standins.upstream_state import Health
+from standins.world import FABRIC_LAG, PLATFORM, World, agent_name
+
+Event: TypeAlias = Callable[[World, list[str]], None]
+VERBS: dict[str, Event] = {}
+
+
+def verb(event: Event) -> Event:
+    """Makes a function a verb of its own name."""
+    VERBS[event.__name__] = event
+    return event
+
+
+def options(words: list[str]) -> dict[str, str]:
+    """Reads words of the form name=value."""
+    return dict(word.split("=", 1) for word in words)
+
+
+def _fault(world: World, what: str) -> None:
+    world.journal.faults.append((world.now, what))
+
+
+def _pair(text: str) -> tuple[int, int]:
+    least, _, greatest = text.partition("-")
+    return int(least), int(greatest or least)
+
+
+_LOAD_READERS: dict[str, Callable[[str], object]] = {
+    "rate": float,
+    "non_repeatable": float,
+    "cancelled": float,
+    "work": _pair,
+    "size": _pair,
+}
+
+
+@verb
+def load(world: World, words: list[str]) -> None:
+    """Sets fields of the load: service or *, customer or *, name=value ...; "usual" sets all."""
+    service, customer, *settings = words
+    for (whose, used), caller in world.callers.items():
+        if service not in ("*", used) or customer not in ("*", whose):
+            continue
+        if settings[0] == "usual":
+            usual = world.plan.loads[used]
+            for field in fields(CallerLoad):
+                setattr(caller.load, field.name, getattr(usual, field.name))
+        else:
+            for name, value in options(settings).items():
+                setattr(caller.load, name, _LOAD_READERS.get(name, int)(value))
+        world.wake(f"{whose}.{used}")
+
+
+@verb
+def kill_balancer(world: World, words: list[str]) -> None:
+    """Ends balancers at once; the fabric notices after a moment, the VM list after its lag."""
+    for name in words:
+        _fault(world, f"kill_balancer {name}")
+        world.pump.kill(name)
+        world.list_vm(name, "")
+        world.pump.call_at(world.now + FABRIC_LAG, lambda name=name: _gone(world, name))
+
+
+def _gone(world: World, name: str) -> None:
+    if world.pump.process(name) is None:
+        world.forget_balancer(name)
+
+
+@verb
+def start_balancer(world: World, words: list[str]) -> None:
+    """Starts balancers that were ended; with the same names and addresses."""
+    for name in words:
+        world.start_balancer(name)
+        world.list_vm(name, "live")
+
+
+@verb
+def add_balancer(world: World, words: list[str]) -> None:
+    """Adds a balancer in a data centre."""
+    name = world.plan.add_balancer(words[0])
+    world.start_balancer(name)
+    world.list_vm(name, "live")
+
+
+VERBS["stop_balancer"] = lambda world, words: stop_balancer(world, words[0])
+VERBS["upgrade_agent"] = lambda world, words: upgrade_agent(world, words[0])
+VERBS["refill_upstream"] = lambda world, words: refill_upstream(world, words[0])
+VERBS["add_upstream"] = lambda world, words: add_upstream(world, words[0], words[1])
+VERBS["churn"] = lambda world, words: churn(world, int(words[0]), int(words[1]))
+
+
+@verb
+def kill_agent(world: World, words: list[str]) -> None:
+    """Ends agents at once; their upstreams live."""
+    for name in words:
+        _fault(world, f"kill_agent {name}")
+        world.pump.kill(agent_name(name))
+
+
+@verb
+def restart_agent(world: World, words: list[str]) -> None:
+    """Ends agents and starts them again at once with empty tables."""
+    for name in words:
+        _fault(world, f"restart_agent {name}")
+        world.start_agent(name)
+
+
+@verb
+def start_agent(world: World, words: list[str]) -> None:
+    """Starts agents that were ended."""
+    for name in words:
+        world.start_agent(name)
+
+
+@verb
+def kill_upstream(world: World, words: list[str]) -> None:
+    """Ends the servers' own processes; their agents live."""
+    for name in words:
+        _fault(world, f"kill_upstream {name}")
+        world.end_upstream(name)
+
+
+@verb
+def start_upstream(world: World, words: list[str]) -> None:
+    """Starts servers that were ended; they are cold."""
+    for name in words:
+        world.start_upstream(name)
+
+
+@verb
+def restart_upstream(world: World, words: list[str]) -> None:
+    """Ends servers and starts them again at once, cold and without warning."""
+    kill_upstream(world, words)
+    start_upstream(world, words)
+
+
+@verb
+def kill_vm(world: World, words: list[str]) -> None:
+    """Ends servers with their agents, as when a VM dies."""
+    for name in words:
+        _fault(world, f"kill_vm {name}")
+        world.end_upstream(name)
+        world.pump.kill(agent_name(name))
+        world.list_vm(name, "")
+
+
+@verb
+def start_vm(world: World, words: list[str]) -> None:
+    """Starts servers with their agents after `kill_vm`."""
+    for name in words:
+        world.start_upstream(name)
+        world.start_agent(name)
+        world.list_vm(name, "live")
+
+
+@verb
+def cold(world: World, words: list[str]) -> None:
+    """Makes servers lose their caches without a restart."""
+    for name in words:
+        _fault(world, f"cold {name}")
+        world.journal.turned_cold.setdefault(name, []).append(world.now)
+        upstream = world.upstream(name)
+        if upstream is not None:
+            upstream.turn_cold(world.now)
+
+
+@verb
+def drain(world: World, words: list[str]) -> None:
+    """Publishes upstreams as leaving."""
+    for name in words:
+        world.publish_upstream(name, "leaving")
+
+
+@verb
+def undrain(world: World, words: list[str]) -> None:
+    """Publishes upstreams as active again."""
+    for name in words:
+        world.publish_upstream(name, "active")
+
+
+@verb
+def leave_by_vm_list(world: World, words: list[str]) -> None:
+    """Lets the VM list say that VMs leave."""
+    for name in words:
+        world.list_vm(name, "leaving")
+        if name in world.logs:
+            world.journal.begin(world.journal.leaving, name, world.now + world.vm_list.lag)
+
+
+@verb
+def health(world: World, words: list[str]) -> None:
+    """Sets how truthful an upstream's health endpoint is."""
+    upstream = world.upstream(words[0])
+    if upstream is not None:
+        upstream.health = Health(words[1])
+
+
+@verb
+def slow(world: World, words: list[str]) -> None:
+    """Multiplies an upstream's service time."""
+    _fault(world, f"slow {words[0]}")
+    upstream = world.upstream(words[0])
+    if upstream is not None:
+        upstream.slowness = float(words[1])
+
+
+@verb
+def configuration(world: World, words: list[str]) -> None:
+    """Sets the mode of the configuration service: up, down or stale."""
+    world.configuration.become(Mode(words[0]))
+    world.wake(PLATFORM + ".configuration")
+
+
+@verb
+def vm_list(world: World, words: list[str]) -> None:
+    """Sets the mode of the VM list, or its lag: "lag" and ms."""
+    if words[0] == "lag":
+        world.vm_list.lag = int(words[1])
+    else:
+        world.vm_list.become(Mode(words[0]))
+    world.wake(PLATFORM + ".vm_list")
+
+
+@verb
+def publish(world: World, words: list[str]) -> None:
+    """Publishes a text under a key as it stands."""
+    world.publish({words[0]: words[1].encode()})
+
+
+@verb
+def share(world: World, words: list[str]) -> None:
+    """Publishes a customer's record with a new share."""
+    world.plan.customers[words[0]] = int(words[1])
+    world.publish({f"customer/{words[0]}": world.plan.customer_record(words[0])})
+
+
+@verb
+def add_customer(world: World, words: list[str]) -> None:
+    """Publishes a new customer at every service; its callers are idle until loaded."""
+    name = words[0]
+    number = len(world.plan.customers) + 1
+    world.plan.customers[name] = 1
+    fabric = world.pump.process(PLATFORM + ".fabric")
+    assert fabric is not None
+    for service in world.plan.services:
+        vip = (f"192.0.{world.plan.services.index(service) + 1}.{number}", 443)
+        world.plan.vips[(name, service)] = vip
+        world.pump.add_address(fabric, vip)
+        world.start_caller(name, service)
+    world.publish({f"customer/{name}": world.plan.customer_record(name)})
+    world.journal.customer_since[name] = world.now
+
+
+@verb
+def remove_customer(world: World, words: list[str]) -> None:
+    """Withdraws a customer's record; its callers go on."""
+    world.publish({f"customer/{words[0]}": b""})
+    world.journal.begin(world.journal.without_customer, words[0], world.now)
+
+
+@verb
+def remove_upstream(world: World, words: list[str]) -> None:
+    """Withdraws an upstream's record and ends its VM."""
+    for name in words:
+        world.publish({f"upstream/{name}": b""})
+        world.journal.begin(world.journal.leaving, name, world.now)
+        kill_vm(world, [name])
+
+
+@verb
+def data_centre(world: World, words: list[str]) -> None:
+    """Takes a data centre out of service or brings it back: name, "out" or "in"."""
+    name, state = words
+    world.publish({f"data_centre/{name}": data_centre_record(name, world.plan.region, state)})
+    journal = world.journal
+    if state == "out":
+        journal.begin(journal.out, name, world.now)
+    else:
+        journal.finish(journal.out, name, world.now)
+    for balancer, (address, place) in world.plan.balancers.items():
+        if place != name:
+            continue
+        if state == "out":
+            world.forget_balancer(balancer)
+        elif address not in world.fabric.balancers and world.pump.process(balancer):
+            world.fabric.balancers.append(address)
+
+
+@verb
+def pause(world: World, words: list[str]) -> None:
+    """Stops processes; what arrives for them is kept."""
+    for name in words:
+        _fault(world, f"pause {name}")
+        world.pump.pause(name)
+
+
+@verb
+def resume(world: World, words: list[str]) -> None:
+    """Lets paused processes go on."""
+    for name in words:
+        world.pump.resume(name)
+
+
+@verb
+def partition(world: World, words: list[str]) -> None:
+    """Cuts places or processes off from all others."""
+    _fault(world, "partition " + " ".join(words))
+    world.pump.network.partition(words)
+
+
+@verb
+def heal(world: World, words: list[str]) -> None:
+    """Ends all partitions."""
+    _fault(world, "heal")
+    world.pump.network.heal()
+
+
+@verb
+def link(world: World, words: list[str]) -> None:
+    """Sets the link between two places: names, then delay= jitter= loss= and so on."""
+    settings = options(words[2:])
+    world.pump.network.set_link(words[0], words[1], _changed(Link(), settings))
+
+
+@verb
+def network(world: World, words: list[str]) -> None:
+    """Changes every link: jitter= loss= duplication= reordering= delay=."""
+    _fault(world, "network " + " ".join(words))
+    for each in world.pump.network.links():
+        _changed(each, options(words))
+
+
+def _changed(link: Link, settings: dict[str, str]) -> Link:
+    for name, value in settings.items():
+        setattr(link, name, int(value) if name in ("delay", "jitter") else float(value))
+    return link
+
+
+@verb
+def address_of(world: World, words: list[str]) -> None:
+    """Publishes an upstream under an older schema, as records written years ago have it."""
+    server = world.server(words[0])
+    settings = server.settings
+    text = {
+        "kind": "upstream",
+        "schema": 1,
+        "name": settings.name,
+        "service": settings.service,
+        "zone": settings.data_centre,
+        "address": text_of(server.agent),
+    }
+    world.publish({f"upstream/{settings.name}": json.dumps(text).encode()})
--- /dev/null
+++ b/standins/measures.py
@@ -0,0 +1,74 @@
+"""Figures of a run: outcomes, latency, imbalance and hops, from the logs of callers and upstreams."""
+
+__all__ = ["figures_of", "imbalance", "percentile"]
+
+from collections.abc import Sequence
+
+from shallotshore.codes import Outcome
+from standins.caller_state import RequestEnd
+from standins.world import World
+
+STEADY_START = 10_000  # ms after which upstreams of the start are warm for their agents
+
+
+def percentile(values: Sequence[float], share: float) -> float:
+    """Returns the value below which a share of the values lies; 0 for none."""
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))] if ordered else 0.0
+
+
+def imbalance(world: World, service: str, start: int, end: int) -> float:
+    """Returns the greatest over the mean use of slots among a service's upstreams.
+
+    Args:
+        world: A deployment that has run.
+        service: Name of the service.
+        start: Begin of the window in ms.
+        end: End of the window in ms.
+    """
+    used = []
+    for name, log in world.logs.items():
+        settings = world.server(name).settings
+        if settings.service == service:
+            spans = [
+                min(run.ended or end, end) - max(run.started, start)
+                for run in log.runs
+                if run.started < end and (run.ended or end) > start
+            ]
+            used.append(sum(spans) / settings.slots)
+    mean = sum(used) / len(used) if used else 0.0
+    return max(used) / mean if mean else 0.0
+
+
+def figures_of(world: World) -> dict[str, float]:
+    """Returns the figures of a run by name."""
+    ends = [end for log in world.caller_logs for end in log.requests]
+    wanted = [end for end in ends if not end.cancelled]
+    done = [end for end in wanted if end.outcome == Outcome.DONE]
+    latencies = [float(end.ended - end.born) for end in done]
+    first = len(world.sightings.first_hops) or 1
+    figures = {
+        "requests": float(len(ends)),
+        "done": float(len(done)),
+        "done_share": len(done) / len(wanted) if wanted else 0.0,
+        "not_run": _count(wanted, Outcome.NOT_RUN),
+        "unknown": _count(wanted, Outcome.UNKNOWN),
+        "untold": float(sum(end.outcome == 0 for end in wanted)),
+        "p50": percentile(latencies, 0.50),
+        "p99": percentile(latencies, 0.99),
+        "feeds_open": float(sum(len(log.sessions) for log in world.caller_logs)),
+        "feeds_broken": float(sum(len(log.broken) for log in world.caller_logs)),
+        "feeds_refused": float(sum(len(log.refused) for log in world.caller_logs)),
+        "feed_packets": float(sum(log.heard for log in world.caller_logs)),
+        "longest_gap": float(max((log.longest_gap for log in world.caller_logs), default=0)),
+        "extra_hop_share": len(world.sightings.extra_hops) / first,
+        "configuration_reads": float(world.configuration.reads),
+        "configuration_refused": float(world.configuration.refused),
+    }
+    for service in world.plan.services:
+        figures[f"imbalance_{service}"] = imbalance(world, service, STEADY_START, world.now)
+    return figures
+
+
+def _count(ends: list[RequestEnd], outcome: Outcome) -> float:
+    return float(sum(end.outcome == outcome for end in ends))
--- /dev/null
+++ b/standins/planned.py
@@ -0,0 +1,152 @@
+"""Planned changes that take time: graceful stops, refills, additions and long series of changes."""
+
+__all__ = ["add_upstream", "churn", "refill_upstream", "stop_balancer", "upgrade_agent"]
+
+from collections.abc import Callable
+
+from standins.deployments import upstream_record
+from standins.world import FABRIC_LAG, World, agent_name
+
+POLL = 100  # ms between looks at a process that is stopping
+STOP_LIMIT = 30_000  # ms after which a stopping process is ended in any case
+
+
+def stop_balancer(world: World, name: str) -> None:
+    """Stops a balancer gracefully; the fabric and the VM list learn of it meanwhile."""
+    process = world.pump.process(name)
+    if process is None:
+        return
+    world.journal.stops.append((world.now, name))
+    process.core.stop(world.now)  # type: ignore[attr-defined]
+    world.list_vm(name, "leaving")
+    world.pump.call_at(world.now + FABRIC_LAG, lambda: world.forget_balancer(name))
+    _when_stopped(world, name, lambda: world.list_vm(name, ""))
+
+
+def upgrade_agent(world: World, name: str) -> None:
+    """Stops an agent gracefully and starts its successor."""
+    process = world.pump.process(agent_name(name))
+    if process is None:
+        return
+    world.journal.stops.append((world.now, agent_name(name)))
+    process.core.stop(world.now)  # type: ignore[attr-defined]
+    _when_stopped(world, agent_name(name), lambda: world.start_agent(name))
+
+
+def _when_stopped(world: World, name: str, then: Callable[[], None]) -> None:
+    process = world.pump.process(name)
+    limit = world.now + STOP_LIMIT
+
+    def look() -> None:
+        if process is None or not process.alive:
+            return
+        if process.core.stopped or world.now >= limit:  # type: ignore[attr-defined]
+            world.pump.kill(name)
+            then()
+        else:
+            world.pump.call_at(world.now + POLL, look)
+
+    world.pump.call_at(world.now + POLL, look)
+
+
+def refill_upstream(world: World, name: str) -> None:
+    """Replaces a server's process as a planned change: drain, wait for open work, restart cold."""
+    upstream = world.upstream(name)
+    if upstream is None:
+        return
+    world.publish_upstream(name, "leaving")
+    world.journal.stops.append((world.now, name))
+    upstream.draining = True
+    began = world.now
+
+    def look() -> None:
+        busy = len(upstream.requests) or len(upstream.feeds) or world.now < began + 4000
+        if busy and world.now < began + STOP_LIMIT:
+            world.pump.call_at(world.now + POLL, look)
+            return
+        upstream.stop()
+        world.end_upstream(name)
+        world.start_upstream(name)
+        world.publish_upstream(name, "active")
+
+    world.pump.call_at(world.now + POLL, look)
+
+
+def add_upstream(world: World, service: str, data_centre: str) -> str:
+    """Adds a server with its agent, cold; returns its name."""
+    slots = next(
+        s.settings.slots for s in world.plan.servers.values() if s.settings.service == service
+    )
+    server = world.plan.add_server(service, data_centre, slots)
+    name = server.settings.name
+    world.start_upstream(name)
+    world.start_agent(name)
+    world.list_vm(name, "live")
+    world.publish({f"upstream/{name}": upstream_record(server)})
+    return name
+
+
+def churn(world: World, count: int, interval: int) -> None:
+    """Makes a series of random planned changes.
+
+    Args:
+        world: The deployment.
+        count: Number of changes.
+        interval: Time between two changes, in ms.
+    """
+    for number in range(count):
+        world.pump.call_at(world.now + number * interval, lambda: _one_change(world))
+
+
+def _one_change(world: World) -> None:
+    change = world.rng.choice(_CHANGES)
+    change(world)
+
+
+def _change_share(world: World) -> None:
+    name = world.rng.choice(sorted(world.plan.customers))
+    world.plan.customers[name] = world.rng.randint(1, 5)
+    world.publish({f"customer/{name}": world.plan.customer_record(name)})
+
+
+def _drain_or_undrain(world: World) -> None:
+    service = world.rng.choice(world.plan.services)
+    names = [n for n, s in world.plan.servers.items() if s.settings.service == service]
+    leaving = [n for n in names if _is_leaving(world, n)]
+    if leaving and (len(leaving) > len(names) // 3 or world.rng.random() < 0.5):
+        world.publish_upstream(world.rng.choice(leaving), "active")
+    else:
+        world.publish_upstream(world.rng.choice(names), "leaving")
+
+
+def _is_leaving(world: World, name: str) -> bool:
+    spans = world.journal.leaving.get(name)
+    return bool(spans) and spans[-1].end > world.now  # type: ignore[index]
+
+
+def _swap_balancer(world: World) -> None:
+    live = [n for n, (a, _) in world.plan.balancers.items() if a in world.fabric.balancers]
+    _, data_centre = world.plan.balancers[live[0]]
+    if len(live) > len(world.plan.data_centres):
+        stop_balancer(world, live[0])
+        return
+    name = world.plan.add_balancer(data_centre)
+    world.start_balancer(name)
+    world.list_vm(name, "live")
+
+
+def _grow(world: World) -> None:
+    service = world.rng.choice(world.plan.services)
+    count = sum(s.settings.service == service for s in world.plan.servers.values())
+    if count < 12:
+        add_upstream(world, service, world.rng.choice(world.plan.data_centres))
+    else:
+        _drain_or_undrain(world)
+
+
+def _upgrade(world: World) -> None:
+    names = sorted(world.plan.servers)
+    upgrade_agent(world, world.rng.choice(names))
+
+
+_CHANGES = (_change_share, _drain_or_undrain, _swap_balancer, _grow, _upgrade)
--- /dev/null
+++ b/standins/pump.py
@@ -0,0 +1,216 @@
+"""Carries messages between cores on a virtual clock, so that runs repeat exactly by seed."""
+
+__all__ = ["Process", "Pump"]
+
+import heapq
+from collections.abc import Callable
+from typing import Protocol
+
+from shallotshore.messages import Address, Message
+from shallotshore.systems import Core
+from standins.network import Network
+
+TICK = 20  # ms between timer ticks, as at the edge
+BUFFER_LIMIT = 20_000  # packets that the sockets of a paused process keep
+_ARRIVAL, _TIMER, _CALL = 0, 1, 2
+
+
+class Tap(Protocol):
+    """Sees each message of a type when it is delivered."""
+
+    def __call__(self, now: int, source: Address, process: "Process", message: Message) -> None:
+        """Notes one delivery."""
+
+
+class Process:
+    """One running process: a core, its addresses and its place."""
+
+    __slots__ = ("addresses", "alive", "buffer", "core", "name", "next_timer", "paused", "place")
+
+    def __init__(self, name: str, place: str, addresses: list[Address], core: Core) -> None:
+        self.name = name
+        self.place = place
+        self.addresses = addresses
+        self.core = core
+        self.alive = True
+        self.paused = False
+        self.buffer: list[tuple[Address, Address, Message]] = []
+        self.next_timer = -1
+
+
+class Pump:
+    """A virtual clock with a heap of arrivals and timers.
+
+    Attributes:
+        now: Present time in ms.
+        network: Decides when and whether packets arrive.
+        taps: Observers by message type.
+        wire: Applied to each message on its way, such as an encoding and decoding; None passes it.
+        delivered: Messages delivered so far.
+    """
+
+    __slots__ = (
+        "_by_address",
+        "_events",
+        "_processes",
+        "_sequence",
+        "delivered",
+        "network",
+        "now",
+        "taps",
+        "wire",
+    )
+
+    def __init__(self, network: Network) -> None:
+        self.now = 0
+        self.network = network
+        self.taps: dict[type, list[Tap]] = {}
+        self.wire: Callable[[Message], Message] | None = None
+        self.delivered = 0
+        self._events: list[tuple[int, int, int, tuple]] = []
+        self._sequence = 0
+        self._processes: dict[str, Process] = {}
+        self._by_address: dict[Address, Process] = {}
+
+    def process(self, name: str) -> Process | None:
+        """Returns the living process of a name."""
+        return self._processes.get(name)
+
+    def at_address(self, address: Address) -> Process | None:
+        """Returns the living process at an address."""
+        return self._by_address.get(address)
+
+    def start(self, name: str, place: str, addresses: list[Address], core: Core) -> Process:
+        """Starts a process; a living one of the same name is killed first."""
+        self.kill(name)
+        process = Process(name, place, addresses, core)
+        self._processes[name] = process
+        for address in addresses:
+            self._by_address[address] = process
+        self._push(self.now, _TIMER, (process,))
+        return process
+
+    def add_address(self, process: Process, address: Address) -> None:
+        """Gives a living process one more address."""
+        process.addresses.append(address)
+        self._by_address[address] = process
+
+    def kill(self, name: str) -> None:
+        """Ends a process; packets on their way to it are lost."""
+        process = self._processes.pop(name, None)
+        if process is None:
+            return
+        process.alive = False
+        for address in process.addresses:
+            self._by_address.pop(address, None)
+
+    def pause(self, name: str) -> None:
+        """Stops a process; what arrives for it is kept."""
+        process = self._processes.get(name)
+        if process is not None:
+            process.paused = True
+
+    def resume(self, name: str) -> None:
+        """Lets a paused process go on; it finds what arrived meanwhile."""
+        process = self._processes.get(name)
+        if process is None or not process.paused:
+            return
+        process.paused = False
+        for local, source, message in process.buffer:
+            self._receive(process, local, source, message)
+        process.buffer = []
+        self._push(self.now, _TIMER, (process,))
+
+    def call_at(self, time: int, action: Callable[[], None]) -> None:
+        """Runs an action at a time, before the arrivals of later times."""
+        self._push(time, _CALL, (action,))
+
+    def run_until(self, end: int) -> None:
+        """Advances the clock to a time and handles everything up to it."""
+        while self._events and self._events[0][0] <= end:
+            self.now = self._events[0][0]
+            for process in self._take_batch():
+                if process.alive and not process.paused:
+                    self._tick(process)
+        self.now = end
+
+    def send_all(self, process: Process) -> None:
+        """Puts what a process wants to send on the network."""
+        origin = (process.name, process.place)
+        source = process.addresses[0]
+        for destination, message in process.core.outbox.drain():
+            target = self._by_address.get(destination)
+            if target is None:
+                continue
+            if target is process:
+                self._push(self.now + 1, _ARRIVAL, (destination, source, message))
+                continue
+            if self.wire is not None:
+                message = self.wire(message)
+            for delay in self._delays(origin, process, target):
+                self._push(self.now + delay, _ARRIVAL, (destination, source, message))
+
+    def _delays(self, origin: tuple[str, str], process: Process, target: Process) -> list[int]:
+        if process.addresses[0][0] == target.addresses[0][0]:
+            return [1]  # loopback of one VM
+        return self.network.arrivals(origin, (target.name, target.place))
+
+    def _push(self, time: int, kind: int, content: tuple) -> None:
+        self._sequence += 1
+        heapq.heappush(self._events, (time, self._sequence, kind, content))
+
+    def _take_batch(self) -> list[Process]:
+        touched: dict[int, Process] = {}
+        events = self._events
+        while events and events[0][0] == self.now:
+            _, _, kind, content = heapq.heappop(events)
+            process = self._handle(kind, content)
+            if process is not None:
+                touched[id(process)] = process
+        return list(touched.values())
+
+    def _handle(self, kind: int, content: tuple) -> Process | None:
+        if kind == _ARRIVAL:
+            return self._arrive(*content)
+        if kind == _CALL:
+            content[0]()
+            return None
+        process: Process = content[0]
+        if process.next_timer > self.now:
+            return None
+        return process
+
+    def _arrive(self, destination: Address, source: Address, message: Message) -> Process | None:
+        process = self._by_address.get(destination)
+        if process is None:
+            return None
+        if process.paused:
+            if len(process.buffer) < BUFFER_LIMIT:
+                process.buffer.append((destination, source, message))
+            return None
+        self._receive(process, destination, source, message)
+        return process
+
+    def _receive(self, process: Process, local: Address, source: Address, message: Message) -> None:
+        self.delivered += 1
+        for tap in self.taps.get(type(message), ()):
+            tap(self.now, source, process, message)
+        receive_at = getattr(process.core, "receive_at", None)
+        if receive_at is None:
+            process.core.receive(source, message)
+        else:
+            receive_at(local, source, message)
+
+    def _tick(self, process: Process) -> None:
+        process.core.tick(self.now)
+        self.send_all(process)
+        due = self.now + TICK
+        next_due = getattr(process.core, "next_due", None)
+        if next_due is not None:
+            wanted = next_due()
+            if wanted is None:
+                return
+            due = max(self.now + 1, wanted)
+        if process.next_timer <= self.now or due < process.next_timer:
+            process.next_timer = due
+            self._push(due, _TIMER, (process,))
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -133,15 +133,15 @@
 
     def is_cold(self, now: int) -> bool:
         """Whether it bears less than its slots."""
-        return now - self.cold_since < self.settings.warmup
+        settings = self.settings
+        steps = max(1, settings.slots - settings.cold_limit)
+        return now - self.cold_since < settings.warmup * steps
 
     def bound(self, now: int) -> int:
         """Returns the number of requests in hand that it bears."""
         settings = self.settings
-        if not self.is_cold(now):
-            return settings.slots
-        gained = (settings.slots - settings.cold_limit) * (now - self.cold_since)
-        return settings.cold_limit + gained // settings.warmup
+        gained = (now - self.cold_since) // settings.warmup
+        return min(settings.slots, settings.cold_limit + gained)
 
     def turn_cold(self, now: int) -> None:
         """Loses its caches without a restart."""
@@ -153,9 +153,9 @@
             if self.requests.state[row] == WorkState.RUNNING:
                 self.log.cut.append(self.requests.order[row].ident)
 
-    def note_open(self, now: int) -> None:
+    def note_open(self, customer: str, now: int) -> None:
         """Records a feed opening, and whether a cold server had too many within a second."""
-        self.log.new_work.append(now)
+        self.log.new_work.append((now, customer))
         self._opens.append(now)
         while self._opens[0] <= now - 1000:
             self._opens.popleft()
@@ -163,9 +163,9 @@
         if self.is_cold(now) and len(self._opens) > allowed:
             self.log.over_bound.append((now, len(self._opens), allowed))
 
-    def note_request(self, now: int) -> None:
+    def note_request(self, customer: str, now: int) -> None:
         """Records a request's arrival, and whether a cold server has too much in hand."""
-        self.log.new_work.append(now)
+        self.log.new_work.append((now, customer))
         in_hand = len(self.requests) + 1
         if self.is_cold(now) and in_hand > self.bound(now):
             self.log.over_bound.append((now, in_hand, self.bound(now)))
@@ -270,7 +270,7 @@
             return
         if message.key in core.feeds:
             return
-        core.note_open(now)
+        core.note_open(opening.customer, now)
         row = core.feeds.add(message.key)
         if row == MISSING:
             core.outbox.send(agent, UpstreamClose(message.key, Code.OVERLOADED))
@@ -355,7 +355,7 @@
             return
         if core.note_crossing(order.service, order.customer, request.customer):
             return
-        core.note_request(now)
+        core.note_request(order.customer, now)
         if _row_key(request.key, request.attempt) in core.requests:
             core.log.runs.append(Run(order.ident, order.customer, core.incarnation, now, now))
             return
--- a/standins/upstream_state.py
+++ b/standins/upstream_state.py
@@ -42,7 +42,7 @@
     Attributes:
         slots: Requests that run at once when warm.
         cold_limit: Requests that it bears right after its start.
-        warmup: Time from cold to warm.
+        warmup: Time until it bears one further request.
         cold_opens: Feed openings a second that it bears per bearable request while cold.
         backlog: Requests that wait inside it before it sheds.
         customers: Names of the only customers it serves; empty for all.
@@ -54,7 +54,7 @@
     slots: int
     connections: int
     cold_limit: int = 1
-    warmup: int = 10_000
+    warmup: int = 2000
     cold_opens: int = 20
     backlog: int = 1
     feed_interval: int = 1000
@@ -80,7 +80,7 @@
         runs: Every start of a request.
         crossed: Packets of another service or customer, as text.
         over_bound: (time, work in hand, bound) for each arrival above the cold bound.
-        new_work: Times at which requests and feed openings arrived.
+        new_work: (time, customer) of arrivals of requests and feed openings.
         opened: Feed openings accepted.
         cut: Idents of requests that a planned stop ended while they ran.
     """
@@ -88,7 +88,7 @@
     runs: list[Run] = field(default_factory=list)
     crossed: list[str] = field(default_factory=list)
     over_bound: list[tuple[int, int, int]] = field(default_factory=list)
-    new_work: list[int] = field(default_factory=list)
+    new_work: list[tuple[int, str]] = field(default_factory=list)
     opened: int = 0
     cut: list[bytes] = field(default_factory=list)
 
--- /dev/null
+++ b/standins/world.py
@@ -0,0 +1,225 @@
+"""A user's whole deployment on the virtual clock, with every event that may happen to it."""
+
+__all__ = ["World"]
+
+import random
+
+from shallotshore.messages import Address
+from standins.caller import Caller
+from standins.caller_state import CallerLog
+from standins.configuration_service import ConfigurationService
+from standins.deployments import Deployment, Server, deployment, upstream_record
+from standins.fabric import Fabric
+from standins.journal import Journal
+from standins.network import Link, Network
+from standins.processes import agent_core, balancer_core
+from standins.pump import Pump
+from standins.sightings import Sightings
+from standins.upstream import Upstream
+from standins.upstream_state import UpstreamLog
+from standins.vm_list import VmList, vm_text
+
+CALLERS = "callers"
+PLATFORM = "platform"
+CONFIGURATION_ADDRESS = ("172.16.0.1", 8000)
+VM_LIST_ADDRESS = ("172.16.0.2", 8000)
+FABRIC_ADDRESS = ("172.16.0.3", 8000)
+LONG_AGO = -1_000_000  # ms; upstreams that a deployment starts with are warm
+FABRIC_LAG = 300  # ms after which the fabric knows that a balancer is gone
+
+
+def agent_name(upstream: str) -> str:
+    """Returns the process name of the agent beside an upstream."""
+    return f"{upstream}.agent"
+
+
+class World:
+    """All processes of one user's deployment and the logs of what they saw.
+
+    Attributes:
+        plan: The deployment; changes as servers and balancers are added.
+        pump: The virtual clock.
+        configuration: The configuration service.
+        vm_list: The VM list.
+        fabric: The fabric.
+        callers: Callers by (customer, service).
+        caller_logs: What callers saw; outlives callers that were withdrawn.
+        logs: What upstreams saw, by name.
+        journal: What was done and when.
+        sightings: What the network saw.
+        rng: Random numbers of the run.
+    """
+
+    __slots__ = (
+        "_caller_number",
+        "_incarnations",
+        "caller_logs",
+        "callers",
+        "configuration",
+        "fabric",
+        "journal",
+        "logs",
+        "plan",
+        "pump",
+        "rng",
+        "sightings",
+        "vm_list",
+    )
+
+    def __init__(self, plan: Deployment, seed: int) -> None:
+        self.plan = plan
+        self.rng = random.Random(seed)
+        self.pump = Pump(_network(plan, random.Random(self.rng.random())))
+        self.configuration = ConfigurationService()
+        self.vm_list = VmList()
+        self.fabric = Fabric([], random.Random(self.rng.random()))
+        self.callers: dict[tuple[str, str], Caller] = {}
+        self.caller_logs: list[CallerLog] = []
+        self.logs: dict[str, UpstreamLog] = {}
+        self.journal = Journal()
+        self.sightings = Sightings(self.pump)
+        self._incarnations: dict[str, int] = {}
+        self._caller_number = 0
+
+    @classmethod
+    def of_user(cls, user: str, seed: int) -> "World":
+        """Builds a user's deployment and starts all its processes.
+
+        Args:
+            user: Name of the user.
+            seed: Seed of all random numbers.
+        """
+        world = cls(deployment(user), seed)
+        world._start_platform()
+        for name in world.plan.balancers:
+            world.start_balancer(name)
+        for server in world.plan.servers.values():
+            world.start_upstream(server.settings.name, cold_since=LONG_AGO)
+            world.start_agent(server.settings.name)
+        for customer, service in world.plan.vips:
+            world.start_caller(customer, service)
+        return world
+
+    @property
+    def now(self) -> int:
+        """Present time in ms."""
+        return self.pump.now
+
+    def server(self, name: str) -> Server:
+        """Returns a server of the deployment.
+
+        Raises:
+            KeyError: There is none of that name.
+        """
+        return self.plan.servers[name]
+
+    def upstream(self, name: str) -> Upstream | None:
+        """Returns the living process of an upstream."""
+        process = self.pump.process(name)
+        return process.core if process is not None else None  # type: ignore[return-value]
+
+    def publish(self, texts: dict[str, bytes]) -> None:
+        """Publishes records at the configuration service."""
+        self.configuration.publish(texts, self.now)
+        self.wake(PLATFORM + ".configuration")
+
+    def list_vm(self, name: str, state: str) -> None:
+        """Changes one line of the VM list; state "" removes it."""
+        role, address, data_centre = self._vm(name)
+        text = vm_text(name, role, address, data_centre, state) if state else b""
+        self.vm_list.publish({f"vm/{name}": text}, self.now)
+        self.wake(PLATFORM + ".vm_list")
+
+    def wake(self, name: str) -> None:
+        """Ticks a stand-in whose state was changed from outside."""
+        process = self.pump.process(name)
+        if process is not None and not process.paused:
+            process.core.tick(self.now)
+            self.pump.send_all(process)
+
+    def start_balancer(self, name: str) -> None:
+        """Starts a balancer and lets the fabric use it."""
+        address, data_centre = self.plan.balancers[name]
+        core = balancer_core(self, name)
+        self.pump.start(name, data_centre, [address], core)
+        if address not in self.fabric.balancers:
+            self.fabric.balancers.append(address)
+
+    def forget_balancer(self, name: str) -> None:
+        """Takes a balancer out of the fabric's list."""
+        address, _ = self.plan.balancers[name]
+        if address in self.fabric.balancers:
+            self.fabric.balancers.remove(address)
+
+    def start_upstream(self, name: str, cold_since: int | None = None) -> None:
+        """Starts a server's own process, cold by default."""
+        server = self.server(name)
+        self._incarnations[name] = self._incarnations.get(name, 0) + 1
+        log = self.logs.setdefault(name, UpstreamLog())
+        cold = self.now if cold_since is None else cold_since
+        core = Upstream(server.settings, log, self._incarnations[name], cold)
+        self.pump.start(name, server.settings.data_centre, [server.address], core)
+
+    def end_upstream(self, name: str) -> None:
+        """Ends a server's own process."""
+        if self.pump.process(name) is not None:
+            self.journal.ended.setdefault(name, []).append(self.now)
+            self.pump.kill(name)
+
+    def start_agent(self, name: str) -> None:
+        """Starts the agent beside an upstream."""
+        server = self.server(name)
+        core = agent_core(self, server)
+        place = server.settings.data_centre
+        self.pump.start(agent_name(name), place, [server.agent], core)
+
+    def start_caller(self, customer: str, service: str) -> None:
+        """Starts the programs of a customer that use a service; they are idle until loaded."""
+        self._caller_number += 1
+        address: Address = (f"198.51.100.{self._caller_number}", 40_000)
+        vip = self.plan.vips[(customer, service)]
+        load = self.plan.idle_load(service)
+        core = Caller(customer, service, vip, load, random.Random(self.rng.random()))
+        self.callers[(customer, service)] = core
+        self.caller_logs.append(core.log)
+        self.pump.start(f"{customer}.{service}", CALLERS, [address], core)
+
+    def publish_upstream(self, name: str, state: str) -> None:
+        """Publishes an upstream's record as active or leaving, and notes it."""
+        self.publish({f"upstream/{name}": upstream_record(self.server(name), state)})
+        if state == "leaving":
+            self.journal.begin(self.journal.leaving, name, self.now)
+        else:
+            self.journal.finish(self.journal.leaving, name, self.now)
+
+    def _start_platform(self) -> None:
+        pump = self.pump
+        pump.start(
+            PLATFORM + ".configuration", PLATFORM, [CONFIGURATION_ADDRESS], self.configuration
+        )
+        pump.start(PLATFORM + ".vm_list", PLATFORM, [VM_LIST_ADDRESS], self.vm_list)
+        vips = list(self.plan.vips.values())
+        pump.start(PLATFORM + ".fabric", PLATFORM, [FABRIC_ADDRESS, *vips], self.fabric)
+        self.configuration.publish(self.plan.records(), LONG_AGO)
+        lines = {}
+        for name in [*self.plan.balancers, *self.plan.servers]:
+            lines[f"vm/{name}"] = vm_text(name, *self._vm(name))
+        self.vm_list.publish(lines, LONG_AGO)
+
+    def _vm(self, name: str) -> tuple[str, Address, str]:
+        if name in self.plan.balancers:
+            address, data_centre = self.plan.balancers[name]
+            return "balancer", address, data_centre
+        server = self.server(name)
+        return "agent", server.agent, server.settings.data_centre
+
+
+def _network(plan: Deployment, rng: random.Random) -> Network:
+    network = Network(rng)
+    for one in plan.data_centres:
+        network.set_link(one, CALLERS, Link(plan.to_callers, 1))
+        network.set_link(one, PLATFORM, Link(plan.to_callers, 1))
+        for other in plan.data_centres:
+            if one < other:
+                network.set_link(one, other, Link(plan.between, 1))
+    return network
