--- a/bench/plain_balancer.py
+++ b/bench/plain_balancer.py
@@ -5,12 +5,13 @@
 choice. All read the configuration service once a second.
 """
 
-__all__ = ["Flows", "Load", "PlainBalancer"]
+__all__ = ["Flows", "Load", "PlainBalancer", "PlainCast"]
 
 import json
 import random
 from collections.abc import Callable
 from enum import Enum
+from functools import partial
 
 from shallotshore.codes import Code, outcome_of
 from shallotshore.hashing import flow_key, name_id, rank, request_key
@@ -34,7 +35,8 @@
     UpstreamRequest,
 )
 from shallotshore.systems import Core
-from standins.deployments import SERVER_PORT
+from standins.deployments import SERVER_PORT, Server
+from standins.processes import Site
 
 READ_INTERVAL = 1000  # ms
 
@@ -147,6 +149,14 @@
     return members[ranked[0]] if ranked else None
 
 
+def _data(payload: bytes, flow: int) -> Message:
+    return CallerData(flow, payload)
+
+
+def _reset(code: int, flow: int) -> Message:
+    return CallerReset(flow, code)
+
+
 class _Reader:
     """Reads the configuration once a second."""
 
@@ -232,9 +242,9 @@
     def run(self, now: int) -> None:
         inbox = self._balancer.inbox
         for _, data in inbox.take(UpstreamData):
-            self._send(data.key, lambda flow, data=data: CallerData(flow, data.payload))
+            self._send(data.key, partial(_data, data.payload))
         for _, close in inbox.take(UpstreamClose):
-            self._send(close.key, lambda flow, close=close: CallerReset(flow, close.code))
+            self._send(close.key, partial(_reset, close.code))
         for _, answer in inbox.take(UpstreamAnswer):
             self._answer(answer)
 
@@ -257,3 +267,20 @@
             answer.payload,
         )
         self._balancer.outbox.send(self._fabric, FabricPacket(caller, vip, told))
+
+
+class PlainCast:
+    """Balancers of one of the usual kinds, and no agents."""
+
+    __slots__ = ("_flows", "_load")
+
+    def __init__(self, flows: Flows, load: Load) -> None:
+        self._flows = flows
+        self._load = load
+
+    def balancer(self, site: Site) -> Core:
+        """Returns the core of a new balancer."""
+        return PlainBalancer(site.configuration, site.fabric, self._flows, self._load, site.rng)
+
+    def agent(self, site: Site, server: Server) -> None:
+        """Returns None: these balancers need no agents."""
--- a/standins/measures.py
+++ b/standins/measures.py
@@ -1,4 +1,4 @@
-"""Figures of a run: outcomes, latency, imbalance and hops, from the logs of callers and upstreams."""
+"""Figures of a run: outcomes, latency, imbalance and hops, from what callers and upstreams saw."""
 
 __all__ = ["figures_of", "imbalance", "percentile"]
 
