--- /dev/null
+++ b/shallotshore/application.py
@@ -0,0 +1,319 @@
+"""The application object: runs one core on asyncio and owns its sockets, timers and metrics."""
+
+__all__ = ["Application", "ApplicationConfig", "clock"]
+
+import asyncio
+import signal
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+import statsd
+import structlog
+
+from shallotshore import codec, status
+from shallotshore.codec import Transport
+from shallotshore.control import ControlClient, ControlServer
+from shallotshore.datagrams import DatagramEndpoint
+from shallotshore.messages import Address, Message, PlatformRead, StatusReply, StatusRequest
+from shallotshore.metrics import Latencies, Metrics, RequestTimes
+from shallotshore.platform import PlatformClient
+from shallotshore.security import MacKeys, MaterialError, TlsMaterial
+from shallotshore.systems import Counters, Outbox
+
+TICK_INTERVAL = 20  # ms between ticks when nothing arrives
+PAUSE = 1000  # ms without a tick after which the process counts as paused
+STOP_LIMIT = 60_000  # ms after which a graceful stop is given up; cores end theirs by 30 s
+_PAUSE_DRAIN = 65_536  # datagrams: more than a socket buffer of 4 MiB holds in practice
+_UPKEEP_INTERVAL = 1.0  # seconds between flushes of metrics and looks at the files of keys
+_FAILED_TICKS = 100  # in a row, after which the process exits so that it can be replaced
+
+
+class RunnableCore(Protocol):
+    """What the application needs of a core; `stop`, `stopped` and `status` are optional."""
+
+    counters: Counters
+    outbox: Outbox
+
+    def receive(self, source: Address, message: Message) -> None:
+        """Queues a message for the next tick."""
+
+    def tick(self, now: int) -> None:
+        """Runs every system."""
+
+
+def clock() -> int:
+    """Returns monotonic milliseconds; time that the machine was suspended counts."""
+    return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
+
+
+def _label(vip: Address) -> str:
+    return f"{vip[0]}:{vip[1]}".replace(".", "_").replace(":", "_")
+
+
+@dataclass(slots=True)
+class ApplicationConfig:
+    """What the application needs besides its core.
+
+    Attributes:
+        address: IP number and port of the UDP socket and, with `control`, of the gRPC server.
+        keys: Keys of the datagram MAC.
+        plain_from: The only source of messages without MAC, or None for any.
+        tls: Certificates of gRPC, or None for plain text.
+        control: Whether to serve gRPC.
+        statsd: Address of the statsd server, or None.
+        prefix: First part of the names of all metrics.
+        label: Gives the label (customer and service) of an address for latency histograms.
+    """
+
+    address: Address
+    keys: MacKeys = field(default_factory=MacKeys.without_key)
+    plain_from: Address | None = None
+    tls: TlsMaterial | None = None
+    control: bool = True
+    statsd: Address | None = None
+    prefix: str = "shallotshore"
+    label: Callable[[Address], str] = _label
+
+
+class Application:
+    """Runs a core: one tick per batch of arrivals, and one per `TICK_INTERVAL`.
+
+    Life cycle: `start` opens all resources, `request_stop` asks the core to stop gracefully, and
+    `close` releases everything. `run` does all three and handles SIGTERM and SIGINT.
+    """
+
+    __slots__ = (
+        "_client",
+        "_config",
+        "_core",
+        "_endpoint",
+        "_failed_ticks",
+        "_last_tick",
+        "_latencies",
+        "_log",
+        "_loop",
+        "_metrics",
+        "_platform",
+        "_senders",
+        "_server",
+        "_stop_by",
+        "_stopped",
+        "_tick_handle",
+        "_timer",
+        "_times",
+        "_upkeep",
+    )
+
+    def __init__(self, core: RunnableCore, config: ApplicationConfig) -> None:
+        """Creates an application that owns nothing yet.
+
+        Args:
+            core: Any core.
+            config: Address, keys and outputs.
+        """
+        counters = core.counters
+        self._core = core
+        self._config = config
+        self._endpoint = DatagramEndpoint(
+            config.address, config.keys, counters, self.deliver, config.plain_from
+        )
+        self._client = ControlClient(config.address, config.tls, counters)
+        self._platform = PlatformClient(self._client, counters, self.deliver)
+        self._server = (
+            ControlServer(config.address, config.tls, counters, self.deliver, self.report)
+            if config.control
+            else None
+        )
+        self._latencies = Latencies()
+        self._times = RequestTimes(self._latencies, config.label)
+        self._metrics = Metrics(_statsd_client(config), counters, self._latencies)
+        self._senders: dict[Transport, Callable[[Address, Any], None]] = {
+            Transport.PLAIN: self._endpoint.send,
+            Transport.AUTHENTICATED: self._endpoint.send,
+            Transport.CONTROL: self._client.send,
+            Transport.PLATFORM: self._send_platform,
+        }
+        self._log = structlog.get_logger().bind(address=f"{config.address[0]}:{config.address[1]}")
+        self._loop: asyncio.AbstractEventLoop | None = None
+        self._tick_handle: asyncio.Handle | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._upkeep: asyncio.Task | None = None
+        self._stopped: asyncio.Future[int] | None = None
+        self._stop_by: int | None = None
+        self._last_tick = clock()
+        self._failed_ticks = 0
+
+    @property
+    def core(self) -> RunnableCore:
+        """The core that runs."""
+        return self._core
+
+    @property
+    def latencies(self) -> Latencies:
+        """Latencies of requests that passed this process."""
+        return self._latencies
+
+    async def run(self) -> int:
+        """Runs until a signal asks for a stop and the core has stopped.
+
+        Returns:
+            The exit status: 0 after a graceful stop.
+
+        Raises:
+            OSError: The UDP address cannot be bound.
+            RuntimeError: The TCP address cannot be bound.
+        """
+        try:
+            await self.start()
+            for number in (signal.SIGTERM, signal.SIGINT):
+                asyncio.get_running_loop().add_signal_handler(number, self.request_stop)
+            return await self.stopped()
+        finally:
+            await self.close()
+
+    async def start(self) -> None:
+        """Opens the sockets and starts the timer.
+
+        Raises:
+            OSError: The UDP address cannot be bound.
+            RuntimeError: The TCP address cannot be bound.
+        """
+        self._loop = asyncio.get_running_loop()
+        self._stopped = self._loop.create_future()
+        await self._endpoint.start()
+        if self._server is not None:
+            await self._server.start()
+        self._last_tick = clock()
+        self._upkeep = self._loop.create_task(self._keep_up())
+        self._on_timer()
+        self._log.info("started")
+
+    async def stopped(self) -> int:
+        """Waits until the core has stopped and returns the exit status."""
+        assert self._stopped is not None
+        return await asyncio.shield(self._stopped)
+
+    def request_stop(self) -> None:
+        """Asks the core to stop gracefully; a second call changes nothing."""
+        if self._stop_by is not None:
+            return
+        now = clock()
+        self._stop_by = now + STOP_LIMIT
+        self._log.info("stopping")
+        stop = getattr(self._core, "stop", None)
+        if stop is not None:
+            stop(now)
+        self.wake()
+
+    async def close(self) -> None:
+        """Releases everything that `start` opened."""
+        for handle in (self._timer, self._tick_handle, self._upkeep):
+            if handle is not None:
+                handle.cancel()
+        self._timer = self._tick_handle = None
+        await self._platform.close()
+        await self._client.close()
+        if self._server is not None:
+            await self._server.close()
+        await self._endpoint.close()
+        self._metrics.flush()
+        self._log.info("ended")
+
+    def deliver(self, source: Address, message: Message) -> None:
+        """Hands a message to the core and makes a tick due."""
+        self._times.observe(message, clock())
+        self._core.receive(source, message)
+        self.wake()
+
+    def wake(self) -> None:
+        """Makes a tick due after the arrivals that wait."""
+        if self._tick_handle is None and self._loop is not None:
+            self._tick_handle = self._loop.call_soon(self._tick)
+
+    def report(self, request: StatusRequest) -> StatusReply:
+        """Returns the status report."""
+        core_status = getattr(self._core, "status", None)
+        return status.report(
+            core_status(clock()) if core_status is not None else None,
+            self._core.counters.snapshot() if request.detail else {},
+            self._latencies.summary(),
+        )
+
+    def _on_timer(self) -> None:
+        assert self._loop is not None
+        self._timer = self._loop.call_later(TICK_INTERVAL / 1000, self._on_timer)
+        self.wake()
+
+    def _tick(self) -> None:
+        self._tick_handle = None
+        now = clock()
+        if now - self._last_tick > PAUSE:
+            # The core drops what it holds after a pause; all that came meanwhile has to be there.
+            self._endpoint.read_waiting(_PAUSE_DRAIN)
+        self._last_tick = now
+        self._run_core(now)
+        for destination, message in self._core.outbox.drain():
+            self._times.observe(message, now)
+            self._senders[codec.transport_of(message)](destination, message)
+        self._look_for_end(now)
+
+    def _run_core(self, now: int) -> None:
+        """Runs a tick; a fault in one message must not end the flows of all the others."""
+        try:
+            self._core.tick(now)
+            self._failed_ticks = 0
+        except Exception:
+            self._core.counters.add("application.failed_ticks")
+            self._failed_ticks += 1
+            if self._failed_ticks == 1:
+                self._log.exception("tick_failed")
+            if self._failed_ticks >= _FAILED_TICKS:
+                self._end(1)
+
+    def _look_for_end(self, now: int) -> None:
+        if self._stop_by is None:
+            return
+        if getattr(self._core, "stopped", True):
+            self._end(0)
+        elif now >= self._stop_by:
+            self._log.error("stop_given_up")
+            self._end(1)
+
+    def _end(self, exit_status: int) -> None:
+        if self._stopped is not None and not self._stopped.done():
+            self._stopped.set_result(exit_status)
+
+    def _send_platform(self, destination: Address, message: Message) -> None:
+        if isinstance(message, PlatformRead):
+            self._platform.read(destination, message)
+        elif self._server is None or not self._server.answer_read(destination, message):
+            self._core.counters.add("platform.reader_gone")
+
+    async def _keep_up(self) -> None:
+        """Flushes metrics and takes over renewed keys and certificates."""
+        while True:
+            await asyncio.sleep(_UPKEEP_INTERVAL)
+            self._metrics.flush()
+            try:
+                if self._config.keys.reload():
+                    self._log.info("mac_keys_renewed")
+                if self._config.tls is not None and self._config.tls.reload():
+                    await self._renew_tls()
+            except (MaterialError, RuntimeError) as error:
+                self._core.counters.add("security.renewal_failed")
+                self._log.error("renewal_failed", reason=str(error))
+
+    async def _renew_tls(self) -> None:
+        if self._server is not None:
+            await self._server.renew()
+        await self._client.renew()
+        self._log.info("certificates_renewed")
+
+
+def _statsd_client(config: ApplicationConfig) -> statsd.StatsClient | None:
+    if config.statsd is None:
+        return None
+    host, port = config.statsd
+    return statsd.StatsClient(host, port, prefix=config.prefix, ipv6=":" in host)
--- /dev/null
+++ b/shallotshore/codec.py
@@ -0,0 +1,289 @@
+"""Messages to bytes and back: one byte of kind, then a msgpack array of the fields."""
+
+__all__ = ["MESSAGE_LIMIT", "Transport", "decode", "encode", "transport_of_bytes", "transport_of"]
+
+import typing
+from collections.abc import Callable
+from dataclasses import fields
+from enum import IntEnum
+from functools import singledispatch
+from operator import attrgetter
+from typing import Annotated, Any, NamedTuple, get_args, get_origin
+
+import msgspec
+from msgspec import Meta
+from result import Err, Ok, Result
+
+from shallotshore import messages
+from shallotshore.codes import Code
+from shallotshore.messages import Address, Message
+
+# The configuration service holds values up to a megabyte; a delta part carries at least one.
+MESSAGE_LIMIT = 2 * 1024 * 1024
+_HOST_LENGTH = 64  # characters: an IP number in text, with room for a zone index
+
+# Numbers of kinds are part of the protocol: they are never changed and never given out again.
+_KINDS: dict[int, type[Message]] = {
+    1: messages.CallerOpen,
+    2: messages.CallerData,
+    3: messages.CallerClose,
+    4: messages.CallerReset,
+    5: messages.CallerRequest,
+    6: messages.CallerCancel,
+    7: messages.CallerAnswer,
+    8: messages.FabricPacket,
+    16: messages.Forward,
+    17: messages.FlowReply,
+    18: messages.FlowReset,
+    19: messages.FlowHint,
+    20: messages.Attempt,
+    21: messages.AttemptAnswer,
+    22: messages.Declined,
+    23: messages.CancelAttempt,
+    24: messages.Cancelled,
+    32: messages.Claim,
+    33: messages.ClaimReply,
+    34: messages.Release,
+    35: messages.ClaimSync,
+    36: messages.ClaimQuery,
+    37: messages.Void,
+    38: messages.VoidReply,
+    48: messages.Heartbeat,
+    49: messages.HealthEvent,
+    56: messages.RevisionNotice,
+    57: messages.RevisionOffer,
+    58: messages.DeltaRequest,
+    59: messages.Delta,
+    64: messages.PlatformRead,
+    65: messages.PlatformReply,
+    72: messages.StatusRequest,
+    73: messages.StatusReply,
+    80: messages.UpstreamProbe,
+    81: messages.UpstreamHealth,
+    82: messages.UpstreamOpen,
+    83: messages.UpstreamData,
+    84: messages.UpstreamClose,
+    85: messages.UpstreamRequest,
+    86: messages.UpstreamCancel,
+    87: messages.UpstreamAnswer,
+}
+_NESTED_KINDS = frozenset(range(1, 8))  # what a FabricPacket may carry: messages of callers
+
+
+class Transport(IntEnum):
+    """How a message travels."""
+
+    PLAIN = 1
+    AUTHENTICATED = 2
+    CONTROL = 3
+    PLATFORM = 4
+
+
+@singledispatch
+def transport_of(message: Message) -> Transport:
+    """Returns how a message travels; by default as a datagram with a MAC."""
+    return Transport.AUTHENTICATED
+
+
+@transport_of.register(messages.CallerOpen)
+@transport_of.register(messages.CallerData)
+@transport_of.register(messages.CallerClose)
+@transport_of.register(messages.CallerReset)
+@transport_of.register(messages.CallerRequest)
+@transport_of.register(messages.CallerCancel)
+@transport_of.register(messages.CallerAnswer)
+@transport_of.register(messages.FabricPacket)
+@transport_of.register(messages.UpstreamProbe)
+@transport_of.register(messages.UpstreamHealth)
+@transport_of.register(messages.UpstreamOpen)
+@transport_of.register(messages.UpstreamData)
+@transport_of.register(messages.UpstreamClose)
+@transport_of.register(messages.UpstreamRequest)
+@transport_of.register(messages.UpstreamCancel)
+@transport_of.register(messages.UpstreamAnswer)
+def _(message: Message) -> Transport:
+    return Transport.PLAIN
+
+
+@transport_of.register(messages.RevisionOffer)
+@transport_of.register(messages.DeltaRequest)
+@transport_of.register(messages.Delta)
+@transport_of.register(messages.HealthEvent)
+@transport_of.register(messages.StatusRequest)
+@transport_of.register(messages.StatusReply)
+def _(message: Message) -> Transport:
+    return Transport.CONTROL
+
+
+@transport_of.register(messages.PlatformRead)
+@transport_of.register(messages.PlatformReply)
+def _(message: Message) -> Transport:
+    return Transport.PLATFORM
+
+
+class _Format(NamedTuple):
+    """How one kind of message is written and read."""
+
+    kind: int
+    message_type: type[Message]
+    values: Callable[[Any], Any]
+    decoder: msgspec.msgpack.Decoder
+    rebuilders: tuple[tuple[int, Callable[[Any], Any]], ...]
+
+
+def _wire_type(field_type: Any) -> Any:
+    """Returns the type that msgspec checks for a field: integers unsigned, ports in range."""
+    if field_type is int:
+        return Annotated[int, Meta(ge=0)]
+    if field_type is Message:
+        return bytes
+    if field_type == Address:
+        host = Annotated[str, Meta(max_length=_HOST_LENGTH)]
+        return _tuple_of(host, Annotated[int, Meta(ge=0, le=65535)])
+    if _is_named_tuple(field_type):
+        hints = typing.get_type_hints(field_type)
+        return _tuple_of(*map(_wire_type, hints.values()))
+    if get_origin(field_type) is tuple:
+        item, ellipsis = get_args(field_type)
+        return _tuple_of(_wire_type(item), ellipsis)
+    return field_type
+
+
+def _tuple_of(*types: Any) -> Any:
+    return tuple.__class_getitem__(types)
+
+
+def _is_named_tuple(field_type: Any) -> bool:
+    return isinstance(field_type, type) and hasattr(field_type, "_fields")
+
+
+def _rebuilder(field_type: Any) -> Callable[[Any], Any] | None:
+    """Returns what turns a checked value into the field's own type, or None for equal types."""
+    if field_type is Message:
+        return _decode_nested
+    if _is_named_tuple(field_type):
+        return field_type._make
+    if get_origin(field_type) is tuple and _is_named_tuple(get_args(field_type)[0]):
+        make = get_args(field_type)[0]._make
+        return lambda values: tuple(make(value) for value in values)
+    return None
+
+
+def _format(kind: int, message_type: type[Message]) -> _Format:
+    hints = typing.get_type_hints(message_type)
+    names = [field.name for field in fields(message_type)]  # type: ignore[arg-type]
+    types = [hints[name] for name in names]
+    wire = _tuple_of(*map(_wire_type, types))
+    rebuilders = ((index, _rebuilder(field_type)) for index, field_type in enumerate(types))
+    return _Format(
+        kind,
+        message_type,
+        _values_getter(names, types),
+        msgspec.msgpack.Decoder(wire),
+        tuple((index, rebuild) for index, rebuild in rebuilders if rebuild is not None),
+    )
+
+
+def _values_getter(names: list[str], types: list[Any]) -> Callable[[Any], Any]:
+    """Returns what reads the values to write from a message; a nested message becomes bytes."""
+    getters = [
+        _encoded_getter(n) if t is Message else attrgetter(n)
+        for n, t in zip(names, types, strict=True)
+    ]
+    if len(names) == 1 or Message in types:
+        return lambda message: [getter(message) for getter in getters]
+    return attrgetter(*names)
+
+
+def _encoded_getter(name: str) -> Callable[[Any], bytes]:
+    getter = attrgetter(name)
+    return lambda message: encode(getter(message))
+
+
+class _NestedError(Exception):
+    """A FabricPacket carries something that no caller sends or receives."""
+
+    def __init__(self, code: Code) -> None:
+        super().__init__(code)
+        self.code = code
+
+
+def _decode_nested(data: bytes) -> Message:
+    if data and data[0] not in _NESTED_KINDS:
+        raise _NestedError(Code.MESSAGE_MALFORMED)
+    nested = decode(data)
+    if isinstance(nested, Err):
+        raise _NestedError(nested.err_value)
+    return nested.ok_value
+
+
+_FORMATS = {kind: _format(kind, message_type) for kind, message_type in _KINDS.items()}
+_FORMAT_OF = {entry.message_type: entry for entry in _FORMATS.values()}
+_PREFIX = {entry.message_type: bytes([entry.kind]) for entry in _FORMATS.values()}
+_TRANSPORT_OF = {
+    kind: transport_of.dispatch(entry.message_type)(typing.cast(Message, None))
+    for kind, entry in _FORMATS.items()
+}
+_ENCODER = msgspec.msgpack.Encoder()
+
+
+def transport_of_bytes(data: bytes) -> Result[Transport, Code]:
+    """Returns how an encoded message must have travelled, judged by its first byte.
+
+    Returns:
+        The transport of its kind, or MESSAGE_TRUNCATED or MESSAGE_KIND_UNKNOWN.
+    """
+    if not data:
+        return Err(Code.MESSAGE_TRUNCATED)
+    transport = _TRANSPORT_OF.get(data[0])
+    return Err(Code.MESSAGE_KIND_UNKNOWN) if transport is None else Ok(transport)
+
+
+def encode(message: Message) -> bytes:
+    """Returns a message as bytes.
+
+    Raises:
+        TypeError: The message, or a value in it, has no encoding.
+        OverflowError: A number does not fit 64 bits.
+    """
+    entry = _FORMAT_OF.get(type(message))
+    if entry is None:
+        raise TypeError(f"{type(message).__name__} has no message kind")
+    return _PREFIX[entry.message_type] + _ENCODER.encode(entry.values(message))
+
+
+def decode(data: bytes) -> Result[Message, Code]:
+    """Reads one message; no input makes it raise.
+
+    Args:
+        data: The message as `encode` writes it.
+
+    Returns:
+        The message, or a code of the family MESSAGE_*.
+    """
+    if not data:
+        return Err(Code.MESSAGE_TRUNCATED)
+    if len(data) > MESSAGE_LIMIT:
+        return Err(Code.MESSAGE_TOO_LARGE)
+    entry = _FORMATS.get(data[0])
+    if entry is None:
+        return Err(Code.MESSAGE_KIND_UNKNOWN)
+    try:
+        values = entry.decoder.decode(memoryview(data)[1:])
+        return Ok(_build(entry, values))
+    except _NestedError as error:
+        return Err(error.code)
+    except msgspec.ValidationError:
+        return Err(Code.MESSAGE_MALFORMED)
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+        truncated = "truncated" in str(error)
+        return Err(Code.MESSAGE_TRUNCATED if truncated else Code.MESSAGE_MALFORMED)
+
+
+def _build(entry: _Format, values: tuple) -> Message:
+    if not entry.rebuilders:
+        return entry.message_type(*values)
+    rebuilt = list(values)
+    for index, rebuild in entry.rebuilders:
+        rebuilt[index] = rebuild(rebuilt[index])
+    return entry.message_type(*rebuilt)
--- /dev/null
+++ b/shallotshore/control.py
@@ -0,0 +1,401 @@
+"""gRPC between the system's processes and towards the platform, without generated code."""
+
+__all__ = ["ControlClient", "ControlServer", "PeerRefusedError"]
+
+import asyncio
+from collections import OrderedDict, deque
+from collections.abc import Callable
+
+import grpc
+import msgspec
+from grpc import aio
+from result import Err
+
+from shallotshore import codec
+from shallotshore.codec import Transport
+from shallotshore.codes import Code
+from shallotshore.messages import (
+    Address,
+    Message,
+    PlatformRead,
+    PlatformReply,
+    StatusReply,
+    StatusRequest,
+)
+from shallotshore.security import TlsMaterial
+from shallotshore.systems import Counters
+
+EXCHANGE = "/shallotshore.Control/Exchange"
+STATUS = "/shallotshore.Control/Status"
+READ = "/shallotshore.Platform/Read"
+
+_BATCH_BYTES = 1024 * 1024
+_QUEUE_BYTES = 8 * 1024 * 1024  # per peer; more is dropped, since cores repeat what matters
+_CHANNELS = 64  # open channels; the one used longest ago is closed first
+_CALL_TIMEOUT = 2.0  # seconds
+_READ_MARGIN = 2.0  # seconds beyond the time that a watch waits
+_CLOSE_GRACE = 0.2  # seconds
+_READS_WAITING = 4096
+_MESSAGE_BYTES = 2 * codec.MESSAGE_LIMIT
+_OPTIONS = [
+    ("grpc.max_receive_message_length", _MESSAGE_BYTES),
+    ("grpc.max_send_message_length", _MESSAGE_BYTES),
+    # The library's own backoff grows to 120 s, far beyond the 3 s in which a revision must spread.
+    ("grpc.initial_reconnect_backoff_ms", 100),
+    ("grpc.min_reconnect_backoff_ms", 500),
+    ("grpc.max_reconnect_backoff_ms", 1000),
+]
+# Renewed certificates are served by a second server on the port, so the port must be shareable.
+_SERVER_OPTIONS = [*_OPTIONS, ("grpc.so_reuseport", 1)]
+
+_BATCH_DECODER = msgspec.msgpack.Decoder(tuple[tuple[str, int], list[bytes]])
+_ENCODER = msgspec.msgpack.Encoder()
+
+Deliver = Callable[[Address, Message], None]
+Report = Callable[[StatusRequest], StatusReply]
+
+
+class PeerRefusedError(Exception):
+    """A peer could not be reached or its certificate was refused."""
+
+    def __init__(self, code: Code, details: str) -> None:
+        super().__init__(f"{code.value} {code.name}: {details}")
+        self.code = code
+
+
+def join_host(address: Address) -> str:
+    """Returns an address as gRPC writes it."""
+    host, port = address
+    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+
+
+class ControlServer:
+    """Serves batches of messages, status reports and the platform's reads."""
+
+    __slots__ = (
+        "_address",
+        "_counters",
+        "_deliver",
+        "_reads",
+        "_report",
+        "_serial",
+        "_server",
+        "_tls",
+    )
+
+    def __init__(
+        self,
+        address: Address,
+        tls: TlsMaterial | None,
+        counters: Counters,
+        deliver: Deliver,
+        report: Report,
+    ) -> None:
+        """Creates a server that does not listen yet.
+
+        Args:
+            address: IP number and port to listen on.
+            tls: Certificates, or None for plain text.
+            counters: Counts what is refused.
+            deliver: Called with the source and each message that arrives.
+            report: Gives the status report.
+        """
+        self._address = address
+        self._tls = tls
+        self._counters = counters
+        self._deliver = deliver
+        self._report = report
+        self._server: aio.Server | None = None
+        self._reads: dict[Address, asyncio.Future[Message]] = {}
+        self._serial = 0
+
+    async def start(self) -> None:
+        """Listens.
+
+        Raises:
+            RuntimeError: The address cannot be bound.
+        """
+        server = aio.server(options=_SERVER_OPTIONS)
+        server.add_generic_rpc_handlers(_handlers(self))
+        if self._tls is None:
+            server.add_insecure_port(join_host(self._address))
+        else:
+            server.add_secure_port(join_host(self._address), self._tls.server_credentials())
+        await server.start()
+        self._server = server
+
+    async def renew(self) -> None:
+        """Serves new connections with the certificates as they are now; calls in progress end."""
+        old = self._server
+        await self.start()
+        if old is not None:
+            await old.stop(_CALL_TIMEOUT)
+
+    async def close(self) -> None:
+        """Stops listening and ends the reads that wait."""
+        for read in self._reads.values():
+            read.cancel()
+        if self._server is not None:
+            await self._server.stop(_CLOSE_GRACE)
+
+    def answer_read(self, destination: Address, message: Message) -> bool:
+        """Answers a read that waits.
+
+        Returns:
+            Whether the destination is a read that waits.
+        """
+        read = self._reads.get(destination)
+        if read is None:
+            return False
+        if not read.done():
+            read.set_result(message)
+        return True
+
+    async def exchange(self, request: bytes, context: aio.ServicerContext) -> bytes:
+        """Takes a batch of messages of another process."""
+        await self._check_peer(context)
+        try:
+            source, frames = _BATCH_DECODER.decode(request)
+        except msgspec.MsgspecError:
+            self._counters.add("control.refused.message_malformed")
+            await context.abort(grpc.StatusCode.INVALID_ARGUMENT, Code.MESSAGE_MALFORMED.name)
+        for frame in frames:
+            message = self._open(frame, Transport.CONTROL)
+            if message is not None:
+                self._deliver(source, message)
+        return b""
+
+    async def status(self, request: bytes, context: aio.ServicerContext) -> bytes:
+        """Answers a `StatusRequest`."""
+        await self._check_peer(context)
+        message = self._open(request, Transport.CONTROL)
+        if not isinstance(message, StatusRequest):
+            await context.abort(grpc.StatusCode.INVALID_ARGUMENT, Code.MESSAGE_MALFORMED.name)
+            raise AssertionError("abort raises")
+        return codec.encode(self._report(message))
+
+    async def read(self, request: bytes, context: aio.ServicerContext) -> bytes:
+        """Answers a `PlatformRead` when the core has done so."""
+        await self._check_peer(context)
+        message = self._open(request, Transport.PLATFORM)
+        if not isinstance(message, PlatformRead):
+            await context.abort(grpc.StatusCode.INVALID_ARGUMENT, Code.MESSAGE_MALFORMED.name)
+        if len(self._reads) >= _READS_WAITING:
+            await context.abort(grpc.StatusCode.RESOURCE_EXHAUSTED, Code.TABLE_FULL.name)
+        self._serial += 1
+        source = (context.peer(), self._serial)
+        answer: asyncio.Future[Message] = asyncio.get_running_loop().create_future()
+        self._reads[source] = answer
+        try:
+            self._deliver(source, message)  # type: ignore[arg-type]
+            return codec.encode(await answer)
+        finally:
+            del self._reads[source]
+
+    def _open(self, frame: bytes, transport: Transport) -> Message | None:
+        decoded = codec.decode(frame)
+        if isinstance(decoded, Err):
+            self._counters.add(f"control.refused.{decoded.err_value.name.lower()}")
+            return None
+        if codec.transport_of(decoded.ok_value) is not transport:
+            self._counters.add("control.refused.message_kind_unknown")
+            return None
+        return decoded.ok_value
+
+    async def _check_peer(self, context: aio.ServicerContext) -> None:
+        """Ends the call of a peer whose certificate is ours but carries another name."""
+        if self._tls is None:
+            return
+        names = context.auth_context().get("x509_subject_alternative_name", [])
+        if self._tls.peer_name.encode() not in names:
+            self._counters.add("control.refused.peer_not_authentic")
+            await context.abort(grpc.StatusCode.PERMISSION_DENIED, Code.PEER_NOT_AUTHENTIC.name)
+
+
+def _handlers(server: ControlServer) -> tuple[grpc.GenericRpcHandler, ...]:
+    services: dict[str, dict[str, grpc.RpcMethodHandler]] = {}
+    for path, method in (
+        (EXCHANGE, server.exchange),
+        (STATUS, server.status),
+        (READ, server.read),
+    ):
+        service, name = path.strip("/").split("/")
+        handler = grpc.unary_unary_rpc_method_handler(method)
+        services.setdefault(service, {})[name] = handler
+    return tuple(
+        grpc.method_handlers_generic_handler(service, methods)
+        for service, methods in services.items()
+    )
+
+
+class _Peer:
+    """Channel to one process and the messages that wait for it."""
+
+    __slots__ = ("asking", "channel", "queue", "queued_bytes", "task")
+
+    def __init__(self, channel: aio.Channel) -> None:
+        self.channel = channel
+        self.queue: deque[bytes] = deque()
+        self.queued_bytes = 0
+        self.asking = 0
+        self.task: asyncio.Task | None = None
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no call is in progress."""
+        return self.task is None and not self.asking
+
+    def take(self) -> list[bytes]:
+        """Removes and returns the messages of one batch."""
+        frames: list[bytes] = []
+        size = 0
+        while self.queue and (not frames or size + len(self.queue[0]) <= _BATCH_BYTES):
+            frames.append(self.queue.popleft())
+            size += len(frames[-1])
+        self.queued_bytes -= size
+        return frames
+
+
+class ControlClient:
+    """Sends batches to other processes; one call per peer is in progress at a time."""
+
+    __slots__ = ("_address", "_counters", "_peers", "_tls")
+
+    def __init__(self, address: Address, tls: TlsMaterial | None, counters: Counters) -> None:
+        """Creates a client without channels.
+
+        Args:
+            address: This process's address, given to peers as the source.
+            tls: Certificates, or None for plain text.
+            counters: Counts what cannot be sent.
+        """
+        self._address = address
+        self._tls = tls
+        self._counters = counters
+        self._peers: OrderedDict[Address, _Peer] = OrderedDict()
+
+    def send(self, destination: Address, message: Message) -> None:
+        """Queues a message for a process; beyond the bound of its queue it is dropped."""
+        frame = codec.encode(message)
+        peer = self._peer(destination)
+        if peer.queued_bytes + len(frame) > _QUEUE_BYTES:
+            self._counters.add("control.unsent.queue_full")
+            return
+        peer.queue.append(frame)
+        peer.queued_bytes += len(frame)
+        if peer.task is None:
+            peer.task = asyncio.get_running_loop().create_task(self._flush(destination, peer))
+
+    async def read(self, destination: Address, message: PlatformRead) -> PlatformReply:
+        """Reads a platform service.
+
+        Raises:
+            PeerRefusedError: The service cannot be reached or answers nonsense.
+        """
+        timeout = message.wait / 1000 + _READ_MARGIN
+        reply = await self._ask(destination, READ, message, timeout)
+        if not isinstance(reply, PlatformReply):
+            raise PeerRefusedError(Code.MESSAGE_MALFORMED, "the answer is not a PlatformReply")
+        return reply
+
+    async def status(self, destination: Address, message: StatusRequest) -> StatusReply:
+        """Asks a process for its status report.
+
+        Raises:
+            PeerRefusedError: The process cannot be reached or answers nonsense.
+        """
+        reply = await self._ask(destination, STATUS, message, _CALL_TIMEOUT)
+        if not isinstance(reply, StatusReply):
+            raise PeerRefusedError(Code.MESSAGE_MALFORMED, "the answer is not a StatusReply")
+        return reply
+
+    async def renew(self) -> None:
+        """Closes all channels, so that new ones use the certificates as they are now."""
+        peers, self._peers = self._peers, OrderedDict()
+        for peer in peers.values():
+            await _close(peer)
+
+    async def close(self) -> None:
+        """Closes all channels; messages that wait are dropped."""
+        await self.renew()
+
+    async def _flush(self, destination: Address, peer: _Peer) -> None:
+        call = peer.channel.unary_unary(EXCHANGE)
+        try:
+            while peer.queue:
+                batch = _ENCODER.encode((self._address, peer.take()))
+                try:
+                    await call(batch, timeout=_CALL_TIMEOUT)
+                except asyncio.CancelledError:
+                    if _is_cancelled():
+                        raise
+                    self._counters.add("control.unsent.channel_closed")
+                    return
+                except aio.AioRpcError as error:
+                    self._counters.add(f"control.unsent.{_code_of(error).name.lower()}")
+        finally:
+            peer.task = None
+
+    async def _ask(
+        self, destination: Address, path: str, message: Message, timeout: float
+    ) -> Message:
+        peer = self._peer(destination)
+        peer.asking += 1
+        try:
+            answer = await peer.channel.unary_unary(path)(codec.encode(message), timeout=timeout)
+        except aio.AioRpcError as error:
+            raise PeerRefusedError(_code_of(error), error.details() or "") from error
+        except asyncio.CancelledError as error:
+            if _is_cancelled():
+                raise
+            raise PeerRefusedError(Code.PEER_UNREACHABLE, "the channel was closed") from error
+        finally:
+            peer.asking -= 1
+        decoded = codec.decode(answer)
+        if isinstance(decoded, Err):
+            raise PeerRefusedError(decoded.err_value, "the answer cannot be decoded")
+        return decoded.ok_value
+
+    def _peer(self, destination: Address) -> _Peer:
+        peer = self._peers.get(destination)
+        if peer is None:
+            peer = self._peers[destination] = _Peer(self._channel(destination))
+        self._peers.move_to_end(destination)
+        if len(self._peers) > _CHANNELS:
+            self._drop_idle()
+        return peer
+
+    def _channel(self, destination: Address) -> aio.Channel:
+        target = join_host(destination)
+        if self._tls is None:
+            return aio.insecure_channel(target, options=_OPTIONS)
+        name = ("grpc.ssl_target_name_override", self._tls.peer_name)
+        return aio.secure_channel(
+            target, self._tls.channel_credentials(), options=[*_OPTIONS, name]
+        )
+
+    def _drop_idle(self) -> None:
+        for address, peer in self._peers.items():
+            if peer.is_idle:
+                del self._peers[address]
+                asyncio.get_running_loop().create_task(_close(peer))
+                return
+
+
+def _is_cancelled() -> bool:
+    """Whether the running task itself is cancelled, and not only the call that it awaits."""
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
+
+
+async def _close(peer: _Peer) -> None:
+    await peer.channel.close()
+
+
+def _code_of(error: aio.AioRpcError) -> Code:
+    details = (error.details() or "").lower()
+    if error.code() is grpc.StatusCode.PERMISSION_DENIED or "certificate" in details:
+        return Code.PEER_NOT_AUTHENTIC
+    if "handshake" in details or "ssl" in details:
+        return Code.PEER_NOT_AUTHENTIC
+    return Code.PEER_UNREACHABLE
--- /dev/null
+++ b/shallotshore/metrics.py
@@ -0,0 +1,140 @@
+"""Counters to statsd, and histograms of request latency per customer and service."""
+
+__all__ = ["Latencies", "Metrics", "RequestTimes"]
+
+from collections import OrderedDict
+from collections.abc import Callable
+from functools import singledispatchmethod
+
+import statsd
+from hdrh.histogram import HdrHistogram
+
+from shallotshore.messages import (
+    Address,
+    CallerAnswer,
+    CallerRequest,
+    FabricPacket,
+    Message,
+)
+from shallotshore.systems import Counters
+
+OTHER = "other"
+_LABELS = 128  # one histogram takes about 6 KB, so that all stay under 1 MB
+_LATENCY_LIMIT = 60_000  # ms; longer ones count as this
+_DIGITS = 2  # significant decimal digits of a recorded latency
+_PENDING = 65_536  # requests whose start is remembered
+_PERCENTILES = (50, 99)
+
+
+class Latencies:
+    """One histogram per label; labels beyond the cap share `other`."""
+
+    __slots__ = ("_histograms", "_limit")
+
+    def __init__(self, limit: int = _LABELS) -> None:
+        """Creates an empty set.
+
+        Args:
+            limit: Greatest number of labels besides `other`.
+        """
+        self._limit = limit
+        self._histograms: dict[str, HdrHistogram] = {}
+
+    def record(self, label: str, latency: int) -> None:
+        """Records a latency in milliseconds."""
+        if label not in self._histograms and len(self._histograms) >= self._limit:
+            label = OTHER
+        histogram = self._histograms.get(label)
+        if histogram is None:
+            histogram = HdrHistogram(1, _LATENCY_LIMIT, _DIGITS)
+            self._histograms[label] = histogram
+        histogram.record_value(min(max(latency, 1), _LATENCY_LIMIT))
+
+    def summary(self) -> dict[str, dict[str, int]]:
+        """Returns count and percentiles (ms) per label."""
+        return {
+            label: {
+                "count": histogram.get_total_count(),
+                **{f"p{p}": histogram.get_value_at_percentile(p) for p in _PERCENTILES},
+            }
+            for label, histogram in self._histograms.items()
+        }
+
+
+class RequestTimes:
+    """Measures from a caller's request to the first part of its answer, as the edge sees them."""
+
+    __slots__ = ("_label", "_latencies", "_pending")
+
+    def __init__(self, latencies: Latencies, label: Callable[[Address], str]) -> None:
+        """Creates an observer.
+
+        Args:
+            latencies: Takes what is measured.
+            label: Gives the label of a service's address.
+        """
+        self._latencies = latencies
+        self._label = label
+        self._pending: OrderedDict[tuple[Address, bytes], int] = OrderedDict()
+
+    def observe(self, message: Message, now: int) -> None:
+        """Takes note of a message that arrives or leaves.
+
+        Args:
+            message: Any message; only packets of the fabric count.
+            now: Monotonic time in milliseconds.
+        """
+        if isinstance(message, FabricPacket):
+            self._observe(message.payload, message.vip, now)
+
+    @singledispatchmethod
+    def _observe(self, payload: Message, vip: Address, now: int) -> None:
+        """Ignores packets of flows."""
+
+    @_observe.register
+    def _(self, payload: CallerRequest, vip: Address, now: int) -> None:
+        self._pending.setdefault((vip, payload.request), now)
+        if len(self._pending) > _PENDING:
+            self._pending.popitem(last=False)
+
+    @_observe.register
+    def _(self, payload: CallerAnswer, vip: Address, now: int) -> None:
+        start = self._pending.pop((vip, payload.request), None)
+        if start is not None:
+            self._latencies.record(self._label(vip), now - start)
+
+
+class Metrics:
+    """Sends what the counters gained since the last time, and the latencies."""
+
+    __slots__ = ("_client", "_counters", "_latencies", "_sent")
+
+    def __init__(
+        self, client: statsd.StatsClient | None, counters: Counters, latencies: Latencies
+    ) -> None:
+        """Creates a sender.
+
+        Args:
+            client: statsd client, or None to send nothing.
+            counters: Counters of the process.
+            latencies: Histograms of the process.
+        """
+        self._client = client
+        self._counters = counters
+        self._latencies = latencies
+        self._sent: dict[str, int] = {}
+
+    def flush(self) -> None:
+        """Sends one batch of datagrams."""
+        if self._client is None:
+            return
+        counts = self._counters.snapshot()
+        with self._client.pipeline() as pipeline:
+            for name, count in counts.items():
+                gained = count - self._sent.get(name, 0)
+                if gained:
+                    pipeline.incr(name, gained)
+            for label, values in self._latencies.summary().items():
+                for percentile in _PERCENTILES:
+                    pipeline.gauge(f"latency.{label}.p{percentile}", values[f"p{percentile}"])
+        self._sent = counts
--- /dev/null
+++ b/shallotshore/platform.py
@@ -0,0 +1,70 @@
+"""Client of the platform's read-only services: the configuration service and the VM list."""
+
+__all__ = ["PlatformClient"]
+
+import asyncio
+from collections.abc import Callable
+
+from shallotshore.codes import Code
+from shallotshore.control import ControlClient, PeerRefusedError
+from shallotshore.messages import Address, Message, PlatformRead, PlatformReply
+from shallotshore.systems import Counters
+
+_READS_IN_PROGRESS = 16  # a core keeps one watch and one poll per service and address
+
+
+class PlatformClient:
+    """Turns a core's `PlatformRead` into a call and delivers the `PlatformReply`.
+
+    A failed call is delivered as a reply with a code of the family SERVICE_*, so that the core
+    decides when to read again.
+    """
+
+    __slots__ = ("_client", "_counters", "_deliver", "_tasks")
+
+    def __init__(
+        self,
+        client: ControlClient,
+        counters: Counters,
+        deliver: Callable[[Address, Message], None],
+    ) -> None:
+        """Creates a client without reads in progress.
+
+        Args:
+            client: Carries the calls.
+            counters: Counts failed reads.
+            deliver: Called with the service's address and its reply.
+        """
+        self._client = client
+        self._counters = counters
+        self._deliver = deliver
+        self._tasks: set[asyncio.Task] = set()
+
+    def read(self, service: Address, message: PlatformRead) -> None:
+        """Starts a read; its reply is delivered later."""
+        if len(self._tasks) >= _READS_IN_PROGRESS:
+            self._fail(service, message, Code.SERVICE_RATE_LIMITED)
+            return
+        task = asyncio.get_running_loop().create_task(self._run(service, message))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def close(self) -> None:
+        """Ends the reads in progress."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _run(self, service: Address, message: PlatformRead) -> None:
+        try:
+            reply = await self._client.read(service, message)
+        except PeerRefusedError:
+            self._fail(service, message, Code.SERVICE_UNREACHABLE)
+            return
+        self._deliver(service, reply)
+
+    def _fail(self, service: Address, message: PlatformRead, code: Code) -> None:
+        self._counters.add(f"platform.failed.{code.name.lower()}")
+        reply = PlatformReply(message.source, code, message.after, message.after, ())
+        self._deliver(service, reply)
--- /dev/null
+++ b/shallotshore/security.py
@@ -0,0 +1,183 @@
+"""Keys of the datagram MAC and TLS material, both read from files and renewed without restart."""
+
+__all__ = ["MAC_SIZE", "MacKeys", "MaterialError", "TlsFiles", "TlsMaterial", "is_loopback"]
+
+import hmac
+import ipaddress
+from hashlib import blake2b
+from pathlib import Path
+from typing import NamedTuple
+
+import grpc
+
+MAC_SIZE = 8  # bytes
+_KEY_SIZES = range(16, 65)  # bytes; blake2b takes at most 64
+_KEYS_ACCEPTED = 2
+
+
+class MaterialError(Exception):
+    """A file with keys or certificates cannot be used."""
+
+
+def is_loopback(host: str) -> bool:
+    """Returns whether a host, given as an IP number, is reached without leaving the machine."""
+    try:
+        return ipaddress.ip_address(host).is_loopback
+    except ValueError:
+        return False
+
+
+class MacKeys:
+    """Keys of the MAC on datagrams between the system's processes.
+
+    The first key signs and all are accepted. To rotate, append the new key as the second line
+    everywhere, then swap the lines everywhere, then remove the old key.
+    """
+
+    __slots__ = ("_keys", "_path", "_stamp")
+
+    def __init__(self, keys: tuple[bytes, ...], path: Path | None = None) -> None:
+        """Creates a key ring.
+
+        Args:
+            keys: One or two keys; an empty key gives a checksum that proves nothing.
+            path: File that `reload` reads.
+        """
+        self._keys = keys
+        self._path = path
+        self._stamp = _stamp(path) if path else None
+
+    @classmethod
+    def without_key(cls) -> "MacKeys":
+        """Returns a ring whose MAC is a mere checksum, for use on loopback."""
+        return cls((b"",))
+
+    @classmethod
+    def from_file(cls, path: Path) -> "MacKeys":
+        """Reads keys from a file of one or two lines of hexadecimal digits.
+
+        Raises:
+            MaterialError: The file cannot be read or holds no usable keys.
+        """
+        return cls(_read_keys(path), path)
+
+    def sign(self, data: bytes) -> bytes:
+        """Returns the MAC of a datagram under the first key."""
+        return blake2b(data, digest_size=MAC_SIZE, key=self._keys[0]).digest()
+
+    def verify(self, data: bytes, mac: bytes) -> bool:
+        """Returns whether the MAC of a datagram is right under one of the keys."""
+        return any(
+            hmac.compare_digest(blake2b(data, digest_size=MAC_SIZE, key=key).digest(), mac)
+            for key in self._keys
+        )
+
+    def reload(self) -> bool:
+        """Reads the file again if it has changed.
+
+        Returns:
+            Whether the keys were replaced.
+
+        Raises:
+            MaterialError: The changed file cannot be used; the keys held stay in force.
+        """
+        if self._path is None:
+            return False
+        stamp = _stamp(self._path)
+        if stamp == self._stamp:
+            return False
+        self._stamp = stamp
+        self._keys = _read_keys(self._path)
+        return True
+
+
+class TlsFiles(NamedTuple):
+    """Paths of the PEM files and the name that every process's certificate carries."""
+
+    authority: Path
+    certificate: Path
+    key: Path
+    peer_name: str
+
+
+class TlsMaterial:
+    """Certificates for mutual TLS between the system's processes."""
+
+    __slots__ = ("_authority", "_certificate", "_files", "_key", "_stamp")
+
+    def __init__(self, files: TlsFiles) -> None:
+        """Reads the files.
+
+        Raises:
+            MaterialError: A file cannot be read.
+        """
+        self._files = files
+        self._stamp = self._stamps()
+        self._read()
+
+    @property
+    def peer_name(self) -> str:
+        """Name that the certificate of every peer must carry."""
+        return self._files.peer_name
+
+    def reload(self) -> bool:
+        """Reads the files again if one has changed.
+
+        Returns:
+            Whether the material was replaced.
+
+        Raises:
+            MaterialError: A changed file cannot be read; the material held stays in force.
+        """
+        stamp = self._stamps()
+        if stamp == self._stamp:
+            return False
+        self._stamp = stamp
+        self._read()
+        return True
+
+    def server_credentials(self) -> grpc.ServerCredentials:
+        """Returns credentials that demand a certificate from every client."""
+        return grpc.ssl_server_credentials(
+            [(self._key, self._certificate)],
+            root_certificates=self._authority,
+            require_client_auth=True,
+        )
+
+    def channel_credentials(self) -> grpc.ChannelCredentials:
+        """Returns credentials that present this process's certificate."""
+        return grpc.ssl_channel_credentials(self._authority, self._key, self._certificate)
+
+    def _stamps(self) -> tuple:
+        return tuple(_stamp(path) for path in self._files[:3])
+
+    def _read(self) -> None:
+        authority, certificate, key = (_read(path) for path in self._files[:3])
+        self._authority, self._certificate, self._key = authority, certificate, key
+
+
+def _stamp(path: Path) -> tuple[int, int, int]:
+    try:
+        status = path.stat()
+    except OSError:
+        return (0, 0, 0)
+    return (status.st_mtime_ns, status.st_ino, status.st_size)
+
+
+def _read(path: Path) -> bytes:
+    try:
+        return path.read_bytes()
+    except OSError as error:
+        raise MaterialError(f"{path}: {error.strerror}") from error
+
+
+def _read_keys(path: Path) -> tuple[bytes, ...]:
+    try:
+        keys = tuple(bytes.fromhex(line) for line in _read(path).decode("ascii").split())
+    except ValueError as error:
+        raise MaterialError(f"{path}: a key is not in hexadecimal digits") from error
+    if not 1 <= len(keys) <= _KEYS_ACCEPTED:
+        raise MaterialError(f"{path}: {len(keys)} keys; one or two are needed")
+    if any(len(key) not in _KEY_SIZES for key in keys):
+        raise MaterialError(f"{path}: a key must have 16 to 64 bytes")
+    return keys
--- /dev/null
+++ b/shallotshore/status.py
@@ -0,0 +1,70 @@
+"""The bounded, read-only status report of a process, as JSON or as text."""
+
+__all__ = ["render_text", "report"]
+
+from typing import Any
+
+import msgspec
+
+from shallotshore import __version__
+from shallotshore.messages import StatusReply
+
+REPORT_LIMIT = 256 * 1024  # bytes, so that a report fits one call and a terminal's history
+_LINES = 4000
+
+
+def report(
+    core_reply: StatusReply | None, counts: dict[str, int], latencies: dict[str, dict[str, int]]
+) -> StatusReply:
+    """Returns a core's report completed with what the edge knows.
+
+    Args:
+        core_reply: The core's own report, or None when it gives none.
+        counts: Counters of the process.
+        latencies: Count and percentiles (ms) per label.
+
+    Returns:
+        JSON text of at most REPORT_LIMIT bytes; counters and then the core's part are left out
+        when they do not fit, and `truncated` says so.
+    """
+    parts: dict[str, Any] = {
+        "version": __version__,
+        "core": _parsed(core_reply),
+        "latencies": latencies,
+        "counters": dict(sorted(counts.items())),
+    }
+    text = msgspec.json.encode(parts)
+    for name in ("counters", "core", "latencies"):
+        if len(text) <= REPORT_LIMIT:
+            break
+        del parts[name]
+        parts["truncated"] = True
+        text = msgspec.json.encode(parts)
+    return StatusReply(text)
+
+
+def render_text(reply: StatusReply) -> str:
+    """Returns a report as lines of `path: value`."""
+    lines: list[str] = []
+    _render("", _parsed(reply), lines)
+    return "\n".join(lines[:_LINES])
+
+
+def _parsed(reply: StatusReply | None) -> Any:
+    if reply is None:
+        return None
+    try:
+        return msgspec.json.decode(reply.text)
+    except msgspec.MsgspecError:
+        return reply.text.decode("utf-8", "replace")
+
+
+def _render(path: str, value: Any, lines: list[str]) -> None:
+    if isinstance(value, dict) and value:
+        for key, item in value.items():
+            _render(f"{path}.{key}" if path else str(key), item, lines)
+    elif isinstance(value, list) and value:
+        for index, item in enumerate(value):
+            _render(f"{path}[{index}]", item, lines)
+    else:
+        lines.append(f"{path}: {value}")
--- /dev/null
+++ b/tests/test_datagrams.py
@@ -0,0 +1,113 @@
+"""Tests of the UDP endpoint and its MAC."""
+
+import tempfile
+import unittest
+from pathlib import Path
+
+from result import Err
+
+from shallotshore.codes import Code
+from shallotshore.datagrams import DatagramEndpoint, open_frame, seal_frame
+from shallotshore.messages import (
+    Address,
+    CallerClose,
+    CallerData,
+    Delta,
+    FabricPacket,
+    Message,
+    RevisionNotice,
+    Source,
+    UpstreamProbe,
+)
+from shallotshore.security import MacKeys, MaterialError
+from shallotshore.systems import Counters
+from tests.loopback import free_address, until
+
+OLD, NEW = b"o" * 32, b"n" * 32
+
+
+class FrameTest(unittest.TestCase):
+    """Guards against forged messages between the system's processes."""
+
+    def test_a_frame_of_another_key_is_refused(self) -> None:
+        frame = seal_frame(RevisionNotice(7), MacKeys((OLD,))).unwrap()
+        self.assertEqual(open_frame(frame, MacKeys((OLD,))).unwrap(), RevisionNotice(7))
+        self.assertEqual(open_frame(frame, MacKeys((NEW,))), Err(Code.MESSAGE_NOT_AUTHENTIC))
+
+    def test_every_changed_bit_is_noticed(self) -> None:
+        keys = MacKeys((OLD,))
+        frame = seal_frame(RevisionNotice(7), keys).unwrap()
+        for bit in range(8, len(frame) * 8):
+            forged = bytearray(frame)
+            forged[bit // 8] ^= 1 << bit % 8
+            self.assertTrue(open_frame(bytes(forged), keys).is_err(), bit)
+
+    def test_both_keys_are_accepted_during_rotation(self) -> None:
+        rotating = MacKeys((NEW, OLD))
+        for keys in (MacKeys((OLD,)), MacKeys((NEW,)), rotating):
+            frame = seal_frame(RevisionNotice(7), keys).unwrap()
+            self.assertTrue(open_frame(frame, rotating).is_ok())
+
+    def test_callers_messages_carry_no_mac(self) -> None:
+        packet = FabricPacket(("10.0.0.1", 1), ("10.0.0.2", 2), CallerClose(3))
+        frame = seal_frame(packet, MacKeys((OLD,))).unwrap()
+        self.assertEqual(open_frame(frame, MacKeys((NEW,))).unwrap(), packet)
+
+    def test_control_messages_are_not_taken_as_datagrams(self) -> None:
+        delta = Delta(Source.CONFIGURATION, 0, 1, 0, 0, 1, ())
+        frame = seal_frame(delta, MacKeys((OLD,))).unwrap()
+        self.assertEqual(open_frame(frame, MacKeys((OLD,))), Err(Code.MESSAGE_KIND_UNKNOWN))
+
+
+class KeyFileTest(unittest.TestCase):
+    """Guards against a rotation that needs a restart or that a bad file ends."""
+
+    def test_changed_file_is_taken_over_and_a_bad_one_is_not(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "keys"
+            path.write_text(OLD.hex())
+            keys = MacKeys.from_file(path)
+            self.assertFalse(keys.reload())
+            path.write_text(f"{NEW.hex()}\n{OLD.hex()}\n")
+            self.assertTrue(keys.reload())
+            self.assertEqual(keys.sign(b"data"), MacKeys((NEW,)).sign(b"data"))
+            path.write_text("no key")
+            self.assertRaises(MaterialError, keys.reload)
+            self.assertTrue(keys.verify(b"data", MacKeys((OLD,)).sign(b"data")))
+
+
+class EndpointTest(unittest.IsolatedAsyncioTestCase):
+    """Guards the way of messages through real sockets."""
+
+    async def open(self, plain_from: Address | None = None) -> DatagramEndpoint:
+        self.received: list[tuple[Address, Message]] = []
+        self.counters = Counters()
+        endpoint = DatagramEndpoint(
+            free_address(),
+            MacKeys((OLD,)),
+            self.counters,
+            lambda source, message: self.received.append((source, message)),
+            plain_from,
+        )
+        await endpoint.start()
+        self.addAsyncCleanup(endpoint.close)
+        return endpoint
+
+    async def test_messages_arrive_with_their_source(self) -> None:
+        first, second = await self.open(), await self.open()
+        for revision in range(300):
+            first.send(second._address, RevisionNotice(revision))
+        await until(lambda: len(self.received) == 300)
+        self.assertEqual(self.received[299], (first._address, RevisionNotice(299)))
+
+    async def test_too_large_messages_are_counted_and_not_sent(self) -> None:
+        endpoint = await self.open()
+        endpoint.send(endpoint._address, CallerData(1, bytes(70_000)))
+        self.assertEqual(self.counters["datagrams.unsent.message_too_large"], 1)
+
+    async def test_messages_without_mac_are_taken_from_the_upstream_only(self) -> None:
+        stranger = await self.open()
+        endpoint = await self.open(plain_from=("127.0.0.1", 1))
+        stranger.send(endpoint._address, UpstreamProbe(1))
+        await until(lambda: self.counters["datagrams.refused.plain_source"] == 1)
+        self.assertEqual(self.received, [])
