--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,72 @@
+"""Tests of candidate order, witnesses and quorums."""
+
+import random
+import unittest
+from itertools import combinations
+
+from shallotshore.placement import Placement, quorum
+
+
+class Sets:
+    """Upstream sets of services with a membership revision that rises at each change."""
+
+    def __init__(self, members: dict[int, list[int]]) -> None:
+        self.members = members
+        self.revision = 1
+
+    def membership(self, service: int) -> int:
+        return self.revision
+
+    def upstreams_of(self, service: int) -> list[int]:
+        return sorted(self.members.get(service, []))
+
+
+class PlacementTest(unittest.TestCase):
+    """Guards the agreement of balancers and agents on candidates and witnesses."""
+
+    def setUp(self) -> None:
+        rng = random.Random(1)
+        self.ids = [rng.getrandbits(64) for _ in range(9)]
+        self.keys = [rng.getrandbits(64) for _ in range(2000)]
+        self.sets = Sets({1: self.ids[:7], 2: self.ids[:2]})
+        self.placement = Placement(self.sets)
+
+    def test_cached_order_equals_fresh_order_after_many_evictions(self) -> None:
+        for key in self.keys:
+            self.placement.order(1, key, 3)
+            self.placement.order(2, key, 3)
+        for key in self.keys:
+            for service in (1, 2):
+                fresh = Placement(self.sets).order(service, key, 9)[:5]
+                self.assertEqual(self.placement.witnesses(service, key), fresh)
+            if key == self.keys[100]:
+                break
+
+    def test_changed_set_is_seen_at_once_and_moves_at_most_one_witness(self) -> None:
+        before = {key: set(self.placement.witnesses(1, key)) for key in self.keys}
+        self.sets.members[1] = self.ids[:8]
+        self.sets.revision = 2
+        moved = [key for key in self.keys if before[key] != set(self.placement.witnesses(1, key))]
+        self.assertTrue(moved)
+        for key in moved:
+            self.assertEqual(len(before[key] & set(self.placement.witnesses(1, key))), 4)
+
+    def test_first_candidates_are_spread_evenly(self) -> None:
+        counts = dict.fromkeys(self.ids[:7], 0)
+        for key in self.keys:
+            counts[self.placement.order(1, key, 1)[0]] += 1
+        self.assertLess(max(counts.values()), 1.35 * len(self.keys) / 7)
+
+    def test_unknown_service_has_no_candidates(self) -> None:
+        self.assertEqual(self.placement.order(3, self.keys[0], 3), ())
+
+    def test_quorums_intersect_when_one_witness_is_replaced(self) -> None:
+        old, new = range(5), range(1, 6)
+        for left in combinations(old, quorum(5)):
+            for right in combinations(new, quorum(5)):
+                self.assertTrue(set(left) & set(right))
+        self.assertEqual([quorum(count) for count in range(1, 5)], [1, 2, 2, 3])
+
+
+if __name__ == "__main__":
+    unittest.main()
