Keep the catalog in columns and record text in an arena

Cause: dictionaries of record objects take over 190 bytes an upstream, and an update must be cut into slices and relayed as published. Change: compact index and arena, a store of compressed texts with digest, log and tombstones, updates in slices, and the catalog on top of them. The set of upstreams, its membership and the revision change together.

--- a/shallotshore/catalog.py
+++ b/shallotshore/catalog.py
@@ -2,18 +2,47 @@
 
 __all__ = ["Applied", "Catalog", "Route", "UpstreamView"]
 
+from array import array
 from bisect import bisect_left, insort
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 from functools import singledispatchmethod
 from typing import NamedTuple
 
-from result import Err
+from result import Ok, Result
 
+from shallotshore.catalog_tables import (
+    INHERITED_LIMIT,
+    INHERITED_WARMUP,
+    CustomerTable,
+    DataCentreTable,
+    ServiceTable,
+    UpstreamStore,
+)
 from shallotshore.codes import Code
 from shallotshore.hashing import address_key, name_id
 from shallotshore.messages import Address, Entry
 from shallotshore.record_reader import Problem, read_record
-from shallotshore.records import Customer, DataCentre, Record, Service, Upstream, key_of, to_text
+from shallotshore.records import (
+    Customer,
+    DataCentre,
+    Members,
+    Record,
+    Service,
+    Upstream,
+    key_of,
+    to_text,
+)
+from shallotshore.replica import Applied, Replica, Update
+from shallotshore.tables import MISSING
+from shallotshore.texts import pack, unpack
+
+UPSTREAM_LIMIT = 1 << 18
+SERVICE_LIMIT = 1 << 16
+DATA_CENTRE_LIMIT = 1 << 10
+CUSTOMER_LIMIT = 1 << 16
+
+_MEMBERS_PREFIX = "members/"
+_MEMBERS_TEXT = pack(b"{}")
 
 
 class Route(NamedTuple):
@@ -38,46 +67,41 @@
     customers: tuple[int, ...]
 
 
-class Applied(NamedTuple):
-    """What a revision changed; ids of services and data centres."""
+class Catalog(Replica):
+    """The configuration in force, by 64-bit id.
 
-    accepted: bool
-    problems: tuple[Problem, ...]
-    changed_services: frozenset[int]
-    changed_data_centres: frozenset[int]
-
-
-class Catalog:
-    """The configuration in force, by 64-bit id."""
+    A record may name records that do not exist: an upstream without a data centre record takes no
+    new work, and a service without a record has the default settings.
+    """
 
     __slots__ = (
-        "_changed_data_centres",
-        "_changed_services",
         "_customers",
         "_data_centres",
+        "_epoch",
         "_members",
         "_memberships",
-        "_names",
-        "_records",
         "_routes",
         "_services",
-        "_upstreams",
-        "revision",
+        "store",
     )
 
-    def __init__(self) -> None:
-        self.revision = 0
-        self._records: dict[str, Record] = {}
-        self._names: dict[int, str] = {}
-        self._services: dict[int, Service] = {}
-        self._upstreams: dict[int, Upstream] = {}
-        self._data_centres: dict[int, DataCentre] = {}
-        self._customers: dict[int, Customer] = {}
+    store: UpstreamStore
+
+    def __init__(self, limit: int = UPSTREAM_LIMIT) -> None:
+        """Creates an empty catalog.
+
+        Args:
+            limit: Greatest number of records.
+        """
+        super().__init__(UpstreamStore(limit))
+        self._services = ServiceTable(SERVICE_LIMIT)
+        self._data_centres = DataCentreTable(DATA_CENTRE_LIMIT)
+        self._customers = CustomerTable(CUSTOMER_LIMIT)
         self._routes: dict[int, Route] = {}
-        self._members: dict[int, list[int]] = {}
+        self._epoch = 1
+        # Sets of upstreams and their revisions as they will be when the present update is complete.
+        self._members: dict[int, array] = {}
         self._memberships: dict[int, int] = {}
-        self._changed_services: set[int] = set()
-        self._changed_data_centres: set[int] = set()
 
     @classmethod
     def from_records(cls, revision: int, records: Iterable[Record]) -> "Catalog":
@@ -95,187 +119,323 @@
         return catalog
 
     def membership(self, service: int) -> int:
-        """Returns the revision at which the service's set of upstreams last changed."""
-        return self._memberships.get(service, 0)
+        """Returns the revision at which the service's set of upstreams last changed.
+
+        A change of a data centre that holds one of them counts, since it changes the witnesses.
+        """
+        row = self._services.row(service)
+        if row == MISSING:
+            return 0
+        if self._services.checked[row] != self._epoch:
+            self._services.checked[row] = self._epoch
+            self._services.effective[row] = self._effective_membership(row)
+        return self._services.effective[row]
+
+    def _effective_membership(self, row: int) -> int:
+        store = self.store
+        members = self._services.members[row]
+        places = {store.data_centre[store.row(upstream)] for upstream in members}
+        changes = [self._data_centres.changed[place] for place in places]
+        return max([self._services.membership[row], *changes])
 
     def route(self, vip: Address) -> Route | None:
         """Returns the service and customer of an address, or None."""
         return self._routes.get(address_key(vip))
 
+    def services(self) -> Iterator[int]:
+        """Iterates over the ids of all services that have a record or are named by one."""
+        return self._services.keys()
+
     def upstreams_of(self, service: int) -> Sequence[int]:
-        """Returns the ids of all upstream records of a service, sorted."""
-        return self._members.get(service, ())
+        """Returns the ids of all upstream records of a service, sorted; not to be changed."""
+        row = self._services.row(service)
+        return () if row == MISSING else self._services.members[row]
 
     def upstream(self, upstream: int) -> UpstreamView | None:
         """Returns an upstream, or None."""
-        record = self._upstreams.get(upstream)
-        if record is None:
+        store = self.store
+        row = store.row(upstream)
+        if row == MISSING or not store.slots[row]:
             return None
-        service_id = name_id("service", record.service)
-        service = self._services.get(service_id, Service(record.service))
-        cold_limit = service.cold_limit if record.cold_limit is None else record.cold_limit
-        warmup = service.warmup_ms if record.warmup_ms is None else record.warmup_ms
+        service = store.service[row]
+        cold_limit, warmup = store.cold_limit[row], store.warmup[row]
+        if cold_limit == INHERITED_LIMIT:
+            cold_limit = self._services.cold_limit[service]
+        if warmup == INHERITED_WARMUP:
+            warmup = self._services.warmup[service]
         return UpstreamView(
             upstream,
-            service_id,
-            name_id("data_centre", record.data_centre),
-            record.address,
-            record.state == "leaving",
-            record.slots,
-            record.connections,
+            self._services.key[service],
+            self._data_centres.key[store.data_centre[row]],
+            store.address(row),
+            store.is_leaving(row),
+            store.slots[row],
+            store.connections[row],
             cold_limit,
             warmup,
-            tuple(name_id("customer", name) for name in record.customers),
+            store.customers(row),
         )
 
     def takes_new_work(self, upstream: int) -> bool:
         """Whether the upstream is known, not leaving, and its data centre is in service."""
-        record = self._upstreams.get(upstream)
-        if record is None or record.state == "leaving":
+        store = self.store
+        row = store.row(upstream)
+        if row == MISSING or not store.slots[row] or store.is_leaving(row):
             return False
-        return self.data_centre_in(name_id("data_centre", record.data_centre))
+        return bool(self._data_centres.is_in[store.data_centre[row]])
 
     def data_centre_in(self, data_centre: int) -> bool:
         """Whether the data centre is known and in service."""
-        record = self._data_centres.get(data_centre)
-        return record is not None and record.state == "in"
+        row = self._data_centres.row(data_centre)
+        return row != MISSING and bool(self._data_centres.is_in[row])
+
+    def queue_factor(self, service: int) -> int:
+        """Returns how many requests may wait per slot of an upstream of the service."""
+        row = self._services.row(service)
+        return Service("").queue_factor if row == MISSING else self._services.queue_factor[row]
 
     def share(self, customer: int) -> int:
         """Returns the customer's share of slots; 1 when the customer is unknown."""
-        record = self._customers.get(customer)
-        return 1 if record is None else record.share
+        row = self._customers.row(customer)
+        return 1 if row == MISSING else self._customers.share[row]
 
     def name(self, any_id: int) -> str:
         """Returns the name behind an id, or the id in hexadecimal."""
-        return self._names.get(any_id, f"{any_id:016x}")
-
-    def apply(self, revision: int, entries: Iterable[Entry]) -> Applied:
-        """Applies the entries that lead to a revision.
-
-        Args:
-            revision: The revision after the entries.
-            entries: Changed keys; an empty text deletes a key.
-
-        Returns:
-            Whether the revision was accepted, and what it changed.
-        """
-        if revision <= self.revision:
-            problem = Problem(Code.REVISION_NOT_RISING, "", "", f"{revision} <= {self.revision}")
-            return Applied(False, (problem,), frozenset(), frozenset())
-        problems: list[Problem] = []
-        self._changed_services = set()
-        self._changed_data_centres = set()
-        for entry in entries:
-            self._apply_entry(entry, problems)
-        self.revision = revision
-        return Applied(
-            True,
-            tuple(problems),
-            frozenset(self._changed_services),
-            frozenset(self._changed_data_centres),
-        )
-
-    def _apply_entry(self, entry: Entry, problems: list[Problem]) -> None:
-        old = self._records.get(entry.key)
-        if not entry.text:
-            if old is not None:
-                self._remove(old)
-                del self._records[entry.key]
-                self._note(old, entry.revision, removed=True)
-            return
-        read = read_record(entry.key, entry.text)
-        if isinstance(read, Err):
-            problems.extend(read.err_value)
-            return
-        new = read.ok_value
-        if old is not None:
-            self._remove(old)
-            moved = isinstance(old, Upstream) and old.service != getattr(new, "service", "")
-            if moved and isinstance(new, Upstream):
-                self._note(old, entry.revision, removed=True)
-                self._memberships[name_id("service", new.service)] = entry.revision
-        elif isinstance(new, Upstream):
-            self._memberships[name_id("service", new.service)] = entry.revision
-        self._insert(new)
-        self._records[entry.key] = new
-        self._note(new, entry.revision, removed=False)
-
-    @singledispatchmethod
-    def _insert(self, record: Record) -> None:
-        raise TypeError(type(record))
-
-    @_insert.register
-    def _(self, record: Service) -> None:
-        service = name_id("service", record.name)
-        self._names[service] = record.name
-        self._services[service] = record
-
-    @_insert.register
-    def _(self, record: Upstream) -> None:
-        upstream = name_id("upstream", record.name)
-        self._names[upstream] = record.name
-        self._upstreams[upstream] = record
-        insort(self._members.setdefault(name_id("service", record.service), []), upstream)
-
-    @_insert.register
-    def _(self, record: DataCentre) -> None:
-        data_centre = name_id("data_centre", record.name)
-        self._names[data_centre] = record.name
-        self._data_centres[data_centre] = record
-
-    @_insert.register
-    def _(self, record: Customer) -> None:
+        row = self.store.row(any_id)
+        return f"{any_id:016x}" if row == MISSING else self.store.name(row)
+
+    # Slices: a service with its upstreams and customers, and all data centres.
+
+    def slice_ids(self, scope: int) -> Iterable[int]:
+        """Returns the ids of all keys in a service's slice, or of all keys for scope 0."""
+        if not scope:
+            return self._all_ids()
+        row = self._services.row(scope)
+        if row == MISSING:
+            return list(self._data_centres.keys())
+        members = name_id("members", self._services.name[row])
+        customers = self._services.customers[row]
+        upstreams = self._services.members[row]
+        return [*self._data_centres.keys(), scope, members, *upstreams, *customers]
+
+    def _all_ids(self) -> Iterator[int]:
+        yield from self.store.all_ids()
+        yield from [key for key in self.store.refused if key not in self.store]
+
+    def in_slice(self, key_id: int, scope: int) -> bool:
+        """Whether a key, which may be deleted, is in a service's slice."""
+        if not scope or key_id == scope or key_id in self._data_centres:
+            return True
+        tombstone = self.store.tombstones.get(key_id)
+        if tombstone is not None:
+            return tombstone.scope in (0, scope)
+        customer = self._customers.row(key_id)
+        if customer != MISSING:
+            return any(service == scope for _, service in self._customers.bindings[customer])
+        row = self.store.row(key_id)
+        if row == MISSING:
+            return False
+        if self.store.slots[row]:
+            return self._services.key[self.store.service[row]] == scope
+        service = self._services.row(scope)
+        return service != MISSING and key_id == name_id("members", self._services.name[service])
+
+    def scope_of(self, key_id: int) -> int:
+        """Returns the service that an upstream belonged to; 0 for other keys."""
+        row = self.store.row(key_id)
+        if row == MISSING or not self.store.slots[row]:
+            return 0
+        return self._services.key[self.store.service[row]]
+
+    # How records change the columns.
+
+    def read(self, key: str, text: bytes, relayed: bool) -> Result[Record, list[Problem]]:
+        """Reads a record; memberships exist only between processes of the system."""
+        if relayed and key.startswith(_MEMBERS_PREFIX):
+            return Ok(Members(key.removeprefix(_MEMBERS_PREFIX)))
+        return read_record(key, text)
+
+    def conflict(self, record: object) -> Problem | None:
+        """Returns why a customer cannot have its addresses."""
+        if not isinstance(record, Customer):
+            return None
         customer = name_id("customer", record.name)
-        self._names[customer] = record.name
-        self._customers[customer] = record
         for binding in record.bindings:
-            route = Route(name_id("service", binding.service), customer)
-            self._routes[address_key(binding.address)] = route
+            route = self._routes.get(address_key(binding.address))
+            if route is not None and route.customer != customer:
+                host, port = binding.address
+                detail = f"{host}:{port} belongs to {self.name(route.customer)}"
+                return Problem(Code.RECORD_DUPLICATE, key_of(record), "bindings", detail)
+        return None
+
+    def put(self, row: int, record: object, update: Update) -> None:
+        """Writes a record into the columns of its row, which still hold its old version."""
+        self._put(record, row, update)
 
     @singledispatchmethod
-    def _remove(self, record: Record) -> None:
+    def _put(self, record: object, row: int, update: Update) -> None:
         raise TypeError(type(record))
 
-    @_remove.register
-    def _(self, record: Service) -> None:
-        del self._services[name_id("service", record.name)]
-
-    @_remove.register
-    def _(self, record: Upstream) -> None:
-        upstream = name_id("upstream", record.name)
-        del self._upstreams[upstream]
-        members = self._members[name_id("service", record.service)]
-        del members[bisect_left(members, upstream)]
-
-    @_remove.register
-    def _(self, record: DataCentre) -> None:
-        del self._data_centres[name_id("data_centre", record.name)]
-
-    @_remove.register
-    def _(self, record: Customer) -> None:
-        del self._customers[name_id("customer", record.name)]
+    @_put.register
+    def _(self, record: Service, row: int, update: Update) -> None:
+        services = self._services
+        service = self._service_row(record.name)
+        services.is_defined[service] = 1
+        services.cold_limit[service] = record.cold_limit
+        services.warmup[service] = record.warmup_ms
+        services.queue_factor[service] = record.queue_factor
+        update.note_service(services.key[service])
+
+    @_put.register
+    def _(self, record: Upstream, row: int, update: Update) -> None:
+        store = self.store
+        is_new = not store.slots[row]
+        service = self._service_row(record.service)
+        data_centre = self._data_centre_row(record.data_centre)
+        if not is_new:
+            self._data_centres.upstreams[store.data_centre[row]] -= 1
+        if not is_new and store.service[row] != service:
+            self._leave(row, store.record_revision[row], update)
+            is_new = True
+        if is_new:
+            insort(self._edit_members(service), store.key[row])
+            self._note_membership(service, store.record_revision[row], update)
+        store.service[row] = service
+        store.data_centre[row] = data_centre
+        self._data_centres.upstreams[data_centre] += 1
+        customers = tuple(name_id("customer", name) for name in record.customers)
+        store.set_upstream(row, record, customers)
+        update.note_service(self._services.key[service])
+
+    @_put.register
+    def _(self, record: DataCentre, row: int, update: Update) -> None:
+        data_centre = self._data_centre_row(record.name)
+        self._data_centres.is_in[data_centre] = record.state == "in"
+        self._data_centres.changed[data_centre] = self.store.record_revision[row]
+        update.note_data_centre(self._data_centres.key[data_centre])
+
+    @_put.register
+    def _(self, record: Customer, row: int, update: Update) -> None:
+        customer = self._customers.add(self.store.key[row])
+        self._unbind(customer, update)
+        bindings = []
         for binding in record.bindings:
-            self._routes.pop(address_key(binding.address), None)
+            service = self._service_row(binding.service)
+            service_id = self._services.key[service]
+            bindings.append((address_key(binding.address), service_id))
+            self._routes[bindings[-1][0]] = Route(service_id, self.store.key[row])
+            users = set(self._services.customers[service]) | {self.store.key[row]}
+            self._services.customers[service] = tuple(sorted(users))
+            update.note_service(service_id)
+        self._customers.share[customer] = record.share
+        self._customers.bindings[customer] = tuple(bindings)
+
+    @_put.register
+    def _(self, record: Members, row: int, update: Update) -> None:
+        service = self._services.key[self._service_row(record.name)]
+        self._memberships[service] = self.store.record_revision[row]
+
+    def drop(self, row: int, revision: int, update: Update) -> None:
+        """Takes a record out of the columns; its row is removed next."""
+        text = unpack(self.store.text(row))
+        record = self.read(self.store.record_key(row), text, True).unwrap()
+        self._drop(record, row, revision, update)
 
     @singledispatchmethod
-    def _note(self, record: Record, revision: int, removed: bool) -> None:
+    def _drop(self, record: object, row: int, revision: int, update: Update) -> None:
         raise TypeError(type(record))
 
-    @_note.register
-    def _(self, record: Service, revision: int, removed: bool) -> None:
-        self._changed_services.add(name_id("service", record.name))
-
-    @_note.register
-    def _(self, record: Upstream, revision: int, removed: bool) -> None:
-        service = name_id("service", record.service)
-        self._changed_services.add(service)
-        if removed:
-            self._memberships[service] = revision
-
-    @_note.register
-    def _(self, record: DataCentre, revision: int, removed: bool) -> None:
-        self._changed_data_centres.add(name_id("data_centre", record.name))
-
-    @_note.register
-    def _(self, record: Customer, revision: int, removed: bool) -> None:
-        self._changed_services.update(name_id("service", b.service) for b in record.bindings)
+    @_drop.register
+    def _(self, record: Service, row: int, revision: int, update: Update) -> None:
+        self._put(Service(record.name), row, update)
+        self._services.is_defined[self._service_row(record.name)] = 0
+
+    @_drop.register
+    def _(self, record: Upstream, row: int, revision: int, update: Update) -> None:
+        self._leave(row, revision, update)
+        self._data_centres.upstreams[self.store.data_centre[row]] -= 1
+        self.store.clear_upstream(row)
+
+    @_drop.register
+    def _(self, record: DataCentre, row: int, revision: int, update: Update) -> None:
+        data_centre = self._data_centre_row(record.name)
+        self._data_centres.is_in[data_centre] = 0
+        self._data_centres.changed[data_centre] = 0
+        update.note_data_centre(self._data_centres.key[data_centre])
+        if not self._data_centres.upstreams[data_centre]:
+            return
+        for upstream in self.store.rows():
+            if self.store.slots[upstream] and self.store.data_centre[upstream] == data_centre:
+                self._note_membership(self.store.service[upstream], revision, update)
+
+    @_drop.register
+    def _(self, record: Customer, row: int, revision: int, update: Update) -> None:
+        self._unbind(self._customers.row(self.store.key[row]), update)
+        self._customers.remove(self.store.key[row])
+
+    @_drop.register
+    def _(self, record: Members, row: int, revision: int, update: Update) -> None:
+        """A service's membership stays; it never falls."""
+
+    def prepare(self, update: Update) -> Iterator[None]:
+        """Records the memberships that this process derived, so that it relays them."""
+        if update.relayed:
+            return
+        for service, revision in self._memberships.items():
+            name = self._services.name[self._services.row(service)]
+            self.store.write(Entry(_MEMBERS_PREFIX + name, revision, _MEMBERS_TEXT))
+            yield
+
+    def close(self, update: Update) -> None:
+        """Puts new sets of upstreams in force together with their revisions."""
+        services = self._services
+        for service, members in self._members.items():
+            services.members[services.row(service)] = members
+        for service, revision in self._memberships.items():
+            row = services.row(service)
+            services.membership[row] = max(services.membership[row], revision)
+        self._members.clear()
+        self._memberships.clear()
+        self._epoch += 1
+
+    def _service_row(self, name: str) -> int:
+        service = name_id("service", name)
+        row = self._services.row(service)
+        if row == MISSING:
+            row = self._services.add(service)
+            defaults = Service(name)
+            self._services.name[row] = name
+            self._services.cold_limit[row] = defaults.cold_limit
+            self._services.warmup[row] = defaults.warmup_ms
+            self._services.queue_factor[row] = defaults.queue_factor
+        return row
+
+    def _data_centre_row(self, name: str) -> int:
+        return self._data_centres.add(name_id("data_centre", name))
+
+    def _edit_members(self, service_row: int) -> array:
+        service = self._services.key[service_row]
+        if service not in self._members:
+            self._members[service] = self._services.members[service_row][:]
+        return self._members[service]
+
+    def _leave(self, row: int, revision: int, update: Update) -> None:
+        service_row = self.store.service[row]
+        members = self._edit_members(service_row)
+        del members[bisect_left(members, self.store.key[row])]
+        self._note_membership(service_row, revision, update)
+        update.note_service(self._services.key[service_row])
+
+    def _note_membership(self, service_row: int, revision: int, update: Update) -> None:
+        if not update.relayed:
+            service = self._services.key[service_row]
+            self._memberships[service] = max(self._memberships.get(service, 0), revision)
+
+    def _unbind(self, customer: int, update: Update) -> None:
+        for address, service in self._customers.bindings[customer]:
+            self._routes.pop(address, None)
+            row = self._services.row(service)
+            users = set(self._services.customers[row]) - {self._customers.key[customer]}
+            self._services.customers[row] = tuple(users)
+            update.note_service(service)
+        self._customers.bindings[customer] = ()
--- /dev/null
+++ b/shallotshore/catalog_tables.py
@@ -0,0 +1,185 @@
+"""Columns of the catalog."""
+
+__all__ = [
+    "INHERITED_LIMIT",
+    "INHERITED_WARMUP",
+    "CustomerTable",
+    "DataCentreTable",
+    "ServiceTable",
+    "UpstreamStore",
+]
+
+import ipaddress
+from array import array
+
+from shallotshore.messages import Address
+from shallotshore.records import Upstream
+from shallotshore.store import RecordStore
+from shallotshore.tables import Table
+
+INHERITED_LIMIT = (1 << 16) - 1  # stands for the service's value
+INHERITED_WARMUP = (1 << 32) - 1
+
+_LEAVING = 1
+_HAS_CUSTOMERS = 2
+_LONG_ADDRESS = 4
+
+
+class UpstreamStore(RecordStore):
+    """All records; the columns of upstreams are zero in rows of other kinds.
+
+    Upstreams have no table of their own, since a second index would cost 20 bytes a row.
+    """
+
+    __slots__ = (
+        "_customers",
+        "_long_addresses",
+        "cold_limit",
+        "connections",
+        "data_centre",
+        "flags",
+        "host",
+        "port",
+        "service",
+        "slots",
+        "warmup",
+    )
+
+    service: array
+    data_centre: array
+    host: array
+    port: array
+    slots: array
+    connections: array
+    cold_limit: array
+    warmup: array
+    flags: array
+
+    COLUMNS = RecordStore.COLUMNS | {
+        "service": "I",  # row in the service table
+        "data_centre": "H",  # row in the data centre table
+        "host": "I",
+        "port": "H",
+        "slots": "H",
+        "connections": "I",
+        "cold_limit": "H",
+        "warmup": "I",  # milliseconds
+        "flags": "B",
+    }
+
+    def __init__(self, limit: int) -> None:
+        super().__init__(limit)
+        self._customers: dict[int, tuple[int, ...]] = {}
+        self._long_addresses: dict[int, str] = {}
+
+    def set_upstream(self, row: int, record: Upstream, customers: tuple[int, ...]) -> None:
+        """Writes an upstream's columns except service and data centre."""
+        self.clear_upstream(row)
+        self.slots[row] = record.slots
+        self.connections[row] = record.connections
+        limit, warmup = record.cold_limit, record.warmup_ms
+        self.cold_limit[row] = INHERITED_LIMIT if limit is None else limit
+        self.warmup[row] = INHERITED_WARMUP if warmup is None else warmup
+        flags = _LEAVING if record.state == "leaving" else 0
+        if customers:
+            flags |= _HAS_CUSTOMERS
+            self._customers[row] = customers
+        host = ipaddress.ip_address(record.address[0])
+        if host.version == 4:
+            self.host[row] = int(host)
+        else:
+            flags |= _LONG_ADDRESS
+            self._long_addresses[row] = record.address[0]
+        self.port[row] = record.address[1]
+        self.flags[row] = flags
+
+    def clear_upstream(self, row: int) -> None:
+        """Drops what a row holds outside its columns."""
+        if self.flags[row] & _HAS_CUSTOMERS:
+            del self._customers[row]
+        if self.flags[row] & _LONG_ADDRESS:
+            del self._long_addresses[row]
+        self.flags[row] = 0
+
+    def address(self, row: int) -> Address:
+        """Returns the address of an upstream's agent."""
+        if self.flags[row] & _LONG_ADDRESS:
+            return self._long_addresses[row], self.port[row]
+        host = self.host[row]
+        text = f"{host >> 24}.{host >> 16 & 255}.{host >> 8 & 255}.{host & 255}"
+        return text, self.port[row]
+
+    def customers(self, row: int) -> tuple[int, ...]:
+        """Returns the customers that an upstream serves; empty stands for all."""
+        return self._customers[row] if self.flags[row] & _HAS_CUSTOMERS else ()
+
+    def is_leaving(self, row: int) -> bool:
+        """Whether the upstream's record says that it leaves."""
+        return bool(self.flags[row] & _LEAVING)
+
+
+class ServiceTable(Table):
+    """Services by id; a service without a record has a row when another record names it."""
+
+    __slots__ = (
+        "checked",
+        "cold_limit",
+        "customers",
+        "effective",
+        "is_defined",
+        "members",
+        "membership",
+        "name",
+        "queue_factor",
+        "warmup",
+    )
+
+    is_defined: array
+    cold_limit: array
+    warmup: array
+    queue_factor: array
+    membership: array
+    effective: array
+    checked: array
+    name: list[str]
+    members: list[array]
+    customers: list[tuple[int, ...]]
+
+    COLUMNS = {
+        "is_defined": "B",
+        "cold_limit": "H",
+        "warmup": "I",  # milliseconds
+        "queue_factor": "H",
+        "membership": "Q",  # revision at which an upstream was added or removed
+        "effective": "Q",  # the same with changes of data centres, as of epoch `checked`
+        "checked": "L",
+    }
+    OBJECT_COLUMNS = {"name": "", "members": array("Q"), "customers": ()}
+
+
+class DataCentreTable(Table):
+    """Data centres by id; one without a record is out."""
+
+    __slots__ = ("changed", "is_in", "upstreams")
+
+    is_in: array
+    changed: array
+    upstreams: array
+
+    COLUMNS = {
+        "is_in": "B",
+        "changed": "Q",  # revision of the record
+        "upstreams": "L",  # number of upstreams that name the data centre
+    }
+
+
+class CustomerTable(Table):
+    """Customers by id; a binding is (address key, service id)."""
+
+    __slots__ = ("bindings", "share")
+
+    share: array
+    bindings: list[tuple[tuple[int, int], ...]]
+
+    COLUMNS = {"share": "I"}
+    OBJECT_COLUMNS = {"bindings": ()}
--- /dev/null
+++ b/shallotshore/compact.py
@@ -0,0 +1,182 @@
+"""Memory-saving parts of large tables: an index without objects and an arena for bytes."""
+
+__all__ = ["Arena", "CompactTable", "RowIndex"]
+
+import struct
+from array import array
+from bisect import bisect_left
+from collections.abc import Iterator, MutableMapping
+
+from shallotshore.tables import Table
+
+_BUCKETS = 256  # one for each value of the key's highest byte
+_BUCKET_SHIFT = 56
+
+_CHUNK_BYTES = 1 << 14
+_POSITION_BITS = 16  # a record may be larger than a chunk, but not than 64 KiB
+_POSITION_MASK = (1 << _POSITION_BITS) - 1
+_HEADER = struct.Struct("<IBH")  # row, length of the name, length of the text
+
+
+def _place(chunk: int, position: int) -> int:
+    # Places start at 1, since a removed row has 0 in all columns.
+    return ((chunk << _POSITION_BITS) | position) + 1
+
+
+class RowIndex(MutableMapping[int, int]):
+    """Maps 64-bit keys to rows in 12 bytes a key; a dict takes 95.
+
+    Keys must be evenly spread, as hashes are. Sorted buckets never need a rehash of the whole
+    index, which would take longer than one tick may.
+    """
+
+    __slots__ = ("_count", "_keys", "_rows")
+
+    def __init__(self) -> None:
+        self._count = 0
+        self._keys: dict[int, array] = {}
+        self._rows: dict[int, array] = {}
+
+    def __len__(self) -> int:
+        return self._count
+
+    def __iter__(self) -> Iterator[int]:
+        for keys in self._keys.values():
+            yield from keys
+
+    def get(self, key: int, default: int) -> int:  # type: ignore[override]
+        """Returns the row of a key, or the default."""
+        keys = self._keys.get(key >> _BUCKET_SHIFT)
+        if keys is None:
+            return default
+        position = bisect_left(keys, key)
+        if position == len(keys) or keys[position] != key:
+            return default
+        return self._rows[key >> _BUCKET_SHIFT][position]
+
+    def __getitem__(self, key: int) -> int:
+        row = self.get(key, -1)
+        if row < 0:
+            raise KeyError(key)
+        return row
+
+    def __contains__(self, key: object) -> bool:
+        return isinstance(key, int) and self.get(key, -1) >= 0
+
+    def __setitem__(self, key: int, row: int) -> None:
+        bucket = key >> _BUCKET_SHIFT
+        keys = self._keys.setdefault(bucket, array("Q"))
+        rows = self._rows.setdefault(bucket, array("I"))
+        position = bisect_left(keys, key)
+        if position < len(keys) and keys[position] == key:
+            rows[position] = row
+            return
+        keys.insert(position, key)
+        rows.insert(position, row)
+        self._count += 1
+
+    def __delitem__(self, key: int) -> None:
+        bucket = key >> _BUCKET_SHIFT
+        if key not in self:
+            raise KeyError(key)
+        position = bisect_left(self._keys[bucket], key)
+        del self._keys[bucket][position]
+        del self._rows[bucket][position]
+        self._count -= 1
+
+
+class CompactTable(Table):
+    """A table whose index is a `RowIndex`; for tables of 100,000 rows and more."""
+
+    __slots__ = ()
+
+    def __init__(self, limit: int) -> None:
+        super().__init__(limit)
+        self._rows = RowIndex()
+
+
+class Arena:
+    """Names and texts of rows in chunks of bytes.
+
+    A record is reached by its place, which the owner keeps in a column. When more than half of a
+    chunk is free, the rest is moved and the chunk is used again; this moves a few kilobytes at
+    a time.
+    """
+
+    __slots__ = ("_chunks", "_current", "_free_bytes", "_free_chunks", "_places")
+
+    def __init__(self, places: array) -> None:
+        """Creates an empty arena.
+
+        Args:
+            places: The owner's column of places; it is updated when a record moves.
+        """
+        self._places = places
+        self._chunks: list[bytearray] = [bytearray()]
+        self._free_bytes = array("I", [0])
+        self._free_chunks: list[int] = []
+        self._current = 0
+
+    def put(self, row: int, name: bytes, text: bytes) -> None:
+        """Stores a record and writes its place to the owner's column.
+
+        Args:
+            row: The row that owns the record.
+            name: At most 255 bytes.
+            text: At most 65,000 bytes.
+        """
+        record = _HEADER.pack(row, len(name), len(text)) + name + text
+        chunk = self._chunks[self._current]
+        if chunk and len(chunk) + len(record) > _CHUNK_BYTES:
+            self._current = self._take_chunk()
+            chunk = self._chunks[self._current]
+        self._places[row] = _place(self._current, len(chunk))
+        chunk += record
+
+    def name(self, row: int) -> bytes:
+        """Returns the name of a row."""
+        chunk, start, name_length, _ = self._locate(self._places[row])
+        return bytes(chunk[start : start + name_length])
+
+    def text(self, row: int) -> bytes:
+        """Returns the text of a row."""
+        chunk, start, name_length, text_length = self._locate(self._places[row])
+        return bytes(chunk[start + name_length : start + name_length + text_length])
+
+    def free(self, row: int) -> None:
+        """Gives the record of a row back; the row must not be read until the next `put`."""
+        place = self._places[row]
+        _, _, name_length, text_length = self._locate(place)
+        index = (place - 1) >> _POSITION_BITS
+        self._free_bytes[index] += _HEADER.size + name_length + text_length
+        self._places[row] = 0
+        if index != self._current and self._free_bytes[index] * 2 > len(self._chunks[index]):
+            self._move_out(index)
+
+    def _locate(self, place: int) -> tuple[bytearray, int, int, int]:
+        chunk = self._chunks[(place - 1) >> _POSITION_BITS]
+        position = (place - 1) & _POSITION_MASK
+        _, name_length, text_length = _HEADER.unpack_from(chunk, position)
+        return chunk, position + _HEADER.size, name_length, text_length
+
+    def _take_chunk(self) -> int:
+        if self._free_chunks:
+            return self._free_chunks.pop()
+        self._chunks.append(bytearray())
+        self._free_bytes.append(0)
+        return len(self._chunks) - 1
+
+    def _move_out(self, index: int) -> None:
+        chunk = self._chunks[index]
+        position = 0
+        while position < len(chunk):
+            row, name_length, text_length = _HEADER.unpack_from(chunk, position)
+            start = position + _HEADER.size
+            end = start + name_length + text_length
+            if self._places[row] == _place(index, position):
+                name = bytes(chunk[start : start + name_length])
+                self.put(row, name, bytes(chunk[start + name_length : end]))
+            position = end
+        self._chunks[index] = bytearray()
+        self._free_bytes[index] = 0
+        self._free_chunks.append(index)
--- a/shallotshore/records.py
+++ b/shallotshore/records.py
@@ -4,6 +4,7 @@
     "Binding",
     "Customer",
     "DataCentre",
+    "Members",
     "Record",
     "Service",
     "Upstream",
@@ -98,6 +99,13 @@
     bindings: tuple[Binding, ...] = ()
 
 
+@dataclass(slots=True)
+class Members(Record):
+    """Relayed between processes: its revision is the one at which a service's upstreams changed."""
+
+    name: str
+
+
 _KINDS: dict[type, str] = {
     Service: "service",
     Upstream: "upstream",
--- /dev/null
+++ b/shallotshore/store.py
@@ -0,0 +1,256 @@
+"""Published records as text at a revision: what processes relay to each other."""
+
+__all__ = ["RecordStore", "Tombstone", "id_of", "split_key"]
+
+from array import array
+from bisect import bisect_right
+from collections.abc import Iterable, Iterator
+from typing import NamedTuple
+
+from shallotshore.compact import Arena, CompactTable
+from shallotshore.hashing import name_id, score
+from shallotshore.messages import Entry
+from shallotshore.tables import MISSING
+
+LOG_LIMIT = 8192  # changes; about a day's worth at the size to design for
+
+_KINDS = ("", "service", "upstream", "data_centre", "customer", "members", "vm")
+_KIND_NUMBERS = {kind: number for number, kind in enumerate(_KINDS)}
+
+
+class Tombstone(NamedTuple):
+    """A deleted key and the slice it was in; scope 0 stands for an unknown slice."""
+
+    key: str
+    revision: int
+    scope: int
+
+
+def split_key(key: str) -> tuple[str, str]:
+    """Returns kind and name of a key such as "service/spotdesk"."""
+    kind, _, name = key.partition("/")
+    return kind, name
+
+
+def id_of(key: str) -> int:
+    """Returns the 64-bit id of a key."""
+    return name_id(*split_key(key))
+
+
+class RecordStore(CompactTable):
+    """The last good text of every key, and the newest one where it was refused.
+
+    The digest covers the newest revision of each key, refused or not, so that two processes agree
+    on it even when their versions of the program accept different schemas.
+    """
+
+    __slots__ = (
+        "_arena",
+        "_log_ids",
+        "_log_revisions",
+        "digest",
+        "horizon",
+        "kind",
+        "place",
+        "record_revision",
+        "refused",
+        "revision",
+        "tombstones",
+    )
+
+    record_revision: array
+    kind: array
+    place: array
+
+    COLUMNS = {"record_revision": "Q", "kind": "B", "place": "I"}
+
+    def __init__(self, limit: int) -> None:
+        super().__init__(limit)
+        self._arena = Arena(self.place)
+        self._log_revisions = array("Q")
+        self._log_ids = array("Q")
+        self.digest = 0
+        self.horizon = 0
+        self.revision = 0
+        self.refused: dict[int, Entry] = {}
+        self.tombstones: dict[int, Tombstone] = {}
+
+    def name(self, row: int) -> str:
+        """Returns the name of a row's record."""
+        return self._arena.name(row).decode()
+
+    def record_key(self, row: int) -> str:
+        """Returns the key of a row's record."""
+        return f"{_KINDS[self.kind[row]]}/{self.name(row)}"
+
+    def text(self, row: int) -> bytes:
+        """Returns the compressed text of a row's record."""
+        return self._arena.text(row)
+
+    def good_revision(self, key_id: int) -> int:
+        """Returns the revision of the text in force or of the deletion; 0 for an unknown key."""
+        row = self.row(key_id)
+        if row != MISSING:
+            return self.record_revision[row]
+        tombstone = self.tombstones.get(key_id)
+        return 0 if tombstone is None else tombstone.revision
+
+    def newest_revision(self, key_id: int) -> int:
+        """Returns the revision of the newest text of a key, refused or not; 0 when it has none."""
+        row = self.row(key_id)
+        revision = 0 if row == MISSING else self.record_revision[row]
+        refused = self.refused.get(key_id)
+        return revision if refused is None else max(revision, refused.revision)
+
+    def is_known(self, key_id: int, revision: int) -> bool:
+        """Whether the text of a key at a revision, or a higher one, is held already."""
+        if revision <= self.good_revision(key_id):
+            return True
+        refused = self.refused.get(key_id)
+        return refused is not None and refused.revision == revision
+
+    def write(self, entry: Entry) -> int:
+        """Puts a text in force.
+
+        Args:
+            entry: Key, revision and compressed text; the kind of the key is known.
+
+        Returns:
+            The row, or MISSING when the table is at its limit.
+        """
+        kind, name = split_key(entry.key)
+        key_id = name_id(kind, name)
+        before = self.newest_revision(key_id)
+        row = self.row(key_id)
+        if row != MISSING:
+            self._arena.free(row)
+        else:
+            row = self.add(key_id)
+            if row == MISSING:
+                return MISSING
+        self._arena.put(row, name.encode(), entry.text)
+        self.kind[row] = _KIND_NUMBERS[kind]
+        self.record_revision[row] = entry.revision
+        self.tombstones.pop(key_id, None)
+        self._drop_refused(key_id, entry.revision)
+        self._renew(key_id, before)
+        return row
+
+    def refuse(self, entry: Entry) -> None:
+        """Keeps a refused text for relaying; the last good one stays in force."""
+        key_id = id_of(entry.key)
+        before = self.newest_revision(key_id)
+        if entry.revision > before:
+            self.refused[key_id] = entry
+            self._renew(key_id, before)
+
+    def delete(self, key: str, revision: int, scope: int) -> None:
+        """Deletes a key and leaves a tombstone, which the digest leaves out."""
+        key_id = id_of(key)
+        before = self.newest_revision(key_id)
+        self._drop_refused(key_id, revision)
+        self._drop_row(key_id)
+        self.tombstones[key_id] = Tombstone(key, revision, scope)
+        self._renew(key_id, before)
+        self._log(key_id, revision)
+
+    def discard(self, key_id: int) -> None:
+        """Removes a key without a tombstone."""
+        before = self.newest_revision(key_id)
+        self.refused.pop(key_id, None)
+        self._drop_row(key_id)
+        self._renew(key_id, before)
+
+    def entries_of(self, key_id: int) -> Iterator[Entry]:
+        """Yields the text in force or the deletion of a key; refused texts come apart."""
+        row = self.row(key_id)
+        if row != MISSING:
+            yield Entry(self.record_key(row), self.record_revision[row], self.text(row))
+            return
+        tombstone = self.tombstones.get(key_id)
+        if tombstone is not None:
+            yield Entry(tombstone.key, tombstone.revision, b"")
+
+    def changed_since(self, revision: int) -> list[int] | None:
+        """Returns the ids of the keys changed after a revision.
+
+        Returns:
+            The ids in order of change, or None when the log does not reach back so far.
+        """
+        if revision < self.horizon:
+            return None
+        start = bisect_right(self._log_revisions, revision)
+        return list(dict.fromkeys(self._log_ids[start:]))
+
+    def all_ids(self) -> Iterator[int]:
+        """Yields the ids of all rows; the table may change meanwhile."""
+        row = 0
+        while row < len(self.key):
+            if self.kind[row]:
+                yield self.key[row]
+            row += 1
+
+    def digest_of(self, key_ids: Iterable[int]) -> int:
+        """Returns the digest of some keys."""
+        digest = 0
+        for key_id in key_ids:
+            revision = self.newest_revision(key_id)
+            if revision:
+                digest ^= score(key_id, revision)
+        return digest
+
+    def settle(self, revision: int, logged: bool) -> None:
+        """Ends an update.
+
+        Args:
+            revision: The revision that is now held.
+            logged: Whether the log holds all changes since the revision held before.
+        """
+        is_first = self.revision == 0
+        self.revision = revision
+        if is_first or not logged:
+            self._drop_log(len(self._log_ids), revision)
+        elif len(self._log_ids) > LOG_LIMIT:
+            count = len(self._log_ids) - LOG_LIMIT * 3 // 4
+            self._drop_log(count, self._log_revisions[count - 1])
+
+    def _drop_log(self, count: int, horizon: int) -> None:
+        self.horizon = max(self.horizon, horizon)
+        for key_id in self._log_ids[:count]:
+            tombstone = self.tombstones.get(key_id)
+            if tombstone is not None and tombstone.revision <= self.horizon:
+                del self.tombstones[key_id]
+        del self._log_ids[:count]
+        del self._log_revisions[:count]
+
+    def _drop_refused(self, key_id: int, revision: int) -> None:
+        refused = self.refused.get(key_id)
+        if refused is not None and refused.revision <= revision:
+            del self.refused[key_id]
+
+    def _drop_row(self, key_id: int) -> None:
+        row = self.row(key_id)
+        if row != MISSING:
+            self._arena.free(row)
+            self.remove(key_id)
+
+    def _renew(self, key_id: int, before: int) -> None:
+        after = self.newest_revision(key_id)
+        if after == before:
+            return
+        self._toggle(key_id, before)
+        self._toggle(key_id, after)
+        if after:
+            self._log(key_id, after)
+
+    def _toggle(self, key_id: int, revision: int) -> None:
+        if revision:
+            self.digest ^= score(key_id, revision)
+
+    def _log(self, key_id: int, revision: int) -> None:
+        if self.revision == 0:
+            return  # The first revision is always sent whole.
+        # Out of order only when a repair adds an old change, which the digest exchange carries on.
+        position = bisect_right(self._log_revisions, revision)
+        self._log_revisions.insert(position, revision)
+        self._log_ids.insert(position, key_id)
--- a/shallotshore/tables.py
+++ b/shallotshore/tables.py
@@ -3,7 +3,7 @@
 __all__ = ["MISSING", "Table"]
 
 from array import array
-from collections.abc import Iterator
+from collections.abc import Iterator, MutableMapping
 
 MISSING = -1
 
@@ -28,7 +28,7 @@
             limit: Greatest number of rows.
         """
         self._limit = limit
-        self._rows: dict[int, int] = {}
+        self._rows: MutableMapping[int, int] = {}
         self._free: list[int] = []
         self.key = array("Q")
         for name, type_code in self.COLUMNS.items():
--- /dev/null
+++ b/shallotshore/texts.py
@@ -0,0 +1,50 @@
+"""Compressed record text, as processes hold and relay it."""
+
+__all__ = ["MAX_TEXT_BYTES", "pack", "unpack"]
+
+import zlib
+
+MAX_TEXT_BYTES = 64_000  # a record's length field in an arena holds 16 bits
+
+_LEVEL = 9
+_WINDOW_BITS = -12  # raw deflate without header; a window of 4 KiB holds dictionary and record
+_MEMORY_LEVEL = 5
+
+# Every process must hold the same dictionary: a change of it makes relayed texts unreadable. Its
+# end compresses best, so the most frequent kind comes last.
+_DICTIONARY = (
+    b'{"kind":"members","schema":1,"name":"'
+    b'{"kind":"vm","schema":1,"name":"vm-","role":"balancer","role":"agent","state":"live",'
+    b'{"kind":"data_centre","schema":3,"name":"","region":"","state":"in"}"state":"out"}'
+    b'{"kind":"service","schema":3,"name":"","cold_limit":1,"warmup_ms":1000,"queue_factor":2}'
+    b'{"kind":"customer","schema":3,"name":"","share":1,"bindings":[{"service":"","address":'
+    b'{"host":"10.0.0.1","port":9000}},{"service":""'
+    b',"customers":[""],"cold_limit":1,"cold_limit":2,"warmup_ms":10000,"warmup_ms":1000'
+    b'{"kind":"upstream","schema":3,"name":"","service":"","data_centre":"",'
+    b'"address":{"host":"10.","port":70"port":7000},"state":"leaving","state":"active",'
+    b'"slots":3,"slots":1,"connections":2000}'
+)
+
+
+def pack(text: bytes) -> bytes:
+    """Returns the compressed form of a record's text."""
+    packer = zlib.compressobj(
+        _LEVEL, zlib.DEFLATED, _WINDOW_BITS, _MEMORY_LEVEL, zlib.Z_DEFAULT_STRATEGY, _DICTIONARY
+    )
+    return packer.compress(text) + packer.flush()
+
+
+def unpack(packed: bytes) -> bytes:
+    """Returns the text of a compressed record.
+
+    Raises:
+        ValueError: The bytes are not a compressed text, or the text exceeds `MAX_TEXT_BYTES`.
+    """
+    unpacker = zlib.decompressobj(_WINDOW_BITS, _DICTIONARY)
+    try:
+        text = unpacker.decompress(packed, MAX_TEXT_BYTES + 1)
+    except zlib.error as error:
+        raise ValueError(f"record text cannot be decompressed: {error}") from error
+    if len(text) > MAX_TEXT_BYTES or not unpacker.eof:
+        raise ValueError("record text is truncated or too large")
+    return text
