--- /dev/null
+++ b/shallotshore/admission.py
@@ -0,0 +1,104 @@
+"""Admission: the cold-start ramp, slots and connections."""
+
+__all__ = ["AdmissionSystem", "can_open", "may_accept", "mismatch", "refusal_of_new_work"]
+
+from shallotshore.agent_state import AgentState
+from shallotshore.codes import Code
+from shallotshore.fair_queue import is_over_share
+from shallotshore.messages import Attempt, Forward, HealthState
+
+QUEUE_PER_SLOT = 2  # a longer queue only adds waiting: its requests would do better elsewhere
+
+
+class AdmissionSystem:
+    """Advances the ramp and publishes the present limit."""
+
+    __slots__ = ("_incarnation", "_state", "_was_in")
+
+    def __init__(self, state: AgentState) -> None:
+        self._state = state
+        self._was_in = True
+        self._incarnation = 0
+
+    def run(self, now: int) -> None:
+        """Runs the step at `now` (ms)."""
+        state = self._state
+        is_in = state.data_centre_in
+        incarnation = state.upstream.incarnation
+        if incarnation != self._incarnation or (is_in and not self._was_in):
+            self._incarnation = incarnation
+            state.ramp.restart(now)
+            state.counters.add("ramps_started")
+        self._was_in = is_in
+        record = state.record
+        if record is None:
+            state.limit = 0
+            return
+        state.ramp.advance(record, now)
+        state.limit = state.ramp.limit(record)
+
+
+def mismatch(state: AgentState, message: Forward | Attempt) -> Code | None:
+    """Checks a message against the agent's own catalog, whatever the balancer believed.
+
+    Returns:
+        Why the message must not reach the upstream, or None.
+    """
+    if message.service != state.service:
+        return Code.WRONG_SERVICE
+    route = state.catalog.route(message.vip)
+    if route is None:
+        return Code.UNKNOWN_ADDRESS
+    if route.service != state.service:
+        return Code.WRONG_SERVICE
+    record = state.record
+    served = record is None or not record.customers or message.customer in record.customers
+    return None if route.customer == message.customer and served else Code.WRONG_CUSTOMER
+
+
+def refusal_of_new_work(state: AgentState, now: int) -> Code | None:
+    """Returns why the upstream takes no new work at all, or None when it does."""
+    if not state.data_centre_in:
+        return Code.DATA_CENTRE_OUT
+    if state.phase.stopping_since:
+        return Code.STOPPING
+    if state.leaving:
+        return Code.UPSTREAM_LEAVING
+    if now < state.phase.settling_until or state.phase.recovering or state.record is None:
+        return Code.NOT_READY
+    if state.health(now) not in (HealthState.UP, HealthState.COLD):
+        return Code.NOT_READY
+    return None
+
+
+def may_accept(state: AgentState, customer: int, is_last: bool, now: int) -> Code | None:
+    """Returns why a request is not accepted here, or None when it is.
+
+    Args:
+        state: State of the agent.
+        customer: Id of the customer.
+        is_last: Whether no further candidate could take the request; only then may it queue.
+        now: Monotonic time in milliseconds.
+    """
+    refusal = refusal_of_new_work(state, now)
+    if refusal is not None:
+        return refusal
+    if state.work.accepted < state.limit:
+        return None
+    record = state.record
+    is_cold = record is not None and state.limit < record.slots
+    if not is_last or state.work.accepted >= state.limit * (1 + QUEUE_PER_SLOT):
+        return Code.UPSTREAM_COLD if is_cold else Code.OVERLOADED
+    bound = state.limit * QUEUE_PER_SLOT
+    return Code.FAIR_SHARE if is_over_share(state, customer, bound) else None
+
+
+def can_open(state: AgentState, now: int) -> Code | None:
+    """Returns why no flow can be opened here now, or None when one can."""
+    refusal = refusal_of_new_work(state, now)
+    record = state.record
+    if refusal is not None or record is None:
+        return refusal or Code.NOT_READY
+    if len(state.flows) >= record.connections or state.flows.is_full:
+        return Code.OVERLOADED
+    return None if state.ramp.can_open(record, now) else Code.UPSTREAM_COLD
--- /dev/null
+++ b/shallotshore/agent_tables.py
@@ -0,0 +1,346 @@
+"""Tables of the agent: claims kept for peers, own claims, flows, requests, queues and peers."""
+
+__all__ = [
+    "ClaimState",
+    "ClaimTable",
+    "ClaimingState",
+    "ClaimingTable",
+    "FlowState",
+    "FlowTable",
+    "PassedTable",
+    "PeerTable",
+    "QueueTable",
+    "RequestState",
+    "RequestTable",
+]
+
+from array import array
+from collections import deque
+from enum import IntEnum
+
+from shallotshore.messages import Address, Attempt, Forward
+from shallotshore.tables import Table
+
+
+class ClaimState(IntEnum):
+    """What a witness knows about a key."""
+
+    HELD = 1
+    RELEASED = 2
+    VOIDED = 3
+    LOST = 4
+
+
+class ClaimTable(Table):
+    """Claims that this agent keeps as a witness, by key of the flow or request.
+
+    `round` is the `attempt` field of the claim: it rises with each claim of one holder, so that
+    a late message of an earlier claim can be told from the present one. `others` lists further
+    (holder, round) pairs of a repeatable request.
+    """
+
+    __slots__ = ("expires", "granted", "holder", "incarnation", "kind", "others", "round", "state")
+
+    COLUMNS = {
+        "state": "B",
+        "kind": "B",
+        "holder": "Q",
+        "incarnation": "Q",
+        "round": "Q",
+        "granted": "q",
+        "expires": "q",
+    }
+    OBJECT_COLUMNS = {"others": ()}
+
+    state: "array[int]"
+    kind: "array[int]"
+    holder: "array[int]"
+    incarnation: "array[int]"
+    round: "array[int]"
+    granted: "array[int]"
+    expires: "array[int]"
+    others: list[tuple[tuple[int, int], ...]]
+
+
+class ClaimingState(IntEnum):
+    """Progress of a claim that this agent makes."""
+
+    COLLECTING = 1
+    WAITING = 2
+    GRANTED = 3
+    REFUSED = 4
+
+
+class ClaimingTable(Table):
+    """Claims that this agent is collecting a quorum for.
+
+    `witnesses` lists the `needed` witnesses of the present table, then those of former tables.
+    `granted` and `refused` are bit sets over it. `born` is the time at which the request began at
+    its caller, `aimed` the time at which the witnesses were chosen.
+    """
+
+    __slots__ = (
+        "aimed",
+        "born",
+        "code",
+        "deadline",
+        "granted",
+        "holder",
+        "kind",
+        "membership",
+        "needed",
+        "next_send",
+        "refused",
+        "round",
+        "state",
+        "tries",
+        "witnesses",
+    )
+
+    COLUMNS = {
+        "state": "B",
+        "kind": "B",
+        "tries": "B",
+        "needed": "B",
+        "code": "H",
+        "round": "Q",
+        "holder": "Q",
+        "membership": "Q",
+        "aimed": "q",
+        "born": "q",
+        "deadline": "q",
+        "next_send": "q",
+        "granted": "L",
+        "refused": "L",
+    }
+    OBJECT_COLUMNS = {"witnesses": ()}
+
+    state: "array[int]"
+    kind: "array[int]"
+    tries: "array[int]"
+    needed: "array[int]"
+    aimed: "array[int]"
+    code: "array[int]"
+    round: "array[int]"
+    holder: "array[int]"
+    membership: "array[int]"
+    born: "array[int]"
+    deadline: "array[int]"
+    next_send: "array[int]"
+    granted: "array[int]"
+    refused: "array[int]"
+    witnesses: list[tuple[int, ...]]
+
+
+class FlowState(IntEnum):
+    """State of a flow at the agent that owns it or tries to."""
+
+    CLAIMING = 1
+    OPEN = 2
+    RECOVERED = 3
+
+
+class FlowTable(Table):
+    """Flows that this agent's upstream serves.
+
+    A RECOVERED flow is known by its key alone until its next packet names the caller. `waiting`
+    holds the packets that arrived while the flow was being claimed. `answered` is 1 once the
+    upstream has sent data.
+    """
+
+    __slots__ = (
+        "answered",
+        "balancer",
+        "caller",
+        "customer",
+        "flow",
+        "round",
+        "state",
+        "touched",
+        "vip",
+        "votes",
+        "waiting",
+        "witnesses",
+    )
+
+    COLUMNS = {
+        "state": "B",
+        "answered": "B",
+        "votes": "B",
+        "customer": "Q",
+        "flow": "Q",
+        "round": "Q",
+        "touched": "q",
+    }
+    OBJECT_COLUMNS = {
+        "caller": None,
+        "vip": None,
+        "balancer": None,
+        "waiting": (),
+        "witnesses": (),
+    }
+
+    state: "array[int]"
+    answered: "array[int]"
+    votes: "array[int]"
+    customer: "array[int]"
+    flow: "array[int]"
+    round: "array[int]"
+    touched: "array[int]"
+    caller: list[Address | None]
+    vip: list[Address | None]
+    balancer: list[Address | None]
+    waiting: list[tuple[Forward, ...]]
+    witnesses: list[tuple[int, ...]]
+
+
+class RequestState(IntEnum):
+    """State of a request at the agent."""
+
+    CLAIMING = 1
+    QUEUED = 2
+    RUNNING = 3
+    DONE = 4
+
+
+class RequestTable(Table):
+    """Requests that this agent claims, queues or runs, and the stored answers of ended ones.
+
+    `round` names the request to the upstream. `attempt` has age and budget as of the time
+    `accepted`. `askers` lists (balancer, attempt) pairs, `answer`
+    maps part numbers to payloads. `keep_until` is the time at which the claim has lapsed
+    everywhere.
+    """
+
+    __slots__ = (
+        "accepted",
+        "answer",
+        "askers",
+        "attempt",
+        "cancelling",
+        "checksum",
+        "code",
+        "customer",
+        "deadline",
+        "keep_until",
+        "next_cancel",
+        "parts",
+        "round",
+        "started",
+        "state",
+    )
+
+    COLUMNS = {
+        "state": "B",
+        "cancelling": "B",
+        "code": "H",
+        "parts": "L",
+        "customer": "Q",
+        "round": "Q",
+        "checksum": "Q",
+        "accepted": "q",
+        "deadline": "q",
+        "started": "q",
+        "next_cancel": "q",
+        "keep_until": "q",
+    }
+    OBJECT_COLUMNS = {"askers": (), "attempt": None, "answer": None}
+
+    state: "array[int]"
+    cancelling: "array[int]"
+    code: "array[int]"
+    parts: "array[int]"
+    customer: "array[int]"
+    round: "array[int]"
+    checksum: "array[int]"
+    accepted: "array[int]"
+    deadline: "array[int]"
+    started: "array[int]"
+    next_cancel: "array[int]"
+    keep_until: "array[int]"
+    askers: list[tuple[tuple[Address, int], ...]]
+    attempt: list[Attempt | None]
+    answer: list[dict[int, bytes] | None]
+
+
+class QueueTable(Table):
+    """Queued requests by customer, with the deficit of the round robin."""
+
+    __slots__ = ("deficit", "waiting")
+
+    COLUMNS = {"deficit": "q"}
+    OBJECT_COLUMNS = {"waiting": None}
+
+    deficit: "array[int]"
+    waiting: list[deque[int] | None]
+
+
+class PeerTable(Table):
+    """Agents of the same service, by upstream id.
+
+    `held` and `held_digest` describe the flow claims kept here for the peer; `lent` and
+    `lent_digest` describe the own flow claims kept there. `lease` is the time until which the
+    claims kept for the peer stay in force.
+    """
+
+    __slots__ = (
+        "agent_incarnation",
+        "asked",
+        "heard",
+        "held",
+        "held_digest",
+        "incarnation",
+        "lease",
+        "lent",
+        "lent_digest",
+        "mismatches",
+        "recovered",
+        "sequence",
+        "state",
+    )
+
+    COLUMNS = {
+        "state": "B",
+        "mismatches": "B",
+        "recovered": "B",
+        "agent_incarnation": "Q",
+        "incarnation": "Q",
+        "sequence": "Q",
+        "held": "L",
+        "held_digest": "Q",
+        "lent": "L",
+        "lent_digest": "Q",
+        "heard": "q",
+        "lease": "q",
+        "asked": "q",
+    }
+
+    state: "array[int]"
+    mismatches: "array[int]"
+    recovered: "array[int]"
+    agent_incarnation: "array[int]"
+    incarnation: "array[int]"
+    sequence: "array[int]"
+    held: "array[int]"
+    held_digest: "array[int]"
+    lent: "array[int]"
+    lent_digest: "array[int]"
+    heard: "array[int]"
+    lease: "array[int]"
+    asked: "array[int]"
+
+
+class PassedTable(Table):
+    """Attempts that were passed on or cancelled, by attempt number, so that cancels follow them.
+
+    `upstream` is 0 for an attempt that was cancelled before it arrived.
+    """
+
+    __slots__ = ("balancer", "expires", "upstream")
+
+    COLUMNS = {"upstream": "Q", "expires": "q"}
+    OBJECT_COLUMNS = {"balancer": None}
+
+    upstream: "array[int]"
+    expires: "array[int]"
+    balancer: list[Address | None]
--- /dev/null
+++ b/shallotshore/answers.py
@@ -0,0 +1,317 @@
+"""Answers of the upstream, their replay to attempts, declines and cancellation."""
+
+__all__ = [
+    "AnswerSystem",
+    "abandon",
+    "attempt_for",
+    "decline",
+    "decline_attempt",
+    "finish",
+    "forget",
+    "pass_attempt",
+    "replay",
+]
+
+from dataclasses import replace
+from functools import singledispatch
+
+from shallotshore.agent_state import AgentState
+from shallotshore.agent_tables import RequestState
+from shallotshore.claiming import give_back
+from shallotshore.codes import Code
+from shallotshore.messages import (
+    Address,
+    Attempt,
+    AttemptAnswer,
+    CancelAttempt,
+    Cancelled,
+    Declined,
+    Message,
+    UpstreamAnswer,
+    UpstreamCancel,
+)
+from shallotshore.passing import next_candidate, pass_to
+from shallotshore.tables import MISSING
+from shallotshore.upstream_link import note_upstream
+
+MAX_PARTS = 4_096  # parts of one answer: 4 MB at 1 KB a part
+PASSED_LIFE = 10_000  # ms; the greatest lifetime of a request
+NOT_STARTED = (Code.OVERLOADED, Code.CANCELLED)  # codes by which an upstream says so
+
+
+class AnswerSystem:
+    """Takes answers of the upstream and cancellations of balancers."""
+
+    __slots__ = ("_state",)
+
+    def __init__(self, state: AgentState) -> None:
+        self._state = state
+
+    def run(self, now: int) -> None:
+        """Runs the step at `now` (ms)."""
+        for message_type in (UpstreamAnswer, CancelAttempt, Cancelled):
+            for _, message in self._state.inbox.take(message_type):
+                _handle(message, self._state, now)
+
+
+@singledispatch
+def _handle(message: Message, state: AgentState, now: int) -> None:
+    raise TypeError(type(message))
+
+
+@_handle.register
+def _(message: UpstreamAnswer, state: AgentState, now: int) -> None:
+    requests = state.requests
+    row = requests.row(message.key)
+    if not note_upstream(state, message.incarnation, now):
+        return
+    expected = row != MISSING and requests.state[row] == RequestState.RUNNING
+    if not expected or requests.round[row] != message.attempt:
+        state.counters.add("answers_late")
+    elif requests.customer[row] != message.customer:
+        state.counters.add("answers_of_wrong_customer")
+    elif message.code == Code.OK:
+        _take_part(state, row, message, now)
+    elif message.code in NOT_STARTED:
+        _return_unstarted(state, row, Code(message.code), now)
+    else:
+        _note_failed(state, now)
+        finish(state, row, Code.UPSTREAM_FAILED, now)
+
+
+@_handle.register
+def _(message: CancelAttempt, state: AgentState, now: int) -> None:
+    requests = state.requests
+    row = requests.row(message.key)
+    asker = None if row == MISSING else _asker(state, row, message.attempt)
+    if asker is None:
+        _cancel_elsewhere(state, message, now)
+    elif requests.state[row] == RequestState.DONE:
+        _acknowledge(state, asker, message.key, in_time=False)
+    elif len(requests.askers[row]) > 1:
+        requests.askers[row] = tuple(a for a in requests.askers[row] if a != asker)
+        _acknowledge(state, asker, message.key, in_time=False)
+    elif requests.state[row] == RequestState.RUNNING:
+        requests.cancelling[row] = 1
+        cancel = UpstreamCancel(message.key, requests.round[row])
+        state.outbox.send(state.config.local, cancel)
+    else:
+        abandon(state, row, now)
+        _acknowledge(state, asker, message.key, in_time=True)
+
+
+@_handle.register
+def _(message: Cancelled, state: AgentState, now: int) -> None:
+    """Relays the word of the agent to which the attempt was passed."""
+    row = state.passed.row(message.attempt)
+    balancer = None if row == MISSING else state.passed.balancer[row]
+    if balancer is not None:
+        state.outbox.send(balancer, message)
+
+
+def _asker(state: AgentState, row: int, attempt: int) -> tuple[Address, int] | None:
+    for asker in state.requests.askers[row]:
+        if asker[1] == attempt:
+            return asker
+    return None
+
+
+def _acknowledge(state: AgentState, asker: tuple[Address, int], key: int, in_time: bool) -> None:
+    balancer, attempt = asker
+    state.outbox.send(balancer, Cancelled(key, attempt, state.own, in_time))
+
+
+def _cancel_elsewhere(state: AgentState, message: CancelAttempt, now: int) -> None:
+    """Sends a cancellation after its attempt, or remembers it for an attempt yet to come."""
+    passed = state.passed
+    row = passed.row(message.attempt)
+    if row != MISSING and passed.upstream[row]:
+        state.send_to_peer(passed.upstream[row], message)
+        return
+    row = passed.add(message.attempt)
+    if row != MISSING:
+        passed.expires[row] = now + PASSED_LIFE
+
+
+def pass_attempt(state: AgentState, attempt: Attempt, upstream: int, now: int) -> bool:
+    """Sends an attempt on to another upstream's agent.
+
+    Returns:
+        False when the attempt may take no further hop or the upstream is unknown.
+    """
+    if attempt.budget <= 0 or not pass_to(state, attempt, upstream):
+        return False
+    row = state.passed.add(attempt.attempt)
+    if row != MISSING:
+        state.passed.upstream[row] = upstream
+        state.passed.balancer[row] = attempt.balancer
+        state.passed.expires[row] = now + PASSED_LIFE
+    return True
+
+
+def decline_attempt(state: AgentState, attempt: Attempt, code: Code) -> None:
+    """Tells a balancer that an attempt was refused before start."""
+    _decline(state, (attempt.balancer, attempt.attempt), attempt.key, code)
+
+
+def decline(state: AgentState, row: int, code: Code) -> None:
+    """Tells all who wait for a request that it was refused before start."""
+    for asker in state.requests.askers[row]:
+        _decline(state, asker, state.requests.key[row], code)
+
+
+def _decline(state: AgentState, asker: tuple[Address, int], key: int, code: Code) -> None:
+    balancer, attempt = asker
+    state.counters.add("attempts_declined")
+    declined = Declined(key, attempt, state.own, code, state.load(), state.catalog.revision)
+    state.outbox.send(balancer, declined)
+
+
+def abandon(state: AgentState, row: int, now: int) -> None:
+    """Removes a request that was not started, and releases its claim."""
+    key = state.requests.key[row]
+    claim = state.claiming.row(key)
+    claimed = state.requests.round[row] if claim == MISSING else state.claiming.round[claim]
+    give_back(state, key, claimed, now)
+    forget(state, row)
+
+
+def forget(state: AgentState, row: int) -> None:
+    """Removes a request and what it counts for."""
+    requests = state.requests
+    key = requests.key[row]
+    _count_off(state, row)
+    state.stored_bytes -= _size(requests.answer[row])
+    state.active.pop(key, None)
+    requests.remove(key)
+
+
+def finish(state: AgentState, row: int, code: Code, now: int) -> None:
+    """Ends a started request, answers all who wait and keeps the answer for later ones."""
+    requests = state.requests
+    _count_off(state, row)
+    requests.state[row] = RequestState.DONE
+    requests.code[row] = code
+    requests.attempt[row] = None
+    state.active.pop(requests.key[row], None)
+    if code != Code.OK:
+        state.stored_bytes -= _size(requests.answer[row])
+        requests.answer[row] = None
+    state.counters.add("requests_done" if code == Code.OK else "requests_failed")
+    for asker in requests.askers[row]:
+        replay(state, row, asker)
+        if requests.cancelling[row]:
+            _acknowledge(state, asker, requests.key[row], in_time=False)
+
+
+def replay(
+    state: AgentState, row: int, asker: tuple[Address, int], code: Code | None = None
+) -> None:
+    """Sends the answer of a request to one who waits for it.
+
+    Args:
+        state: State of the agent.
+        row: Row of the request.
+        asker: Balancer and attempt.
+        code: Overrides the stored code; the answer is then empty.
+    """
+    requests = state.requests
+    balancer, attempt = asker
+    stored = requests.answer[row] if code is None else None
+    parts = stored if stored else {0: b""}
+    for part, payload in sorted(parts.items()):
+        answer = AttemptAnswer(
+            key=requests.key[row],
+            attempt=attempt,
+            service=state.service,
+            customer=requests.customer[row],
+            upstream=state.own,
+            code=requests.code[row] if code is None else code,
+            part=part,
+            parts=len(parts),
+            checksum=requests.checksum[row],
+            load=state.load(),
+            payload=payload,
+        )
+        state.outbox.send(state.live_balancer(balancer), answer)
+
+
+def _take_part(state: AgentState, row: int, message: UpstreamAnswer, now: int) -> None:
+    """Keeps one part; the answer goes out once all its parts are here."""
+    requests = state.requests
+    answer = requests.answer[row]
+    assert answer is not None
+    if not 0 <= message.part < message.parts <= MAX_PARTS:
+        state.counters.add("answers_malformed")
+        return
+    if answer and (requests.parts[row], requests.checksum[row]) != (
+        message.parts,
+        message.checksum,
+    ):
+        state.counters.add("answers_malformed")
+        return
+    requests.parts[row] = message.parts
+    requests.checksum[row] = message.checksum
+    if message.part not in answer:
+        answer[message.part] = message.payload
+        state.stored_bytes += len(message.payload)
+    if len(answer) < message.parts:
+        return
+    if state.ramp.note_good(now - requests.started[row], now):
+        _restart_ramp(state, now)
+    finish(state, row, Code.OK, now)
+
+
+def _return_unstarted(state: AgentState, row: int, code: Code, now: int) -> None:
+    """Ends a request that the upstream did not start: it may run elsewhere."""
+    requests = state.requests
+    key = requests.key[row]
+    askers, is_cancelled = requests.askers[row], requests.cancelling[row]
+    resent = [attempt_for(state, row, asker, now) for asker in askers]
+    if code == Code.OVERLOADED:
+        _note_failed(state, now)
+    abandon(state, row, now)
+    for attempt in resent:
+        follower = next_candidate(state, attempt)
+        if is_cancelled:
+            _acknowledge(state, (attempt.balancer, attempt.attempt), key, in_time=True)
+        elif follower is None or not pass_attempt(state, attempt, follower, now):
+            decline_attempt(state, attempt, code if attempt.budget > 0 else Code.DEADLINE_EXPIRED)
+
+
+def attempt_for(state: AgentState, row: int, asker: tuple[Address, int], now: int) -> Attempt:
+    """Returns the attempt of one who waits, with age and budget as of now."""
+    attempt = state.requests.attempt[row]
+    assert attempt is not None
+    waited = now - state.requests.accepted[row]
+    return replace(
+        attempt,
+        balancer=asker[0],
+        attempt=asker[1],
+        age=attempt.age + waited,
+        budget=attempt.budget - waited,
+    )
+
+
+def _note_failed(state: AgentState, now: int) -> None:
+    if state.ramp.note_failed(now):
+        _restart_ramp(state, now)
+
+
+def _restart_ramp(state: AgentState, now: int) -> None:
+    state.ramp.restart(now)
+    state.counters.add("ramps_started")
+
+
+def _count_off(state: AgentState, row: int) -> None:
+    present = state.requests.state[row]
+    if present == RequestState.CLAIMING:
+        state.work.claiming -= 1
+    elif present == RequestState.QUEUED:
+        state.work.queued -= 1
+    elif present == RequestState.RUNNING:
+        state.work.running -= 1
+
+
+def _size(answer: dict[int, bytes] | None) -> int:
+    return sum(len(payload) for payload in answer.values()) if answer else 0
--- /dev/null
+++ b/shallotshore/claiming.py
@@ -0,0 +1,233 @@
+"""Claimant side of claims: collects a quorum of grants before a flow or request starts."""
+
+__all__ = ["ClaimingSystem", "begin_claim", "end_claim", "give_back"]
+
+from shallotshore.agent_state import AgentState
+from shallotshore.agent_tables import ClaimingState
+from shallotshore.claims import FLOW_LEASE, REQUEST_LEASE, judge_claim, take_back
+from shallotshore.codes import Code
+from shallotshore.messages import Claim, ClaimKind, ClaimReply, Release
+from shallotshore.placement import quorum
+from shallotshore.tables import MISSING
+
+RESEND_INTERVAL = 30  # ms; several round trips between data centres fit into a request's budget
+FORMER_WAIT = 150  # ms given to witnesses of the former table that are not in the new one
+MAX_TRIES = 4
+BACKOFF = (10, 50)  # ms; random, so that two claimants that split the witnesses part
+
+
+class ClaimingSystem:
+    """Sends claims again, collects verdicts and decides."""
+
+    __slots__ = ("_state",)
+
+    def __init__(self, state: AgentState) -> None:
+        self._state = state
+
+    def run(self, now: int) -> None:
+        """Runs the step at `now` (ms)."""
+        for _, reply in self._state.inbox.take(ClaimReply):
+            _note_reply(self._state, reply)
+        for row in self._state.claiming.rows():
+            _advance(self._state, row, now)
+
+
+def begin_claim(
+    state: AgentState, key: int, kind: ClaimKind, age: int, deadline: int, now: int
+) -> bool:
+    """Starts to claim a key for the own upstream.
+
+    Args:
+        state: State of the claimant.
+        key: Flow key or request key.
+        kind: What the claim protects.
+        age: Milliseconds since the request began at its caller; 0 for flows.
+        deadline: Time (ms) after which the claim is of no use.
+        now: Monotonic time in milliseconds.
+
+    Returns:
+        False when the table is full.
+    """
+    claiming = state.claiming
+    row = claiming.add(key)
+    if row == MISSING:
+        return False
+    claiming.kind[row] = kind
+    claiming.born[row] = now - age
+    claiming.deadline[row] = deadline
+    _start_round(state, row, now)
+    return True
+
+
+def end_claim(state: AgentState, key: int) -> int:
+    """Forgets a decided claim, whose grants stay in force, and returns its round."""
+    row = state.claiming.row(key)
+    round_number = state.claiming.round[row]
+    state.claiming.remove(key)
+    return round_number
+
+
+def give_back(state: AgentState, key: int, round_number: int, now: int) -> None:
+    """Releases a key at all its witnesses, and forgets a claim in progress."""
+    witnesses = set(state.witnesses(key))
+    row = state.claiming.row(key)
+    if row != MISSING:
+        witnesses.update(state.claiming.witnesses[row])
+        state.claiming.remove(key)
+    _send_release(state, witnesses, Release(key, state.own, round_number), now)
+
+
+def _send_release(
+    state: AgentState, witnesses: "set[int] | tuple[int, ...]", release: Release, now: int
+) -> None:
+    for witness in sorted(witnesses):
+        if witness == state.own:
+            take_back(state, release, now)
+        else:
+            state.send_to_peer(witness, release)
+
+
+def _start_round(state: AgentState, row: int, now: int) -> None:
+    claiming = state.claiming
+    claiming.round[row] = state.next_round()
+    claiming.state[row] = ClaimingState.COLLECTING
+    claiming.tries[row] += 1
+    _aim(state, row, now)
+
+
+def _aim(state: AgentState, row: int, now: int) -> None:
+    """Sets the witnesses of the present table, followed by those of former ones."""
+    claiming = state.claiming
+    key = claiming.key[row]
+    present = state.witnesses(key)
+    former = state.former.witnesses(key, now)
+    claiming.witnesses[row] = present + tuple(w for w in former if w not in present)
+    claiming.needed[row] = len(present)
+    claiming.membership[row] = state.membership
+    claiming.granted[row] = 0
+    claiming.refused[row] = 0
+    claiming.code[row] = Code.NO_QUORUM
+    claiming.aimed[row] = now
+    claiming.next_send[row] = now
+
+
+def _note_reply(state: AgentState, reply: ClaimReply) -> None:
+    claiming = state.claiming
+    row = claiming.row(reply.key)
+    current = row != MISSING and claiming.round[row] == reply.attempt
+    if not current or reply.witness not in claiming.witnesses[row]:
+        state.counters.add("claim_replies_late")
+        return
+    bit = 1 << claiming.witnesses[row].index(reply.witness)
+    if reply.code == Code.OK:
+        claiming.granted[row] |= bit
+        return
+    if claiming.granted[row] & bit or _may_change(claiming.kind[row], reply.code):
+        return
+    claiming.refused[row] |= bit
+    if claiming.code[row] not in (Code.HELD, Code.VOIDED):
+        claiming.code[row] = reply.code
+        claiming.holder[row] = reply.holder
+
+
+def _may_change(kind: int, code: int) -> bool:
+    """Whether a later copy of the claim may be granted.
+
+    A request ages as fast as a witness, so that a witness that is too young for it stays so.
+    """
+    return code == Code.STALE_TABLE or (code == Code.TOO_YOUNG and kind == ClaimKind.FLOW)
+
+
+def _advance(state: AgentState, row: int, now: int) -> None:
+    claiming = state.claiming
+    if claiming.state[row] == ClaimingState.WAITING and now >= claiming.next_send[row]:
+        _start_round(state, row, now)
+    if claiming.state[row] != ClaimingState.COLLECTING:
+        return
+    if now >= claiming.deadline[row]:
+        _refuse(state, row, now, retry=False)
+        return
+    if claiming.membership[row] != state.membership:
+        _aim(state, row, now)
+    if now >= claiming.next_send[row]:
+        claiming.next_send[row] = now + RESEND_INTERVAL
+        _send_claims(state, row, now)
+    _decide(state, row, now)
+
+
+def _send_claims(state: AgentState, row: int, now: int) -> None:
+    claiming = state.claiming
+    answered = claiming.granted[row] | claiming.refused[row]
+    claim = _claim_of(state, row, now)
+    for index, witness in enumerate(claiming.witnesses[row]):
+        if answered >> index & 1:
+            continue
+        if witness != state.own:
+            state.send_to_peer(witness, claim)
+            continue
+        reply = judge_claim(state, claim, now)
+        if reply is not None:
+            _note_reply(state, reply)
+
+
+def _claim_of(state: AgentState, row: int, now: int) -> Claim:
+    claiming = state.claiming
+    kind = ClaimKind(claiming.kind[row])
+    is_flow = kind == ClaimKind.FLOW
+    return Claim(
+        key=claiming.key[row],
+        kind=kind,
+        service=state.service,
+        holder=state.own,
+        incarnation=state.upstream.incarnation if is_flow else state.config.incarnation,
+        attempt=claiming.round[row],
+        age=0 if is_flow else max(0, now - claiming.born[row]),
+        lease=FLOW_LEASE if is_flow else REQUEST_LEASE,
+        membership=claiming.membership[row],
+    )
+
+
+def _decide(state: AgentState, row: int, now: int) -> None:
+    claiming = state.claiming
+    present = (1 << claiming.needed[row]) - 1
+    grants = (claiming.granted[row] & present).bit_count()
+    refusals = (claiming.refused[row] & present).bit_count()
+    needed = quorum(claiming.needed[row])
+    if claiming.code[row] == Code.VOIDED:
+        _refuse(state, row, now, retry=False)
+    elif _refused_by_former(state, row) or claiming.needed[row] - refusals < needed:
+        # Another holder can have a quorum only among the witnesses that did not grant.
+        is_held = claiming.code[row] == Code.HELD
+        contended = is_held and claiming.needed[row] - grants < needed
+        _refuse(state, row, now, retry=contended)
+    elif grants >= needed and _former_done(state, row, now):
+        claiming.state[row] = ClaimingState.GRANTED
+
+
+def _refused_by_former(state: AgentState, row: int) -> bool:
+    """Whether a claim that needs the former witnesses too has met a holder at any witness."""
+    claiming = state.claiming
+    has_former = len(claiming.witnesses[row]) > claiming.needed[row]
+    return has_former and claiming.code[row] == Code.HELD
+
+
+def _former_done(state: AgentState, row: int, now: int) -> bool:
+    claiming = state.claiming
+    answered = claiming.granted[row] | claiming.refused[row]
+    everyone = (1 << len(claiming.witnesses[row])) - 1
+    former = everyone & ~((1 << claiming.needed[row]) - 1)
+    return answered & former == former or now - claiming.aimed[row] >= FORMER_WAIT
+
+
+def _refuse(state: AgentState, row: int, now: int, retry: bool) -> None:
+    """Releases what was granted, and waits for another round or gives up."""
+    claiming = state.claiming
+    release = Release(claiming.key[row], state.own, claiming.round[row])
+    _send_release(state, claiming.witnesses[row], release, now)
+    if retry and claiming.tries[row] < MAX_TRIES:
+        claiming.state[row] = ClaimingState.WAITING
+        claiming.next_send[row] = now + state.rng.randint(*BACKOFF)
+        state.counters.add("claims_contended")
+    else:
+        claiming.state[row] = ClaimingState.REFUSED
+        state.counters.add("claims_given_up")
--- /dev/null
+++ b/shallotshore/claims.py
@@ -0,0 +1,335 @@
+"""Witness side of claims: grants, refusals, voids, and the flow claims kept for peers."""
+
+__all__ = [
+    "FLOW_LEASE",
+    "PACKET_DELAY",
+    "REQUEST_LEASE",
+    "ClaimsSystem",
+    "drop_flow_claim",
+    "flow_claims_of",
+    "is_voided",
+    "judge_claim",
+    "live_holder",
+    "lose_claims",
+    "record_flow_claim",
+    "take_back",
+]
+
+from functools import singledispatch
+
+from shallotshore.agent_state import AgentState
+from shallotshore.agent_tables import ClaimState, ClaimTable
+from shallotshore.codes import Code
+from shallotshore.messages import (
+    Address,
+    Claim,
+    ClaimKind,
+    ClaimReply,
+    Message,
+    Release,
+    Void,
+    VoidReply,
+)
+from shallotshore.tables import MISSING
+
+PACKET_DELAY = 2_000  # ms; greatest delay of a packet that the design allows for
+REQUEST_LEASE = 14_000  # ms; greatest lifetime of a request plus twice the packet delay
+FLOW_LEASE = 30_000  # ms; renewed by the holder's heartbeats
+TOMBSTONE_LEASE = 2 * PACKET_DELAY  # a released claim stays known until late copies are gone
+MAX_HOLDERS = 8  # holders of one repeatable key; each stands for one attempt of a balancer
+SWEEP_INTERVAL = 1_000  # ms between removals of lapsed rows
+
+
+class ClaimsSystem:
+    """Answers claims, releases and voids, and removes what has lapsed."""
+
+    __slots__ = ("_next_sweep", "_state")
+
+    def __init__(self, state: AgentState) -> None:
+        self._state = state
+        self._next_sweep = 0
+
+    def run(self, now: int) -> None:
+        """Runs the step at `now` (ms)."""
+        for message_type in (Claim, Void, Release):
+            for source, message in self._state.inbox.take(message_type):
+                _handle(message, self._state, source, now)
+        if now >= self._next_sweep:
+            self._next_sweep = now + SWEEP_INTERVAL
+            _sweep(self._state, now)
+
+
+@singledispatch
+def _handle(message: Message, state: AgentState, source: Address, now: int) -> None:
+    raise TypeError(type(message))
+
+
+@_handle.register
+def _(message: Claim, state: AgentState, source: Address, now: int) -> None:
+    reply = judge_claim(state, message, now)
+    if reply is not None:
+        state.outbox.send(source, reply)
+
+
+@_handle.register
+def _(message: Release, state: AgentState, source: Address, now: int) -> None:
+    take_back(state, message, now)
+
+
+@_handle.register
+def _(message: Void, state: AgentState, source: Address, now: int) -> None:
+    if message.service != state.service:
+        state.counters.add("claims_of_wrong_service")
+        return
+    code = _void_verdict(state, message, now)
+    if code == Code.OK:
+        code = _record_void(state, message, now)
+    state.outbox.send(source, VoidReply(message.key, message.attempt, state.own, code))
+
+
+def judge_claim(state: AgentState, claim: Claim, now: int) -> ClaimReply | None:
+    """Decides on a claim and records it when it is granted.
+
+    Args:
+        state: State of the witness.
+        claim: The claim.
+        now: Monotonic time in milliseconds.
+
+    Returns:
+        The verdict, or None for a late copy of an earlier claim.
+    """
+    if claim.service != state.service:
+        state.counters.add("claims_of_wrong_service")
+        return None
+    _drop_if_lapsed(state, claim.key, now)
+    row = state.claims.row(claim.key)
+    code = _fresh_verdict(state, claim, now) if row == MISSING else None
+    if code is None:
+        code = _verdict_on_row(state, claim, row, now)
+    if code is None:
+        state.counters.add("claims_late")
+        return None
+    if code == Code.OK:
+        code = _record_claim(state, claim, now)
+    holder = claim.holder if code == Code.OK or row == MISSING else state.claims.holder[row]
+    state.counters.add("claims_granted" if code == Code.OK else "claims_refused")
+    return ClaimReply(claim.key, claim.attempt, state.own, code, holder)
+
+
+def take_back(state: AgentState, release: Release, now: int) -> None:
+    """Applies a release; the key is remembered until late copies of the claim are gone."""
+    claims = state.claims
+    row = claims.row(release.key)
+    if row == MISSING:
+        row = claims.add(release.key)
+        if row != MISSING:
+            _bury(claims, row, release, now)
+        return
+    if claims.state[row] not in (ClaimState.HELD, ClaimState.LOST):
+        return
+    if _has_other_holders(claims, row, release):
+        return
+    if claims.holder[row] != release.holder or release.attempt < claims.round[row]:
+        return
+    _forget(state, release.key)
+    row = claims.add(release.key)
+    _bury(claims, row, release, now)
+
+
+def live_holder(state: AgentState, key: int, now: int) -> tuple[ClaimState, int] | None:
+    """Returns the state and the holder of a claim kept here, or None."""
+    _drop_if_lapsed(state, key, now)
+    row = state.claims.row(key)
+    if row == MISSING or state.claims.state[row] not in (ClaimState.HELD, ClaimState.LOST):
+        return None
+    return ClaimState(state.claims.state[row]), state.claims.holder[row]
+
+
+def is_voided(state: AgentState, key: int, now: int) -> bool:
+    """Returns whether a void of the key is kept here."""
+    _drop_if_lapsed(state, key, now)
+    row = state.claims.row(key)
+    return row != MISSING and state.claims.state[row] == ClaimState.VOIDED
+
+
+def flow_claims_of(state: AgentState, holder: int) -> list[int]:
+    """Returns the keys of the flow claims kept here for a holder."""
+    claims = state.claims
+    return [
+        claims.key[row]
+        for row in claims.rows()
+        if claims.state[row] == ClaimState.HELD
+        and claims.kind[row] == ClaimKind.FLOW
+        and claims.holder[row] == holder
+    ]
+
+
+def lose_claims(state: AgentState, holder: int, incarnation: int, now: int) -> None:
+    """Marks the flow claims of a holder's earlier upstream incarnations as lost."""
+    for key in flow_claims_of(state, holder):
+        row = state.claims.row(key)
+        if state.claims.incarnation[row] < incarnation:
+            _count_held(state, row, -1)
+            state.claims.state[row] = ClaimState.LOST
+            state.claims.expires[row] = now + FLOW_LEASE
+
+
+def record_flow_claim(state: AgentState, claim: Claim, now: int) -> Code:
+    """Records a flow claim that its holder lists in a sync; a present holder keeps the key."""
+    row = state.claims.row(claim.key)
+    if row != MISSING and state.claims.state[row] != ClaimState.LOST:
+        return Code.OK if state.claims.holder[row] == claim.holder else Code.HELD
+    return _record_claim(state, claim, now)
+
+
+def drop_flow_claim(state: AgentState, key: int) -> None:
+    """Removes a flow claim that its holder no longer lists."""
+    _forget(state, key)
+
+
+def _fresh_verdict(state: AgentState, claim: Claim, now: int) -> Code:
+    if claim.membership < state.membership:
+        return Code.STALE_TABLE
+    if now - state.phase.started < claim.age + PACKET_DELAY:
+        return Code.TOO_YOUNG
+    return Code.OK
+
+
+def _verdict_on_row(state: AgentState, claim: Claim, row: int, now: int) -> Code | None:
+    claims = state.claims
+    present = ClaimState(claims.state[row])
+    if present == ClaimState.VOIDED:
+        return Code.VOIDED
+    same_holder = claims.holder[row] == claim.holder
+    if same_holder and claim.attempt < claims.round[row]:
+        return None
+    if present == ClaimState.RELEASED:
+        late = same_holder and claim.attempt == claims.round[row]
+        return None if late else _fresh_verdict(state, claim, now)
+    if present == ClaimState.LOST:
+        return _fresh_verdict(state, claim, now)
+    if same_holder and claim.attempt == claims.round[row]:
+        return Code.OK
+    if claim.kind == claims.kind[row] == ClaimKind.REPEATABLE_REQUEST:
+        return _fresh_verdict(state, claim, now)
+    if not same_holder:
+        return Code.HELD
+    if claim.kind != ClaimKind.FLOW and claim.incarnation != claims.incarnation[row]:
+        return Code.HELD
+    return _fresh_verdict(state, claim, now)
+
+
+def _record_claim(state: AgentState, claim: Claim, now: int) -> Code:
+    claims = state.claims
+    row = claims.add(claim.key)
+    if row == MISSING:
+        return Code.TABLE_FULL
+    if claims.state[row] == ClaimState.HELD and claims.kind[row] == ClaimKind.REPEATABLE_REQUEST:
+        return _record_further_holder(claims, row, claim, now)
+    if claims.state[row] == ClaimState.HELD:
+        _count_held(state, row, -1)
+    claims.state[row] = ClaimState.HELD
+    claims.kind[row] = claim.kind
+    claims.holder[row] = claim.holder
+    claims.incarnation[row] = claim.incarnation
+    claims.round[row] = claim.attempt
+    claims.granted[row] = now
+    longest = FLOW_LEASE if claim.kind == ClaimKind.FLOW else REQUEST_LEASE
+    claims.expires[row] = now + min(claim.lease, longest)
+    _count_held(state, row, 1)
+    return Code.OK
+
+
+def _record_further_holder(claims: ClaimTable, row: int, claim: Claim, now: int) -> Code:
+    pair = (claim.holder, claim.attempt)
+    known = pair in claims.others[row] or pair == (claims.holder[row], claims.round[row])
+    if not known and len(claims.others[row]) >= MAX_HOLDERS:
+        return Code.TABLE_FULL
+    if not known:
+        claims.others[row] += (pair,)
+    claims.expires[row] = max(claims.expires[row], now + min(claim.lease, REQUEST_LEASE))
+    return Code.OK
+
+
+def _has_other_holders(claims: ClaimTable, row: int, release: Release) -> bool:
+    """Takes one holder of a repeatable key out; returns whether others remain."""
+    if claims.kind[row] != ClaimKind.REPEATABLE_REQUEST:
+        return False
+    pairs = ((claims.holder[row], claims.round[row]), *claims.others[row])
+    left = tuple(pair for pair in pairs if pair != (release.holder, release.attempt))
+    if not left:
+        return False
+    claims.holder[row], claims.round[row] = left[0]
+    claims.others[row] = left[1:]
+    return True
+
+
+def _void_verdict(state: AgentState, void: Void, now: int) -> Code:
+    _drop_if_lapsed(state, void.key, now)
+    row = state.claims.row(void.key)
+    if row != MISSING and state.claims.state[row] == ClaimState.VOIDED:
+        return Code.OK
+    if row != MISSING and state.claims.state[row] != ClaimState.RELEASED:
+        return Code.HELD
+    if void.membership < state.membership:
+        return Code.STALE_TABLE
+    if now - state.phase.started < void.age + PACKET_DELAY:
+        return Code.TOO_YOUNG
+    return Code.OK
+
+
+def _record_void(state: AgentState, void: Void, now: int) -> Code:
+    claims = state.claims
+    row = claims.add(void.key)
+    if row == MISSING:
+        return Code.TABLE_FULL
+    claims.state[row] = ClaimState.VOIDED
+    claims.expires[row] = max(claims.expires[row], now + min(void.lease, REQUEST_LEASE))
+    return Code.OK
+
+
+def _bury(claims: ClaimTable, row: int, release: Release, now: int) -> None:
+    claims.state[row] = ClaimState.RELEASED
+    claims.holder[row] = release.holder
+    claims.round[row] = release.attempt
+    claims.expires[row] = now + TOMBSTONE_LEASE
+
+
+def _forget(state: AgentState, key: int) -> None:
+    row = state.claims.row(key)
+    if row != MISSING and state.claims.state[row] == ClaimState.HELD:
+        _count_held(state, row, -1)
+    state.claims.remove(key)
+
+
+def _count_held(state: AgentState, row: int, change: int) -> None:
+    """Keeps the count and digest that the holder's heartbeat is compared with."""
+    if state.claims.kind[row] != ClaimKind.FLOW:
+        return
+    peer = state.peers.add(state.claims.holder[row])
+    if peer == MISSING:
+        state.counters.add("peers_full")
+        return
+    state.peers.held[peer] += change
+    state.peers.held_digest[peer] ^= state.claims.key[row]
+
+
+def _lapses_at(state: AgentState, row: int) -> int:
+    claims = state.claims
+    if claims.kind[row] != ClaimKind.FLOW or claims.state[row] != ClaimState.HELD:
+        return claims.expires[row]
+    peer = state.peers.row(claims.holder[row])
+    lease = 0 if peer == MISSING else state.peers.lease[peer]
+    return max(claims.expires[row], lease)
+
+
+def _drop_if_lapsed(state: AgentState, key: int, now: int) -> None:
+    row = state.claims.row(key)
+    if row != MISSING and now >= _lapses_at(state, row):
+        _forget(state, key)
+        state.counters.add("claims_lapsed")
+
+
+def _sweep(state: AgentState, now: int) -> None:
+    for row in state.claims.rows():
+        _drop_if_lapsed(state, state.claims.key[row], now)
--- /dev/null
+++ b/shallotshore/fair_queue.py
@@ -0,0 +1,88 @@
+"""Fair queue: a deficit round robin over the customers whose requests wait."""
+
+__all__ = ["enqueue", "is_over_share", "next_queued"]
+
+from collections import deque
+
+from shallotshore.agent_state import AgentState
+from shallotshore.agent_tables import RequestState
+from shallotshore.tables import MISSING
+
+REQUEST_COST = 1  # in units of a customer's share
+
+
+def enqueue(state: AgentState, customer: int, key: int) -> bool:
+    """Queues a claimed request.
+
+    Returns:
+        False when the table of customers is full.
+    """
+    queues = state.queues
+    row = queues.row(customer)
+    if row == MISSING:
+        row = queues.add(customer)
+        if row == MISSING:
+            return False
+        queues.waiting[row] = deque()
+        state.ring.append(customer)
+    waiting = queues.waiting[row]
+    assert waiting is not None
+    waiting.append(key)
+    return True
+
+
+def next_queued(state: AgentState) -> int | None:
+    """Takes the key of the next request out of the queue, or returns None when none waits.
+
+    Each turn of a customer adds its share to its deficit and each request costs `REQUEST_COST`,
+    so that customers that wait are served in proportion to their shares.
+    """
+    queues = state.queues
+    while state.ring:
+        customer = state.ring[0]
+        row = queues.row(customer)
+        if not _has_waiting(state, row):
+            state.ring.popleft()
+            queues.remove(customer)
+        elif queues.deficit[row] < REQUEST_COST:
+            queues.deficit[row] += max(1, state.catalog.share(customer))
+            state.ring.rotate(-1)
+        else:
+            queues.deficit[row] -= REQUEST_COST
+            return _take(state, row)
+    return None
+
+
+def is_over_share(state: AgentState, customer: int, bound: int) -> bool:
+    """Returns whether a customer waits with its share of the queue while others wait too.
+
+    Args:
+        state: State of the agent.
+        customer: Id of the customer.
+        bound: Greatest number of queued requests.
+    """
+    queues = state.queues
+    row = queues.row(customer)
+    if row == MISSING or len(queues) < 2:
+        return False
+    shares = sum(max(1, state.catalog.share(other)) for other in state.ring)
+    share = max(1, state.catalog.share(customer))
+    waiting = queues.waiting[row] or ()
+    return len(waiting) * shares >= max(shares, bound * share)
+
+
+def _has_waiting(state: AgentState, row: int) -> bool:
+    """Returns whether a request waits; cancelled and expired ones are dropped."""
+    waiting = state.queues.waiting[row]
+    while waiting:
+        request = state.requests.row(waiting[0])
+        if request != MISSING and state.requests.state[request] == RequestState.QUEUED:
+            return True
+        waiting.popleft()
+    return False
+
+
+def _take(state: AgentState, row: int) -> int:
+    waiting = state.queues.waiting[row]
+    assert waiting
+    return waiting.popleft()
--- /dev/null
+++ b/shallotshore/flows.py
@@ -0,0 +1,334 @@
+"""Flows: opening under a claim, delivery to the upstream, redirects and resets."""
+
+__all__ = ["FlowIntakeSystem", "FlowSystem"]
+
+from shallotshore.admission import can_open, mismatch
+from shallotshore.agent_state import AgentState
+from shallotshore.agent_tables import ClaimingState, ClaimState, FlowState
+from shallotshore.claiming import begin_claim, end_claim, give_back
+from shallotshore.claims import live_holder
+from shallotshore.codes import Code
+from shallotshore.hashing import flow_key
+from shallotshore.messages import (
+    Address,
+    ClaimKind,
+    FlowHint,
+    FlowReply,
+    FlowReset,
+    Forward,
+    PacketKind,
+    UpstreamClose,
+    UpstreamData,
+    UpstreamOpen,
+)
+from shallotshore.passing import next_candidate, pass_to
+from shallotshore.peers import lend, take_home
+from shallotshore.tables import MISSING
+from shallotshore.upstream_link import note_upstream
+
+CLAIM_TIME = 1_000  # ms; a caller resends its opening packet well within it
+HINT_LEASE = 30_000  # ms; the life of a flow claim
+MAX_WAITING = 8  # packets kept while a flow is claimed
+IDLE_LIMIT = 3_600_000  # ms without a packet in either direction after which a flow is given up
+SWEEP_INTERVAL = 1_000  # ms
+
+
+class FlowIntakeSystem:
+    """Takes packets of callers that balancers or other agents send."""
+
+    __slots__ = ("_state",)
+
+    def __init__(self, state: AgentState) -> None:
+        self._state = state
+
+    def run(self, now: int) -> None:
+        """Runs the step at `now` (ms)."""
+        for _, packet in self._state.inbox.take(Forward):
+            refusal = _mismatch(self._state, packet)
+            if refusal is None:
+                _accept_packet(self._state, packet, now)
+            else:
+                self._state.counters.add("packets_refused")
+                _reset(self._state, packet, refusal)
+
+
+class FlowSystem:
+    """Acts on decided claims and on what the upstream sends."""
+
+    __slots__ = ("_incarnation", "_next_sweep", "_state")
+
+    def __init__(self, state: AgentState) -> None:
+        self._state = state
+        self._incarnation = 0
+        self._next_sweep = 0
+
+    def run(self, now: int) -> None:
+        """Runs the step at `now` (ms)."""
+        state = self._state
+        if state.upstream.incarnation != self._incarnation:
+            self._incarnation = state.upstream.incarnation
+            _reset_all(state, Code.FLOW_LOST, now)
+        elif not state.data_centre_in and len(state.flows):
+            _reset_all(state, Code.DATA_CENTRE_OUT, now)
+        for row in state.claiming.rows():
+            if state.claiming.kind[row] == ClaimKind.FLOW:
+                _settle(state, state.claiming.key[row], now)
+        for _, data in state.inbox.take(UpstreamData):
+            _reply(state, data, now)
+        for _, close in state.inbox.take(UpstreamClose):
+            _close_by_upstream(state, close, now)
+        if now >= self._next_sweep:
+            self._next_sweep = now + SWEEP_INTERVAL
+            _give_up_idle(state, now)
+
+
+def _mismatch(state: AgentState, packet: Forward) -> Code | None:
+    if packet.key != flow_key(packet.caller, packet.vip, packet.flow):
+        return Code.WRONG_CUSTOMER
+    return mismatch(state, packet)
+
+
+def _accept_packet(state: AgentState, packet: Forward, now: int) -> None:
+    row = state.flows.row(packet.key)
+    if not state.data_centre_in:
+        _reset(state, packet, Code.DATA_CENTRE_OUT)
+    elif row != MISSING and _admits(state, row, packet):
+        _deliver(state, row, packet, now)
+    elif row != MISSING:
+        state.counters.add("packets_refused")
+        _reset(state, packet, Code.WRONG_CUSTOMER)
+    else:
+        _redirect(state, packet, now)
+
+
+def _admits(state: AgentState, row: int, packet: Forward) -> bool:
+    if state.flows.state[row] == FlowState.RECOVERED:
+        return True
+    return state.flows.customer[row] == packet.customer
+
+
+def _redirect(state: AgentState, packet: Forward, now: int) -> None:
+    """Passes a packet of a flow that is not owned here to its holder or the next candidate."""
+    kept = live_holder(state, packet.key, now)
+    if kept is not None and kept[0] == ClaimState.LOST and packet.kind != PacketKind.OPEN:
+        _reset(state, packet, Code.FLOW_LOST)
+        return
+    if kept is not None and kept[0] == ClaimState.HELD and pass_to(state, packet, kept[1]):
+        return
+    refusal: Code | None = Code.NO_SUCH_FLOW
+    if packet.kind == PacketKind.OPEN:
+        refusal = can_open(state, now)
+        if refusal is None and _begin(state, packet, now):
+            return
+    follower = next_candidate(state, packet)
+    if follower is not None and pass_to(state, packet, follower):
+        return
+    _refuse(state, packet, refusal or Code.TABLE_FULL)
+
+
+def _refuse(state: AgentState, packet: Forward, code: Code) -> None:
+    """Answers a packet that no candidate takes.
+
+    A restarted agent that has not yet heard from its peers may own the flow, so it stays silent.
+    """
+    if packet.kind != PacketKind.OPEN and state.phase.recovering:
+        state.counters.add("packets_dropped_in_recovery")
+        return
+    _reset(state, packet, Code.FLOW_REFUSED if packet.kind == PacketKind.OPEN else code)
+
+
+def _begin(state: AgentState, packet: Forward, now: int) -> bool:
+    """Claims a flow that its opening packet asks for."""
+    flows = state.flows
+    if flows.is_full or not begin_claim(
+        state, packet.key, ClaimKind.FLOW, 0, now + CLAIM_TIME, now
+    ):
+        return False
+    row = flows.add(packet.key)
+    flows.state[row] = FlowState.CLAIMING
+    flows.waiting[row] = (packet,)
+    _note_packet(state, row, packet, now)
+    state.ramp.note_open(now)
+    return True
+
+
+def _note_packet(state: AgentState, row: int, packet: Forward, now: int) -> None:
+    flows = state.flows
+    flows.customer[row] = packet.customer
+    flows.flow[row] = packet.flow
+    flows.caller[row] = packet.caller
+    flows.vip[row] = packet.vip
+    flows.balancer[row] = packet.balancer
+    flows.touched[row] = now
+
+
+def _deliver(state: AgentState, row: int, packet: Forward, now: int) -> None:
+    flows = state.flows
+    if flows.state[row] == FlowState.CLAIMING:
+        flows.balancer[row] = packet.balancer
+        if packet.kind != PacketKind.OPEN and len(flows.waiting[row]) < MAX_WAITING:
+            flows.waiting[row] += (packet,)
+        return
+    flows.state[row] = FlowState.OPEN
+    _note_packet(state, row, packet, now)
+    if packet.hops > 0:
+        hint = FlowHint(packet.key, state.own, HINT_LEASE)
+        state.outbox.send(packet.balancer, hint)
+    _hand_over(state, packet)
+    if packet.kind == PacketKind.CLOSE:
+        _end(state, packet.key, now)
+
+
+def _hand_over(state: AgentState, packet: Forward) -> None:
+    """Sends a packet to the upstream; a repeated opening packet is repeated there too."""
+    local = state.config.local
+    if packet.kind == PacketKind.OPEN:
+        state.outbox.send(local, UpstreamOpen(packet.key, packet.customer, packet.payload))
+    elif packet.kind == PacketKind.DATA:
+        state.outbox.send(local, UpstreamData(packet.key, packet.customer, packet.payload))
+    else:
+        state.outbox.send(local, UpstreamClose(packet.key, Code.OK))
+
+
+def _end(state: AgentState, key: int, now: int) -> None:
+    """Removes a flow and releases its claims."""
+    row = state.flows.row(key)
+    round_number = state.flows.round[row]
+    take_home(state, key)
+    state.flows.remove(key)
+    give_back(state, key, round_number, now)
+
+
+def _settle(state: AgentState, key: int, now: int) -> None:
+    """Opens a flow whose claim is granted, or passes its packets on."""
+    claiming = state.claiming
+    row = claiming.row(key)
+    decided = claiming.state[row]
+    if decided not in (ClaimingState.GRANTED, ClaimingState.REFUSED):
+        return
+    code, holder = claiming.code[row], claiming.holder[row]
+    round_number = end_claim(state, key)
+    flow = state.flows.row(key)
+    packets = state.flows.waiting[flow]
+    if decided == ClaimingState.GRANTED:
+        state.flows.state[flow] = FlowState.OPEN
+        state.flows.round[flow] = round_number
+        state.flows.waiting[flow] = ()
+        lend(state, key)
+        state.counters.add("flows_opened")
+        for packet in packets:
+            _accept_packet(state, packet, now)
+        return
+    state.flows.remove(key)
+    for packet in packets:
+        _pass_refused(state, packet, code, holder)
+
+
+def _pass_refused(state: AgentState, packet: Forward, code: int, holder: int) -> None:
+    if code == Code.HELD and holder != state.own and pass_to(state, packet, holder):
+        return
+    follower = next_candidate(state, packet)
+    if follower is None or not pass_to(state, packet, follower):
+        _refuse(state, packet, Code.NO_SUCH_FLOW)
+
+
+def _reply(state: AgentState, data: UpstreamData, now: int) -> None:
+    """Sends data of the upstream to the caller of its flow."""
+    flows = state.flows
+    row = flows.row(data.key)
+    if row == MISSING or flows.state[row] == FlowState.CLAIMING:
+        state.counters.add("upstream_data_without_flow")
+        return
+    caller, vip, balancer = flows.caller[row], flows.vip[row], flows.balancer[row]
+    if caller is None or vip is None or balancer is None:
+        state.counters.add("upstream_data_without_caller")
+        return
+    if flows.customer[row] != data.customer:
+        state.counters.add("upstream_data_of_wrong_customer")
+        return
+    flows.touched[row] = now
+    _note_first_data(state, row, now)
+    reply = FlowReply(
+        key=data.key,
+        service=state.service,
+        customer=data.customer,
+        flow=flows.flow[row],
+        caller=caller,
+        vip=vip,
+        upstream=state.own,
+        load=state.load(),
+        payload=data.payload,
+    )
+    state.outbox.send(state.live_balancer(balancer), reply)
+
+
+def _note_first_data(state: AgentState, row: int, now: int) -> None:
+    note_upstream(state, state.upstream.incarnation, now)
+    if not state.flows.answered[row]:
+        state.flows.answered[row] = 1
+        state.ramp.note_flow()
+
+
+def _close_by_upstream(state: AgentState, close: UpstreamClose, now: int) -> None:
+    flows = state.flows
+    row = flows.row(close.key)
+    if row == MISSING or flows.state[row] == FlowState.CLAIMING:
+        return
+    _tell_caller(state, row, Code.FLOW_CLOSED)
+    _end(state, close.key, now)
+
+
+def _reset_all(state: AgentState, code: Code, now: int) -> None:
+    """Gives up every flow, as their upstream's incarnation has ended or its data centre is out."""
+    state.counters.add("flows_reset", len(state.flows))
+    for row in state.flows.rows():
+        key = state.flows.key[row]
+        if state.flows.state[row] == FlowState.CLAIMING:
+            _drop_opening(state, row, code, now)
+            continue
+        _tell_caller(state, row, code)
+        if code == Code.DATA_CENTRE_OUT:
+            state.outbox.send(state.config.local, UpstreamClose(key, code))
+        _end(state, key, now)
+
+
+def _drop_opening(state: AgentState, row: int, code: Code, now: int) -> None:
+    """Drops a flow whose claim names an upstream incarnation that has ended."""
+    key = state.flows.key[row]
+    _tell_caller(state, row, code)
+    state.flows.remove(key)
+    give_back(state, key, state.claiming.round[state.claiming.row(key)], now)
+
+
+def _give_up_idle(state: AgentState, now: int) -> None:
+    for row in state.flows.rows():
+        key = state.flows.key[row]
+        if now - state.flows.touched[row] >= IDLE_LIMIT:
+            state.outbox.send(state.config.local, UpstreamClose(key, Code.FLOW_CLOSED))
+            _tell_caller(state, row, Code.FLOW_CLOSED)
+            _end(state, key, now)
+
+
+def _tell_caller(state: AgentState, row: int, code: Code) -> None:
+    flows = state.flows
+    caller, vip, balancer = flows.caller[row], flows.vip[row], flows.balancer[row]
+    if caller is not None and vip is not None and balancer is not None:
+        _send_reset(state, balancer, flows.key[row], flows.flow[row], caller, vip, code)
+
+
+def _reset(state: AgentState, packet: Forward, code: Code) -> None:
+    _send_reset(state, packet.balancer, packet.key, packet.flow, packet.caller, packet.vip, code)
+
+
+def _send_reset(
+    state: AgentState,
+    balancer: Address,
+    key: int,
+    flow: int,
+    caller: Address,
+    vip: Address,
+    code: Code,
+) -> None:
+    revision = state.catalog.revision
+    reset = FlowReset(key, flow, caller, vip, state.own, code, revision)
+    state.outbox.send(state.live_balancer(balancer), reset)
--- /dev/null
+++ b/shallotshore/passing.py
@@ -0,0 +1,37 @@
+"""Passes a packet or attempt on to another agent, within a bound on hops."""
+
+__all__ = ["MAX_HOPS", "next_candidate", "pass_to"]
+
+from dataclasses import replace
+
+from shallotshore.agent_state import AgentState
+from shallotshore.messages import Attempt, Forward
+
+MAX_HOPS = 6  # three candidates, a holder, and a second holder when claims change hands meanwhile
+
+
+def next_candidate(state: AgentState, message: Forward | Attempt) -> int | None:
+    """Returns the candidate that follows the own upstream in the message, or None.
+
+    An agent that the balancer addressed without naming it passes on to the first candidate.
+    """
+    candidates = message.candidates
+    if state.own in candidates:
+        after = candidates[candidates.index(state.own) + 1 :]
+    else:
+        after = candidates if message.hops == 0 else ()
+    return after[0] if after else None
+
+
+def pass_to(state: AgentState, message: Forward | Attempt, upstream: int) -> bool:
+    """Sends a message on to another upstream's agent.
+
+    Returns:
+        False when the message may take no further hop or the upstream is unknown.
+    """
+    if upstream == state.own or message.hops >= MAX_HOPS:
+        state.counters.add("passes_refused")
+        return False
+    sent = state.send_to_peer(upstream, replace(message, hops=message.hops + 1))
+    state.counters.add("passes" if sent else "passes_refused")
+    return sent
--- /dev/null
+++ b/shallotshore/peers.py
@@ -0,0 +1,332 @@
+"""Heartbeats between agents, repair of claim lists, and recovery after a restart."""
+
+__all__ = ["PeersSystem", "lend", "take_home"]
+
+from functools import singledispatch
+
+from shallotshore.agent_state import AgentState
+from shallotshore.agent_tables import FlowState
+from shallotshore.claims import (
+    FLOW_LEASE,
+    PACKET_DELAY,
+    drop_flow_claim,
+    flow_claims_of,
+    lose_claims,
+    record_flow_claim,
+)
+from shallotshore.codes import Code
+from shallotshore.messages import (
+    Address,
+    Claim,
+    ClaimKind,
+    ClaimQuery,
+    ClaimReply,
+    ClaimSync,
+    Heartbeat,
+    Message,
+)
+from shallotshore.tables import MISSING
+
+PARENT_INTERVAL = 500  # ms between heartbeats to parent balancers
+PEER_INTERVAL = 1_000  # ms between heartbeats to agents of the service
+RECOVERY_INTERVAL = 100  # ms between questions to a peer that has not answered
+RECOVERY_TIME = 2_000  # ms after which a restarted agent stops asking
+MISMATCHES_BEFORE_QUERY = 2  # a claim or release in flight makes one heartbeat differ
+QUERY_INTERVAL = 3_000  # ms between list syncs of one peer
+KEYS_PER_SYNC = 120  # keeps a datagram below 1,200 bytes
+SETTLED_AFTER = 2 * PACKET_DELAY  # ms; a sync says nothing about claims granted since it was sent
+
+
+class PeersSystem:
+    """Exchanges heartbeats and claim lists with the service's other agents."""
+
+    __slots__ = ("_next_parents", "_next_peers", "_next_query", "_sequence", "_state")
+
+    def __init__(self, state: AgentState) -> None:
+        self._state = state
+        self._sequence = 0
+        self._next_parents = 0
+        self._next_peers = 0
+        self._next_query = 0
+
+    def run(self, now: int) -> None:
+        """Runs the step at `now` (ms)."""
+        state = self._state
+        if state.table_changed:
+            _relend(state)
+        for message_type in (Heartbeat, ClaimQuery, ClaimSync):
+            for source, message in state.inbox.take(message_type):
+                _handle(message, state, source, now)
+        self._recover(now)
+        if now >= self._next_parents:
+            self._next_parents = now + PARENT_INTERVAL
+            for parent in state.parents:
+                state.outbox.send(parent, self._heartbeat(MISSING, now))
+        if now >= self._next_peers:
+            self._next_peers = now + PEER_INTERVAL
+            for peer in state.peer_ids():
+                state.send_to_peer(peer, self._heartbeat(state.peers.add(peer), now))
+
+    def _heartbeat(self, row: int, now: int) -> Heartbeat:
+        state = self._state
+        self._sequence += 1
+        return Heartbeat(
+            upstream=state.own,
+            service=state.service,
+            agent_incarnation=state.config.incarnation,
+            incarnation=state.upstream.incarnation,
+            sequence=self._sequence,
+            state=state.health(now),
+            load=state.load(),
+            revision=state.catalog.revision,
+            claims=0 if row == MISSING else state.peers.lent[row],
+            claims_digest=0 if row == MISSING else state.peers.lent_digest[row],
+        )
+
+    def _recover(self, now: int) -> None:
+        """Asks every peer for the flows that the upstream holds, until each has answered."""
+        state = self._state
+        if not state.phase.recovering or state.upstream.incarnation == 0:
+            return
+        silent = [peer for peer in state.peer_ids() if not _has_answered(state, peer)]
+        known = bool(state.catalog.upstreams_of(state.service))
+        if (known and not silent) or now - state.phase.started >= RECOVERY_TIME:
+            state.phase.recovering = False
+            return
+        if now >= self._next_query:
+            self._next_query = now + RECOVERY_INTERVAL
+            query = ClaimQuery(state.service, state.own, state.upstream.incarnation)
+            for peer in silent:
+                state.send_to_peer(peer, query)
+
+
+def lend(state: AgentState, key: int) -> None:
+    """Counts an own flow claim at each of its witnesses, for the heartbeats to them."""
+    row = state.flows.row(key)
+    state.flows.witnesses[row] = state.witnesses(key)
+    _count_lent(state, row, 1)
+
+
+def take_home(state: AgentState, key: int) -> None:
+    """Undoes `lend` before a flow is removed."""
+    row = state.flows.row(key)
+    _count_lent(state, row, -1)
+    state.flows.witnesses[row] = ()
+
+
+def _count_lent(state: AgentState, row: int, change: int) -> None:
+    for witness in state.flows.witnesses[row]:
+        peer = state.peers.add(witness)
+        if peer != MISSING:
+            state.peers.lent[peer] += change
+            state.peers.lent_digest[peer] ^= state.flows.key[row]
+
+
+def _relend(state: AgentState) -> None:
+    """Computes the witnesses of all own flows anew and syncs with those that gained keys."""
+    gained: set[int] = set()
+    for row in state.flows.rows():
+        if state.flows.state[row] == FlowState.CLAIMING:
+            continue
+        former = state.flows.witnesses[row]
+        _count_lent(state, row, -1)
+        lend(state, state.flows.key[row])
+        gained.update(set(state.flows.witnesses[row]).difference(former))
+    for peer in gained:
+        _send_sync(state, peer, state.own)
+
+
+@singledispatch
+def _handle(message: Message, state: AgentState, source: Address, now: int) -> None:
+    raise TypeError(type(message))
+
+
+@_handle.register
+def _(message: Heartbeat, state: AgentState, source: Address, now: int) -> None:
+    if message.service != state.service or message.upstream == state.own:
+        state.counters.add("heartbeats_misdirected")
+        return
+    peers = state.peers
+    row = peers.add(message.upstream)
+    if row == MISSING:
+        state.counters.add("peers_full")
+        return
+    order = (message.agent_incarnation, message.sequence)
+    if order <= (peers.agent_incarnation[row], peers.sequence[row]):
+        state.counters.add("heartbeats_late")
+        return
+    has_restarted = message.agent_incarnation != peers.agent_incarnation[row]
+    peers.agent_incarnation[row], peers.sequence[row] = order
+    peers.heard[row] = now
+    peers.state[row] = message.state
+    if has_restarted and peers.lent[row]:
+        _send_sync(state, message.upstream, state.own)
+    _note_incarnation(state, row, message, now)
+    _compare_claims(state, row, message, now)
+
+
+def _note_incarnation(state: AgentState, row: int, message: Heartbeat, now: int) -> None:
+    peers = state.peers
+    if message.incarnation == 0:
+        return
+    if message.incarnation > peers.incarnation[row]:
+        lose_claims(state, message.upstream, message.incarnation, now)
+        peers.incarnation[row] = message.incarnation
+    if message.incarnation == peers.incarnation[row]:
+        peers.lease[row] = now + FLOW_LEASE
+
+
+def _compare_claims(state: AgentState, row: int, message: Heartbeat, now: int) -> None:
+    """Asks the holder for its list when count and digest stay different from what is kept."""
+    peers = state.peers
+    held = (peers.held[row], peers.held_digest[row])
+    if held == (message.claims, message.claims_digest):
+        peers.mismatches[row] = 0
+        return
+    peers.mismatches[row] = min(255, peers.mismatches[row] + 1)
+    is_due = peers.asked[row] == 0 or now - peers.asked[row] >= QUERY_INTERVAL
+    if message.incarnation and peers.mismatches[row] >= MISMATCHES_BEFORE_QUERY and is_due:
+        peers.asked[row] = now
+        state.counters.add("claim_lists_asked")
+        query = ClaimQuery(state.service, message.upstream, message.incarnation)
+        state.send_to_peer(message.upstream, query)
+
+
+@_handle.register
+def _(message: ClaimQuery, state: AgentState, source: Address, now: int) -> None:
+    if message.service != state.service:
+        state.counters.add("claims_of_wrong_service")
+        return
+    if message.holder != state.own:
+        lose_claims(state, message.holder, message.incarnation, now)
+        _send_sync(state, message.holder, message.holder)
+        return
+    for peer in state.peer_ids():
+        record = state.catalog.upstream(peer)
+        if record is not None and record.address == source:
+            _send_sync(state, peer, state.own)
+
+
+def _send_sync(state: AgentState, peer: int, holder: int) -> None:
+    """Sends the flow claims of a holder to a peer.
+
+    For the own upstream these are the flows that the peer witnesses, for the peer itself the
+    claims that are kept here.
+    """
+    if peer == state.own:
+        return
+    if holder == state.own:
+        keys = _keys_lent_to(state, peer)
+        incarnation = state.upstream.incarnation
+    else:
+        keys = flow_claims_of(state, holder)
+        row = state.peers.row(holder)
+        incarnation = 0 if row == MISSING else state.peers.incarnation[row]
+    if holder == state.own and state.phase.recovering:
+        return
+    parts = max(1, -(-len(keys) // KEYS_PER_SYNC))
+    for part in range(parts):
+        chunk = tuple(keys[part * KEYS_PER_SYNC : (part + 1) * KEYS_PER_SYNC])
+        sync = ClaimSync(state.service, holder, incarnation, FLOW_LEASE, part, parts, chunk)
+        state.send_to_peer(peer, sync)
+    state.counters.add("claim_lists_sent")
+
+
+def _keys_lent_to(state: AgentState, peer: int) -> list[int]:
+    flows = state.flows
+    return [flows.key[row] for row in flows.rows() if peer in flows.witnesses[row]]
+
+
+@_handle.register
+def _(message: ClaimSync, state: AgentState, source: Address, now: int) -> None:
+    if message.service != state.service:
+        state.counters.add("claims_of_wrong_service")
+    elif message.holder == state.own:
+        _recover_flows(state, message, source, now)
+    else:
+        _take_list(state, message, source, now)
+
+
+def _recover_flows(state: AgentState, message: ClaimSync, source: Address, now: int) -> None:
+    if not state.phase.recovering or state.upstream.incarnation == 0:
+        state.counters.add("claim_lists_late")
+        return
+    for peer in state.peer_ids():
+        record = state.catalog.upstream(peer)
+        row = state.peers.add(peer)
+        if record is not None and record.address == source and row != MISSING:
+            _note_part(state, row, message)
+    for key in message.keys:
+        _recover_flow(state, key, now)
+
+
+def _recover_flow(state: AgentState, key: int, now: int) -> None:
+    flows = state.flows
+    if key in flows or flows.is_full:
+        return
+    row = flows.add(key)
+    flows.state[row] = FlowState.RECOVERED
+    flows.touched[row] = now
+    flows.round[row] = state.next_round()
+    state.counters.add("flows_recovered")
+    lend(state, key)
+    _keep_own_claim(state, key, now)
+
+
+def _keep_own_claim(state: AgentState, key: int, now: int) -> None:
+    if state.own in state.witnesses(key):
+        record_flow_claim(
+            state, _listed_claim(state, key, state.own, state.upstream.incarnation), now
+        )
+
+
+def _listed_claim(state: AgentState, key: int, holder: int, incarnation: int) -> Claim:
+    return Claim(
+        key=key,
+        kind=ClaimKind.FLOW,
+        service=state.service,
+        holder=holder,
+        incarnation=incarnation,
+        attempt=0,
+        age=0,
+        lease=FLOW_LEASE,
+        membership=state.membership,
+    )
+
+
+def _note_part(state: AgentState, row: int, message: ClaimSync) -> None:
+    """Notes that a peer has answered; a list of several parts counts once its last one is here."""
+    if message.part + 1 == message.parts:
+        state.peers.recovered[row] = 1
+
+
+def _has_answered(state: AgentState, peer: int) -> bool:
+    row = state.peers.row(peer)
+    return row != MISSING and state.peers.recovered[row] == 1
+
+
+def _take_list(state: AgentState, message: ClaimSync, source: Address, now: int) -> None:
+    """Takes over a holder's list; a list in one part also shows what the holder has ended."""
+    conflicts = 0
+    row = state.peers.row(message.holder)
+    if row != MISSING and message.incarnation < state.peers.incarnation[row]:
+        state.counters.add("claim_lists_late")
+        return
+    for key in message.keys:
+        claim = _listed_claim(state, key, message.holder, message.incarnation)
+        if record_flow_claim(state, claim, now) == Code.HELD:
+            conflicts += 1
+            present = state.claims.holder[state.claims.row(key)]
+            reply = ClaimReply(key, 0, state.own, Code.HELD, present)
+            state.outbox.send(source, reply)
+    state.counters.add("claim_conflicts", conflicts)
+    if message.parts == 1:
+        _drop_unlisted(state, message, now)
+
+
+def _drop_unlisted(state: AgentState, message: ClaimSync, now: int) -> None:
+    listed = set(message.keys)
+    for key in flow_claims_of(state, message.holder):
+        row = state.claims.row(key)
+        if key not in listed and now - state.claims.granted[row] >= SETTLED_AFTER:
+            drop_flow_claim(state, key)
--- /dev/null
+++ b/shallotshore/upstream_link.py
@@ -0,0 +1,51 @@
+"""Health of the local upstream and detection of its restarts."""
+
+__all__ = ["UpstreamLinkSystem", "note_upstream"]
+
+from shallotshore.agent_state import AgentState
+from shallotshore.messages import UpstreamHealth, UpstreamProbe
+
+PROBE_INTERVAL = 100  # ms
+
+
+class UpstreamLinkSystem:
+    """Probes the upstream and reads its health."""
+
+    __slots__ = ("_next_probe", "_state")
+
+    def __init__(self, state: AgentState) -> None:
+        self._state = state
+        self._next_probe = 0
+
+    def run(self, now: int) -> None:
+        """Runs the step at `now` (ms)."""
+        state = self._state
+        for _, health in state.inbox.take(UpstreamHealth):
+            if note_upstream(state, health.incarnation, now):
+                state.upstream.ready = health.ready
+        if now >= self._next_probe:
+            self._next_probe = now + PROBE_INTERVAL
+            state.upstream.sequence += 1
+            state.outbox.send(state.config.local, UpstreamProbe(state.upstream.sequence))
+
+
+def note_upstream(state: AgentState, incarnation: int, now: int) -> bool:
+    """Notes a sign of life of the upstream.
+
+    Args:
+        state: State of the agent.
+        incarnation: Incarnation that the sign of life carries.
+        now: Monotonic time in milliseconds.
+
+    Returns:
+        False when the sign comes from an earlier incarnation.
+    """
+    upstream = state.upstream
+    if incarnation < upstream.incarnation:
+        state.counters.add("upstream_messages_late")
+        return False
+    if incarnation > upstream.incarnation:
+        upstream.incarnation = incarnation
+        state.counters.add("upstream_incarnations")
+    upstream.heard = now
+    return True
