--- /dev/null
+++ b/shallotshore/answers.py
@@ -0,0 +1,58 @@
+"""Parts of answers, held back until the whole answer is there."""
+
+__all__ = ["AnswerParts"]
+
+from shallotshore.messages import AttemptAnswer
+
+MAX_PARTS = 4_096
+_MAX_BYTES = 8 << 20  # all parts held; an answer refused by the bound is asked for again
+_MAX_VERSIONS = 4  # attempts of one request that may answer at the same time
+
+_Version = tuple[int, int, int, int]
+
+
+class AnswerParts:
+    """Parts received per request key and version.
+
+    A version is (attempt, upstream, parts, checksum): parts of different runs of a repeatable
+    request are never mixed.
+    """
+
+    __slots__ = ("_bytes", "_held")
+
+    def __init__(self) -> None:
+        self._bytes = 0
+        self._held: dict[int, dict[_Version, dict[int, bytes]]] = {}
+
+    def add(self, answer: AttemptAnswer) -> tuple[bytes, ...] | None:
+        """Adds a part.
+
+        Returns:
+            The payloads of all parts in order when the answer is whole, else None.
+        """
+        if not 0 <= answer.part < answer.parts <= MAX_PARTS:
+            return None
+        if answer.parts == 1:
+            return (answer.payload,)
+        versions = self._held.setdefault(answer.key, {})
+        version = (answer.attempt, answer.upstream, answer.parts, answer.checksum)
+        if version not in versions and len(versions) >= _MAX_VERSIONS:
+            return None
+        received = versions.setdefault(version, {})
+        if answer.part not in received:
+            if self._bytes + len(answer.payload) > _MAX_BYTES:
+                return None
+            received[answer.part] = answer.payload
+            self._bytes += len(answer.payload)
+        if len(received) < answer.parts:
+            return None
+        return tuple(received[part] for part in range(answer.parts))
+
+    def has_some(self, key: int) -> bool:
+        """Whether parts of an answer are held."""
+        return key in self._held
+
+    def drop(self, key: int) -> None:
+        """Forgets the parts held for a request."""
+        for received in self._held.pop(key, {}).values():
+            self._bytes -= sum(len(payload) for payload in received.values())
--- /dev/null
+++ b/shallotshore/balancer_state.py
@@ -0,0 +1,187 @@
+"""The tables of a balancer and what its systems need of the catalog and of other balancers."""
+
+__all__ = ["BalancerState", "CatalogView", "Peers", "RouteView", "UpstreamView"]
+
+import random
+from collections.abc import Sequence
+from typing import Protocol
+
+from shallotshore.health import AnswerWindow, Exclusions, HealthTable
+from shallotshore.hints import HintTable
+from shallotshore.loads import LoadTable
+from shallotshore.messages import Address, FabricPacket, Message
+from shallotshore.placement import Placement
+from shallotshore.systems import Counters, Inbox, Outbox
+
+
+class RouteView(Protocol):
+    """Where the packets of a VIP belong."""
+
+    @property
+    def service(self) -> int:
+        """Id of the service."""
+
+    @property
+    def customer(self) -> int:
+        """Id of the customer."""
+
+
+class UpstreamView(Protocol):
+    """Fields of an upstream's record that a balancer reads."""
+
+    @property
+    def service(self) -> int:
+        """Id of the service."""
+
+    @property
+    def data_centre(self) -> int:
+        """Id of the data centre."""
+
+    @property
+    def address(self) -> Address:
+        """Address of the agent."""
+
+    @property
+    def slots(self) -> int:
+        """Most requests that run at once."""
+
+    @property
+    def connections(self) -> int:
+        """Most flows that are open at once."""
+
+    @property
+    def customers(self) -> Sequence[int]:
+        """Customers served; empty for all."""
+
+
+class CatalogView(Protocol):
+    """What a balancer asks of the catalog."""
+
+    @property
+    def revision(self) -> int:
+        """Revision in force."""
+
+    def membership(self, service: int) -> int:
+        """Returns the revision at which the service's set of upstreams last changed."""
+
+    def route(self, vip: Address) -> RouteView | None:
+        """Returns the service and customer of a VIP."""
+
+    def upstreams_of(self, service: int) -> Sequence[int]:
+        """Returns the ids of all upstream records of the service, sorted."""
+
+    def upstream(self, upstream: int) -> UpstreamView | None:
+        """Returns the record of an upstream."""
+
+    def takes_new_work(self, upstream: int) -> bool:
+        """Whether the upstream is not leaving and its data centre is in."""
+
+    def data_centre_in(self, data_centre: int) -> bool:
+        """Whether the data centre is in service."""
+
+    def share(self, customer: int) -> int:
+        """Returns the customer's share."""
+
+
+class Peers(Protocol):
+    """What a balancer asks about other balancers and VMs."""
+
+    def event_targets(self, is_origin: bool) -> Sequence[Address]:
+        """Returns the balancers that a health event goes to from here."""
+
+    def is_parent(self, upstream: int, data_centre: int) -> bool:
+        """Whether this balancer watches the upstream's heartbeats."""
+
+    def is_leaving(self, address: Address) -> bool:
+        """Whether the VM list says that the VM at an address is leaving."""
+
+
+class BalancerState:
+    """Tables and links shared by the systems of one balancer.
+
+    Attributes:
+        address: Own address, named in messages to agents.
+        agents_heard_at: When any agent was last heard from (ms).
+        fabric: Where answers to callers go; the fabric that sent the last packet.
+        is_held: Whether packets of callers are refused and nothing is forwarded for now.
+        last_packet_at: When the fabric last delivered a packet (ms).
+    """
+
+    __slots__ = (
+        "address",
+        "agents_heard_at",
+        "catalog",
+        "counters",
+        "exclusions",
+        "fabric",
+        "health",
+        "hints",
+        "inbox",
+        "is_held",
+        "last_packet_at",
+        "loads",
+        "outbox",
+        "peers",
+        "placement",
+        "rng",
+        "window",
+    )
+
+    def __init__(
+        self,
+        address: Address,
+        catalog: CatalogView,
+        peers: Peers,
+        rng: random.Random,
+        inbox: Inbox,
+        outbox: Outbox,
+        counters: Counters,
+    ) -> None:
+        self.address = address
+        self.catalog = catalog
+        self.peers = peers
+        self.rng = rng
+        self.inbox = inbox
+        self.outbox = outbox
+        self.counters = counters
+        self.placement = Placement(catalog)
+        self.hints = HintTable()
+        self.loads = LoadTable()
+        self.health = HealthTable()
+        self.exclusions = Exclusions(catalog, self.health)
+        self.window = AnswerWindow()
+        self.agents_heard_at = 0
+        self.fabric: Address | None = None
+        self.is_held = True
+        self.last_packet_at = 0
+
+    def answer(self, caller: Address, vip: Address, payload: Message) -> None:
+        """Sends a message to a caller through the fabric."""
+        if self.fabric is None:
+            self.counters.add("answers.no_fabric")
+            return
+        self.outbox.send(self.fabric, FabricPacket(caller, vip, payload))
+
+    def send_to(self, upstream: int, message: Message) -> bool:
+        """Sends a message to the agent of an upstream.
+
+        Returns:
+            Whether the upstream has a record.
+        """
+        view = self.catalog.upstream(upstream)
+        if view is None:
+            return False
+        self.outbox.send(view.address, message)
+        return True
+
+    def ask(self, upstream: int, service: int, now: int) -> None:
+        """Counts an opening sent to an upstream, which must answer it in time."""
+        if self.window.ask(upstream, now):
+            self.counters.add("health.openings_unanswered")
+            self.health.suspect(upstream, service, now)
+
+    def hear(self, upstream: int, now: int) -> None:
+        """Notes a message from an upstream's agent."""
+        self.agents_heard_at = now
+        self.window.answer(upstream)
+        self.health.clear(upstream, now)
--- /dev/null
+++ b/shallotshore/forwarding.py
@@ -0,0 +1,312 @@
+"""Packets of flows: to the owner by hint or order, answers back to the caller."""
+
+__all__ = ["Forwarding"]
+
+from array import array
+from functools import singledispatchmethod
+
+from shallotshore.balancer_state import BalancerState
+from shallotshore.candidates import MAX_CANDIDATES, Candidates
+from shallotshore.codes import Code
+from shallotshore.hashing import flow_key
+from shallotshore.hints import HINT_LEASE_MS
+from shallotshore.ingress import CallerPacket, Ingress
+from shallotshore.messages import (
+    CallerClose,
+    CallerData,
+    CallerOpen,
+    CallerReset,
+    FlowHint,
+    FlowReply,
+    FlowReset,
+    Forward,
+    Message,
+    PacketKind,
+)
+
+_RECENT_BITS = 11  # 2,048 packets: the traffic of some round trips between data centres
+_RECENT_MASK = (1 << _RECENT_BITS) - 1
+_SEARCH_DEPTH = 64  # upstreams asked for one flow; past them it counts as lost
+_SEARCH_PAUSE_MS = 1_000
+_SEARCHES_PER_MS = 0.5  # packets of flows that do not exist must not multiply without bound
+_SEARCH_BURST = 500.0
+_FINAL_CODES = (Code.FLOW_LOST, Code.DATA_CENTRE_OUT, Code.FLOW_CLOSED, Code.FLOW_REFUSED)
+
+
+class Forwarding:
+    """System that forwards flow packets to agents and their replies to callers.
+
+    It keeps no table of flows: hints are a cache, and the last packets are kept only so that a
+    packet that found no owner can be sent on to upstreams not yet asked.
+    """
+
+    __slots__ = (
+        "_candidates",
+        "_exhausted",
+        "_exhausted_at",
+        "_ingress",
+        "_recent",
+        "_searches",
+        "_searches_at",
+        "_state",
+    )
+
+    def __init__(self, state: BalancerState, ingress: Ingress, candidates: Candidates) -> None:
+        self._state = state
+        self._ingress = ingress
+        self._candidates = candidates
+        self._recent: list[Forward | None] = [None] * (1 << _RECENT_BITS)
+        self._exhausted = array("Q", bytes(8 << _RECENT_BITS))
+        self._exhausted_at = array("q", bytes(8 << _RECENT_BITS))
+        self._searches = _SEARCH_BURST
+        self._searches_at = 0
+
+    def run(self, now: int) -> None:
+        """Handles hints, callers' packets, replies and resets in that order."""
+        inbox = self._state.inbox
+        for _, hint in inbox.take(FlowHint):
+            self._take_hint(hint, now)
+        for packet in self._ingress.flows:
+            self._forward(packet.message, packet, now)
+        for _, reply in inbox.take(FlowReply):
+            self._take_reply(reply, now)
+        for _, reset in inbox.take(FlowReset):
+            self._take_reset(reset, now)
+
+    @singledispatchmethod
+    def _forward(self, message: Message, packet: CallerPacket, now: int) -> None:
+        self._state.counters.add("flows.unexpected")
+
+    @_forward.register
+    def _forward_open(self, message: CallerOpen, packet: CallerPacket, now: int) -> None:
+        state = self._state
+        key = flow_key(packet.caller, packet.vip, message.flow)
+        owner = self._hinted(key, packet, now)
+        if owner is None:
+            return
+        candidates = self._candidates.for_opening(packet.service, packet.customer, key, now)
+        if not candidates:
+            state.counters.add("flows.no_upstream")
+            self._reset(packet, message.flow, Code.FLOW_REFUSED)
+            return
+        if owner:
+            candidates = _with_first(owner, candidates)
+        elif candidates[0] not in state.placement.order(packet.service, key, 1):
+            # The owner will be away from the first candidate: later packets take no extra hop.
+            state.hints.put(key, candidates[0], now + HINT_LEASE_MS)
+        state.ask(candidates[0], packet.service, now)
+        self._send(key, PacketKind.OPEN, packet, message.flow, candidates, message.payload)
+
+    @_forward.register
+    def _forward_data(self, message: CallerData, packet: CallerPacket, now: int) -> None:
+        key = flow_key(packet.caller, packet.vip, message.flow)
+        candidates = self._owners(key, message.flow, packet, now)
+        if candidates:
+            self._send(key, PacketKind.DATA, packet, message.flow, candidates, message.payload)
+
+    @_forward.register
+    def _forward_close(self, message: CallerClose, packet: CallerPacket, now: int) -> None:
+        key = flow_key(packet.caller, packet.vip, message.flow)
+        candidates = self._owners(key, message.flow, packet, now)
+        if candidates:
+            self._send(key, PacketKind.CLOSE, packet, message.flow, candidates, b"")
+            self._state.hints.drop(key)
+
+    def _owners(
+        self, key: int, flow: int, packet: CallerPacket, now: int
+    ) -> tuple[int, ...] | None:
+        """Returns where a packet of an established flow goes, or None when it ends here."""
+        owner = self._hinted(key, packet, now)
+        if owner is None:
+            return None
+        candidates = self._candidates.for_packet(packet.service, packet.customer, key)
+        if owner:
+            return _with_first(owner, candidates)
+        if not candidates:
+            self._state.counters.add("flows.no_upstream")
+            self._reset(packet, flow, Code.NO_SUCH_FLOW)
+        return candidates
+
+    def _hinted(self, key: int, packet: CallerPacket, now: int) -> int | None:
+        """Returns the hinted owner of a flow, 0 without one, None when the flow was reset."""
+        state = self._state
+        owner = state.hints.owner(key, now)
+        if not owner:
+            return 0
+        view = state.catalog.upstream(owner)
+        if view is None or view.service != packet.service:
+            state.hints.drop(key)
+            return 0
+        if not state.catalog.data_centre_in(view.data_centre):
+            state.hints.drop(key)
+            if isinstance(packet.message, CallerOpen):
+                return 0
+            state.counters.add("flows.data_centre_out")
+            self._reset(packet, packet.message.flow, Code.DATA_CENTRE_OUT)  # type: ignore[attr-defined]
+            return None
+        if owner in state.exclusions.for_packets(packet.service):
+            # A witness knows whether the owner is lost; the hint may still be right.
+            return 0
+        return owner
+
+    def _send(
+        self,
+        key: int,
+        kind: PacketKind,
+        packet: CallerPacket,
+        flow: int,
+        candidates: tuple[int, ...],
+        payload: bytes,
+    ) -> None:
+        state = self._state
+        forward = Forward(
+            key,
+            kind,
+            packet.service,
+            packet.customer,
+            flow,
+            packet.caller,
+            packet.vip,
+            state.address,
+            candidates,
+            0,
+            state.catalog.revision,
+            payload,
+        )
+        if kind is not PacketKind.OPEN:
+            self._recent[key & _RECENT_MASK] = forward
+        state.send_to(candidates[0], forward)
+
+    def _reset(self, packet: CallerPacket, flow: int, code: Code) -> None:
+        self._state.answer(packet.caller, packet.vip, CallerReset(flow, code))
+
+    def _take_hint(self, hint: FlowHint, now: int) -> None:
+        state = self._state
+        if state.catalog.upstream(hint.upstream) is None:
+            state.counters.add("hints.unknown_upstream")
+            return
+        state.hear(hint.upstream, now)
+        state.counters.add("hints.taken")
+        state.hints.put(hint.key, hint.upstream, now + min(hint.lease, HINT_LEASE_MS))
+
+    def _take_reply(self, reply: FlowReply, now: int) -> None:
+        state = self._state
+        view = state.catalog.upstream(reply.upstream)
+        route = state.catalog.route(reply.vip)
+        if (
+            view is None
+            or route is None
+            or view.service != reply.service
+            or route.service != reply.service
+            or route.customer != reply.customer
+            or reply.key != flow_key(reply.caller, reply.vip, reply.flow)
+        ):
+            state.counters.add("flows.reply_mismatched")
+            return
+        state.hear(reply.upstream, now)
+        state.loads.report(reply.upstream, reply.load, now)
+        state.hints.renew(reply.key, reply.upstream, now + HINT_LEASE_MS)
+        state.answer(reply.caller, reply.vip, CallerData(reply.flow, reply.payload))
+
+    def _take_reset(self, reset: FlowReset, now: int) -> None:
+        state = self._state
+        route = state.catalog.route(reset.vip)
+        if route is None or reset.key != flow_key(reset.caller, reset.vip, reset.flow):
+            state.counters.add("flows.reset_mismatched")
+            return
+        state.hear(reset.upstream, now)
+        if self._is_inconclusive(reset, now) and self._search(reset, route.service, now):
+            return
+        if reset.code not in _FINAL_CODES and self._has_other_owner(reset, now):
+            return
+        state.hints.drop(reset.key)
+        state.counters.add("flows.reset")
+        state.answer(reset.caller, reset.vip, CallerReset(reset.flow, reset.code))
+
+    def _is_inconclusive(self, reset: FlowReset, now: int) -> bool:
+        """Whether other upstreams than the one that answered may own the flow.
+
+        An agent of a removed data centre refuses every packet, also those of flows that end
+        elsewhere. The same code from an agent whose data centre is in, by a table as new as this
+        one's, is a witness's word on the owner.
+        """
+        if reset.code == Code.NO_SUCH_FLOW:
+            return True
+        if reset.code != Code.DATA_CENTRE_OUT:
+            return False
+        state = self._state
+        if state.hints.owner(reset.key, now) == reset.upstream:
+            return False
+        view = state.catalog.upstream(reset.upstream)
+        is_in = view is not None and state.catalog.data_centre_in(view.data_centre)
+        return not is_in or reset.revision != state.catalog.revision
+
+    def _has_other_owner(self, reset: FlowReset, now: int) -> bool:
+        """Whether a hint contradicts a reset; it is dropped, so that it does so only once."""
+        owner = self._state.hints.owner(reset.key, now)
+        if not owner or owner == reset.upstream:
+            return False
+        self._state.hints.drop(reset.key)
+        self._state.counters.add("flows.reset_contradicted")
+        return True
+
+    def _search(self, reset: FlowReset, service: int, now: int) -> bool:
+        """Sends a packet that found no owner to the upstreams that follow the last one asked.
+
+        Returns:
+            Whether the caller must not be reset now.
+        """
+        state = self._state
+        slot = reset.key & _RECENT_MASK
+        forward = self._recent[slot]
+        if forward is None or forward.key != reset.key:
+            # Later packets pushed it out; the caller's next packet starts a new search.
+            state.counters.add("flows.search_without_packet")
+            return True
+        if self._exhausted[slot] == reset.key and now - self._exhausted_at[slot] < _SEARCH_PAUSE_MS:
+            return False
+        untried = self._candidates.after(service, reset.key, reset.upstream, _SEARCH_DEPTH)
+        if not untried:
+            self._exhausted[slot] = reset.key
+            self._exhausted_at[slot] = now
+            return False
+        if not self._may_search(now):
+            # The caller sends again; a reset without a full search could end a live flow.
+            state.counters.add("flows.search_refused")
+            return True
+        state.counters.add("flows.searched")
+        state.send_to(untried[0], _readdressed(forward, untried[:MAX_CANDIDATES]))
+        return True
+
+    def _may_search(self, now: int) -> bool:
+        earned = (now - self._searches_at) * _SEARCHES_PER_MS
+        self._searches = min(_SEARCH_BURST, self._searches + earned)
+        self._searches_at = now
+        if self._searches < 1:
+            return False
+        self._searches -= 1
+        return True
+
+
+def _with_first(owner: int, candidates: tuple[int, ...]) -> tuple[int, ...]:
+    if candidates and candidates[0] == owner:
+        return candidates
+    others = tuple(upstream for upstream in candidates if upstream != owner)
+    return (owner, *others[: MAX_CANDIDATES - 1])
+
+
+def _readdressed(forward: Forward, candidates: tuple[int, ...]) -> Forward:
+    return Forward(
+        forward.key,
+        forward.kind,
+        forward.service,
+        forward.customer,
+        forward.flow,
+        forward.caller,
+        forward.vip,
+        forward.balancer,
+        candidates,
+        0,
+        forward.revision,
+        forward.payload,
+    )
--- /dev/null
+++ b/shallotshore/health.py
@@ -0,0 +1,273 @@
+"""Who may be used: states of upstreams by events and own evidence, with floor and flap damping."""
+
+__all__ = ["AnswerWindow", "Exclusions", "HealthTable"]
+
+from array import array
+from collections.abc import Sequence
+from typing import Protocol
+
+from shallotshore.messages import HealthState
+from shallotshore.tables import MISSING, Table
+
+_NONE: frozenset[int] = frozenset()
+_SUSPECTED = 3.0  # three unanswered attempts within a half-life
+_TRUSTED = 1.5  # below the threshold of suspicion, so that one attempt does not make it flap
+_HALF_LIFE_MS = 5_000
+_FIRST_HOLD_MS = 2_000
+_MAX_HOLD_MS = 60_000
+_FLAPS_FORGOTTEN_MS = 300_000
+_ROWS = 16_384  # upstreams with a recent event, suspicion or watch
+_DOWN_SEVERITY = 1_000.0
+_ANSWER_WINDOW_MS = 1_000  # the time in which an opening is answered even over a lossy link
+_STALE_WINDOW_MS = 5_000  # an unanswered opening that old may have been answered elsewhere
+_WINDOW_BITS = 12
+_REFUSES_NEW = (HealthState.STALLED, HealthState.LEAVING)
+
+
+class ServiceSets(Protocol):
+    """What the floor asks of the catalog."""
+
+    @property
+    def revision(self) -> int:
+        """Revision in force."""
+
+    def upstreams_of(self, service: int) -> Sequence[int]:
+        """Returns the ids of all upstream records of the service."""
+
+    def takes_new_work(self, upstream: int) -> bool:
+        """Whether the upstream is not leaving and its data centre is in."""
+
+
+class AnswerWindow:
+    """Direct-mapped columns: since when an upstream has left openings unanswered."""
+
+    __slots__ = ("_since", "_tags")
+
+    def __init__(self) -> None:
+        self._tags = array("Q", bytes(8 << _WINDOW_BITS))
+        self._since = array("q", bytes(8 << _WINDOW_BITS))
+
+    def ask(self, upstream: int, now: int) -> bool:
+        """Counts an opening sent to an upstream.
+
+        Returns:
+            Whether earlier openings stayed unanswered for the whole window; it then starts again.
+        """
+        slot = upstream >> (64 - _WINDOW_BITS)
+        age = now - self._since[slot]
+        if self._tags[slot] != upstream or age > _STALE_WINDOW_MS:
+            self._tags[slot] = upstream
+            self._since[slot] = now
+            return False
+        if age < _ANSWER_WINDOW_MS:
+            return False
+        self._since[slot] = now
+        return True
+
+    def answer(self, upstream: int) -> None:
+        """Ends the window of an upstream that was heard from."""
+        slot = upstream >> (64 - _WINDOW_BITS)
+        if self._tags[slot] == upstream:
+            self._tags[slot] = 0
+
+
+class HealthTable(Table):
+    """State of each upstream that is watched, suspected or has had an event.
+
+    Columns: `incarnation` and `sequence` of the last event, `state` by it, `service`, `suspicion`
+    at `suspected_at` (ms), `is_bad`, `flaps`, `well_at` (ms, from when new work may go there),
+    `changed_at` (ms).
+    """
+
+    __slots__ = (
+        "changed_at",
+        "flaps",
+        "incarnation",
+        "is_bad",
+        "sequence",
+        "service",
+        "state",
+        "suspected_at",
+        "suspicion",
+        "well_at",
+    )
+
+    changed_at: "array[int]"
+    flaps: "array[int]"
+    incarnation: "array[int]"
+    is_bad: "array[int]"
+    sequence: "array[int]"
+    service: "array[int]"
+    state: "array[int]"
+    suspected_at: "array[int]"
+    suspicion: "array[float]"
+    well_at: "array[int]"
+
+    COLUMNS = {
+        "changed_at": "q",
+        "flaps": "B",
+        "incarnation": "Q",
+        "is_bad": "B",
+        "sequence": "Q",
+        "service": "Q",
+        "state": "B",
+        "suspected_at": "q",
+        "suspicion": "d",
+        "well_at": "q",
+    }
+
+    def __init__(self, limit: int = _ROWS) -> None:
+        """Creates an empty table; upstreams beyond the limit count as well."""
+        super().__init__(limit)
+
+    def track(self, upstream: int, service: int) -> int:
+        """Returns the row of an upstream, added when it has none, or MISSING at the bound."""
+        row = self.add(upstream)
+        if row != MISSING and not self.service[row]:
+            self.service[row] = service
+            self.state[row] = HealthState.UP
+        return row
+
+    def suspicion_at(self, row: int, now: int) -> float:
+        """Returns the suspicion of a row, halved for each 5 s since it was last raised."""
+        age = now - self.suspected_at[row]
+        return float(self.suspicion[row]) * 0.5 ** (age / _HALF_LIFE_MS)
+
+    def suspect(self, upstream: int, service: int, now: int) -> None:
+        """Counts an attempt or opening that the upstream left unanswered."""
+        row = self.track(upstream, service)
+        if row != MISSING:
+            self.suspicion[row] = self.suspicion_at(row, now) + 1
+            self.suspected_at[row] = now
+
+    def clear(self, upstream: int, now: int) -> None:
+        """Halves the suspicion of an upstream that answered."""
+        row = self.row(upstream)
+        if row != MISSING and self.suspicion[row]:
+            self.suspicion[row] = self.suspicion_at(row, now) / 2
+            self.suspected_at[row] = now
+
+    def accept(self, row: int, incarnation: int, sequence: int, state: int, now: int) -> bool:
+        """Takes over a state when it is newer than the one held.
+
+        At an equal number, the word of the agent outranks the DOWN that a watcher concluded from
+        its silence.
+
+        Returns:
+            Whether the state was newer.
+        """
+        held = (self.incarnation[row], self.sequence[row])
+        if (incarnation, sequence) < held:
+            return False
+        is_word_over_silence = self.state[row] == HealthState.DOWN != state
+        if (incarnation, sequence) == held and not is_word_over_silence:
+            return False
+        if self.state[row] != state:
+            self.changed_at[row] = now
+        self.incarnation[row] = incarnation
+        self.sequence[row] = sequence
+        self.state[row] = state
+        return True
+
+    def judge(self, row: int, now: int) -> None:
+        """Updates whether an upstream is bad, and how long it has to be well after that."""
+        suspicion = self.suspicion_at(row, now)
+        bound = _TRUSTED if self.is_bad[row] else _SUSPECTED
+        is_bad = self.state[row] == HealthState.DOWN or suspicion >= bound
+        if self.is_bad[row] and not is_bad:
+            hold = min(_MAX_HOLD_MS, _FIRST_HOLD_MS << min(self.flaps[row], 5))
+            self.well_at[row] = now + hold
+            self.flaps[row] = min(self.flaps[row] + 1, 5)
+        elif not is_bad and now - self.well_at[row] > _FLAPS_FORGOTTEN_MS:
+            self.flaps[row] = 0
+        self.is_bad[row] = is_bad
+
+    def severity(self, row: int, now: int) -> float:
+        """Returns how doubtful an upstream is; 0 when it may be used for everything."""
+        if self.state[row] == HealthState.DOWN:
+            return _DOWN_SEVERITY
+        if self.is_bad[row]:
+            return 1 + self.suspicion_at(row, now)
+        return 1.0 if now < self.well_at[row] else 0.0
+
+    def refuses_new(self, row: int) -> bool:
+        """Whether the upstream's own agent says that it takes no new work."""
+        return self.state[row] in _REFUSES_NEW
+
+    def is_idle(self, row: int, now: int) -> bool:
+        """Whether nothing would be lost with the row: long well, and no event may be under way."""
+        quiet = now - max(self.changed_at[row], self.suspected_at[row], self.well_at[row])
+        return (
+            self.state[row] in (HealthState.UP, HealthState.COLD)
+            and not self.is_bad[row]
+            and quiet > _FLAPS_FORGOTTEN_MS
+        )
+
+
+class Exclusions:
+    """Upstreams that are not used at present, per service, within the floor.
+
+    At least half of a service's upstreams that take new work stay in use whatever suspicion and
+    DOWN events say: a wrong verdict on many would otherwise push all load onto the rest.
+    """
+
+    __slots__ = ("_catalog", "_health", "_new", "_packets", "_signatures")
+
+    def __init__(self, catalog: ServiceSets, health: HealthTable) -> None:
+        self._catalog = catalog
+        self._health = health
+        self._new: dict[int, frozenset[int]] = {}
+        self._packets: dict[int, frozenset[int]] = {}
+        self._signatures: dict[int, tuple[object, ...]] = {}
+
+    def for_new_work(self, service: int) -> frozenset[int]:
+        """Returns the upstreams of a service that get no openings and requests."""
+        return self._new.get(service, _NONE)
+
+    def for_packets(self, service: int) -> frozenset[int]:
+        """Returns the upstreams of a service that get no packets of established flows."""
+        return self._packets.get(service, _NONE)
+
+    def refresh(self, now: int) -> None:
+        """Judges all rows and rebuilds the sets of services where a verdict changed."""
+        troubled = self._judge_rows(now)
+        for service in set(self._signatures) - set(troubled):
+            del self._signatures[service], self._new[service], self._packets[service]
+        for service, rows in troubled.items():
+            signature = (self._catalog.revision, *map(self._verdict, rows))
+            if self._signatures.get(service) != signature:
+                self._signatures[service] = signature
+                self._rebuild(service, rows, now)
+
+    def _judge_rows(self, now: int) -> dict[int, list[int]]:
+        health = self._health
+        troubled: dict[int, list[int]] = {}
+        for row in health.rows():
+            health.judge(row, now)
+            if health.severity(row, now) or health.refuses_new(row):
+                troubled.setdefault(health.service[row], []).append(row)
+            elif health.is_idle(row, now):
+                health.remove(health.key[row])
+        return troubled
+
+    def _verdict(self, row: int) -> tuple[int, int, int, int]:
+        health = self._health
+        return health.key[row], health.state[row], health.is_bad[row], health.well_at[row]
+
+    def _rebuild(self, service: int, rows: list[int], now: int) -> None:
+        health = self._health
+        refusing = {health.key[row] for row in rows if health.refuses_new(row)}
+        eligible = {
+            upstream
+            for upstream in self._catalog.upstreams_of(service)
+            if upstream not in refusing and self._catalog.takes_new_work(upstream)
+        }
+        doubtful = [row for row in rows if health.severity(row, now)]
+        worst = sorted(doubtful, key=lambda row: health.severity(row, now), reverse=True)
+        eligible_worst = [row for row in worst if health.key[row] in eligible]
+        spared = set(eligible_worst[len(eligible) // 2 :])
+        excluded = [row for row in worst if row not in spared]
+        self._new[service] = frozenset(refusing | {health.key[row] for row in excluded})
+        self._packets[service] = frozenset(
+            health.key[row] for row in excluded if health.is_bad[row]
+        )
--- /dev/null
+++ b/shallotshore/ingress.py
@@ -0,0 +1,89 @@
+"""Callers' packets as the fabric delivers them: routed by VIP and by nothing else."""
+
+__all__ = ["CallerPacket", "Ingress"]
+
+from dataclasses import dataclass
+from functools import singledispatchmethod
+
+from shallotshore.balancer_state import BalancerState
+from shallotshore.codes import Code, Outcome
+from shallotshore.messages import (
+    Address,
+    CallerAnswer,
+    CallerCancel,
+    CallerClose,
+    CallerData,
+    CallerOpen,
+    CallerRequest,
+    CallerReset,
+    FabricPacket,
+    Message,
+)
+
+
+@dataclass(slots=True)
+class CallerPacket:
+    """A caller's message with the service and customer of the VIP that it was sent to."""
+
+    caller: Address
+    vip: Address
+    service: int
+    customer: int
+    message: Message
+
+
+class Ingress:
+    """System that sorts callers' packets into flows and requests and refuses unknown VIPs."""
+
+    __slots__ = ("_state", "flows", "requests")
+
+    def __init__(self, state: BalancerState) -> None:
+        self._state = state
+        self.flows: list[CallerPacket] = []
+        self.requests: list[CallerPacket] = []
+
+    def run(self, now: int) -> None:
+        """Takes all packets of the fabric; drops them while the balancer is held."""
+        state = self._state
+        self.flows.clear()
+        self.requests.clear()
+        for source, packet in state.inbox.take(FabricPacket):
+            state.fabric = source
+            state.last_packet_at = now
+            if state.is_held:
+                # No answer: another balancer may serve the caller's resend, and a reset or
+                # verdict from here would end what it serves.
+                state.counters.add("callers.not_ready")
+                continue
+            self._sort(packet)
+
+    def _sort(self, packet: FabricPacket) -> None:
+        route = self._state.catalog.route(packet.vip)
+        message = packet.payload
+        if route is None:
+            self._state.counters.add("callers.unknown_address")
+            self._refuse(message, packet)
+            return
+        entry = CallerPacket(packet.caller, packet.vip, route.service, route.customer, message)
+        if isinstance(message, CallerData | CallerOpen | CallerClose):
+            self.flows.append(entry)
+        elif isinstance(message, CallerRequest | CallerCancel):
+            self.requests.append(entry)
+        else:
+            self._state.counters.add("callers.unexpected")
+
+    @singledispatchmethod
+    def _refuse(self, message: Message, packet: FabricPacket) -> None:
+        """Answers a message to an unknown VIP; others than openings and requests get none."""
+
+    @_refuse.register(CallerOpen)
+    @_refuse.register(CallerData)
+    def _refuse_flow(self, message: CallerOpen | CallerData, packet: FabricPacket) -> None:
+        reset = CallerReset(message.flow, Code.UNKNOWN_ADDRESS)
+        self._state.answer(packet.caller, packet.vip, reset)
+
+    @_refuse.register
+    def _refuse_request(self, message: CallerRequest, packet: FabricPacket) -> None:
+        # UNKNOWN, since another balancer may have known the VIP and run an earlier resend.
+        answer = CallerAnswer(message.request, Outcome.UNKNOWN, Code.UNKNOWN_ADDRESS, 0, 1, 0, b"")
+        self._state.answer(packet.caller, packet.vip, answer)
--- /dev/null
+++ b/shallotshore/loads.py
@@ -0,0 +1,108 @@
+"""What a balancer knows of the load of upstreams, and how much an old report still counts."""
+
+__all__ = ["LoadTable"]
+
+from array import array
+
+from shallotshore.messages import Load
+from shallotshore.tables import MISSING, Table
+
+_HALF_LIFE_MS = 200  # requests last tens to hundreds of milliseconds: older counts mislead
+_LIMIT_VALID_MS = 2_000  # the heartbeat period four times over; then the record's slots count
+_IDLE_ROW_MS = 10_000
+_ROWS = 8_192  # upstreams with work or reports of the last seconds, 36 bytes each plus the index
+
+
+class LoadTable(Table):
+    """Own requests in flight and the last report of each upstream that this balancer uses.
+
+    Columns: `in_flight` (own requests); as last reported: `reported` (running and queued),
+    `reported_limit`, `connections`; `reported_at` (ms).
+    """
+
+    __slots__ = ("connections", "in_flight", "reported", "reported_at", "reported_limit")
+
+    connections: "array[int]"
+    in_flight: "array[int]"
+    reported: "array[int]"
+    reported_at: "array[int]"
+    reported_limit: "array[int]"
+
+    COLUMNS = {
+        "connections": "L",
+        "in_flight": "L",
+        "reported": "L",
+        "reported_at": "q",
+        "reported_limit": "L",
+    }
+
+    def __init__(self, limit: int = _ROWS) -> None:
+        """Creates an empty table; upstreams beyond the limit count as idle."""
+        super().__init__(limit)
+
+    def start(self, upstream: int) -> None:
+        """Counts a request sent to an upstream."""
+        row = self.add(upstream)
+        if row != MISSING:
+            self.in_flight[row] += 1
+
+    def finish(self, upstream: int) -> None:
+        """Counts a request at an upstream as ended."""
+        row = self.row(upstream)
+        if row != MISSING and self.in_flight[row] > 0:
+            self.in_flight[row] -= 1
+
+    def report(self, upstream: int, load: Load, now: int) -> None:
+        """Stores the load that an upstream's agent reports in a message."""
+        row = self.add(upstream)
+        if row == MISSING:
+            return
+        self.connections[row] = load.connections
+        self.reported[row] = load.running + load.queued
+        self.reported_limit[row] = load.limit
+        self.reported_at[row] = now
+
+    def weight(self, upstream: int, slots: int, now: int) -> float:
+        """Returns the load of an upstream relative to its limit.
+
+        Args:
+            upstream: Id of the upstream.
+            slots: Limit by its record, used while no fresh limit is reported.
+            now: Time in ms.
+
+        Returns:
+            Own requests plus the reported count, halved for each 200 ms of its age, over the limit.
+        """
+        row = self.row(upstream)
+        if row == MISSING:
+            return 0.0
+        age = now - self.reported_at[row]
+        count = self.in_flight[row] + self.reported[row] * 0.5 ** (age / _HALF_LIFE_MS)
+        return count / max(self._limit_at(row, slots, age), 1)
+
+    def has_room(self, upstream: int, connections: int, now: int) -> bool:
+        """Whether the upstream, by its last report, takes more flows than it has.
+
+        Args:
+            upstream: Id of the upstream.
+            connections: Most flows that it bears, by its record.
+            now: Time in ms; a report older than two seconds counts no more.
+        """
+        row = self.row(upstream)
+        if row == MISSING or now - self.reported_at[row] > _LIMIT_VALID_MS:
+            return True
+        return self.connections[row] < connections and self.reported_limit[row] > 0
+
+    def heard_since(self, upstream: int, time: int) -> bool:
+        """Whether the upstream has reported since a time (ms)."""
+        row = self.row(upstream)
+        return row != MISSING and self.reported_at[row] > time
+
+    def prune(self, now: int) -> None:
+        """Removes the rows of upstreams without work and without a recent report."""
+        for row in self.rows():
+            if not self.in_flight[row] and now - self.reported_at[row] > _IDLE_ROW_MS:
+                self.remove(self.key[row])
+
+    def _limit_at(self, row: int, slots: int, age: int) -> int:
+        return self.reported_limit[row] if age < _LIMIT_VALID_MS else slots
--- /dev/null
+++ b/shallotshore/pending.py
@@ -0,0 +1,140 @@
+"""Requests of callers that a balancer has taken and not yet forgotten."""
+
+__all__ = ["CLAIM_LEASE_MS", "REQUEST_LIFETIME_MS", "PendingState", "PendingTable"]
+
+import heapq
+from array import array
+from enum import IntEnum
+
+from shallotshore.messages import Address, CallerAnswer
+from shallotshore.tables import MISSING, Table
+
+REQUEST_LIFETIME_MS = 10_000  # greatest age plus budget of a request
+CLAIM_LEASE_MS = 14_000  # the lifetime plus twice the greatest packet delay of 2 s
+_ROWS = 16_384
+_NO_ADDRESS: Address = ("", 0)
+
+
+class PendingState(IntEnum):
+    """What a pending request waits for."""
+
+    WAITING = 1  # its turn, or the end of a backoff
+    RUNNING = 2  # an answer to an attempt
+    VOIDING = 3  # proof that it was not run, or a late answer
+    FINISHED = 4  # resends of the caller, which get the same answer again
+
+
+class PendingTable(Table):
+    """One row per request key, with a heap of the rows' next due times.
+
+    Columns: `service`, `customer`, `repeatable`, `state`, `arrived` and `deadline` (ms), `age` at
+    arrival (ms), `due` (ms), `attempt` (id of the last one), `failures` (attempts made), `resends`
+    (of the last attempt), `sent_at` (ms), `upstream` (charged with the request, or 0), `reason`
+    (code of the last refusal), `cancelled`. Object columns: the caller's `request` id, `payload`,
+    `caller`, `vip`, `attempts` (ids), `named` (candidates of the last attempt), `tried` (upstreams
+    that declined) and `final` (the answer as sent).
+    """
+
+    __slots__ = (
+        "_timers",
+        "age",
+        "arrived",
+        "attempt",
+        "attempts",
+        "caller",
+        "cancelled",
+        "customer",
+        "deadline",
+        "due",
+        "failures",
+        "final",
+        "named",
+        "payload",
+        "reason",
+        "repeatable",
+        "request",
+        "resends",
+        "sent_at",
+        "service",
+        "state",
+        "tried",
+        "upstream",
+        "vip",
+    )
+
+    age: "array[int]"
+    arrived: "array[int]"
+    attempt: "array[int]"
+    cancelled: "array[int]"
+    customer: "array[int]"
+    deadline: "array[int]"
+    due: "array[int]"
+    failures: "array[int]"
+    reason: "array[int]"
+    repeatable: "array[int]"
+    resends: "array[int]"
+    sent_at: "array[int]"
+    service: "array[int]"
+    state: "array[int]"
+    upstream: "array[int]"
+    attempts: list[tuple[int, ...]]
+    caller: list[Address]
+    final: list[tuple[CallerAnswer, ...]]
+    named: list[tuple[int, ...]]
+    payload: list[bytes]
+    request: list[bytes]
+    tried: list[tuple[int, ...]]
+    vip: list[Address]
+
+    COLUMNS = {
+        "age": "L",
+        "arrived": "q",
+        "attempt": "Q",
+        "cancelled": "B",
+        "customer": "Q",
+        "deadline": "q",
+        "due": "q",
+        "failures": "B",
+        "reason": "H",
+        "repeatable": "B",
+        "resends": "B",
+        "sent_at": "q",
+        "service": "Q",
+        "state": "B",
+        "upstream": "Q",
+    }
+    OBJECT_COLUMNS = {
+        "attempts": (),
+        "caller": _NO_ADDRESS,
+        "final": (),
+        "named": (),
+        "payload": b"",
+        "request": b"",
+        "tried": (),
+        "vip": _NO_ADDRESS,
+    }
+
+    def __init__(self, limit: int = _ROWS) -> None:
+        """Creates an empty table."""
+        super().__init__(limit)
+        self._timers: list[tuple[int, int]] = []
+
+    def schedule(self, row: int, due: int) -> None:
+        """Sets when a row is due next; the earlier time is void."""
+        self.due[row] = due
+        heapq.heappush(self._timers, (due, self.key[row]))
+
+    def pop_due(self, now: int) -> list[int]:
+        """Returns the rows whose time has come."""
+        rows = []
+        while self._timers and self._timers[0][0] <= now:
+            due, key = heapq.heappop(self._timers)
+            row = self.row(key)
+            if row != MISSING and self.due[row] == due:
+                self.due[row] = -1
+                rows.append(row)
+        return rows
+
+    def age_at(self, row: int, now: int) -> int:
+        """Returns the age of a request in ms."""
+        return self.age[row] + now - self.arrived[row]
--- /dev/null
+++ b/shallotshore/retries.py
@@ -0,0 +1,89 @@
+"""How often and when a request is tried again."""
+
+__all__ = ["MAX_ATTEMPTS", "RetryBudget", "backoff"]
+
+import random
+from array import array
+
+from shallotshore.hashing import score
+from shallotshore.tables import MISSING, Table
+
+MAX_ATTEMPTS = 4
+_FIRST_BACKOFF_MS = 20
+_MAX_BACKOFF_MS = 500
+_RATIO = 0.1  # retries per fresh request: a failing service gets at most 10% more load
+_MIN_PER_MS = 3 / 1000  # three retries a second, so that quiet customers can retry at all
+_BURST = 20.0
+_MIN_BURST = 3.0
+_ROWS = 16_384
+_IDLE_ROW_MS = 60_000
+
+
+def backoff(failures: int, rng: random.Random) -> int:
+    """Returns a delay in ms before the next attempt: full jitter over a doubling bound.
+
+    Args:
+        failures: Attempts that failed so far, at least 1.
+        rng: Source of the jitter.
+    """
+    bound = min(_MAX_BACKOFF_MS, _FIRST_BACKOFF_MS << (failures - 1))
+    return rng.randint(0, bound)
+
+
+class RetryBudget(Table):
+    """Tokens for retries per (customer, service).
+
+    Columns: `earned` (from fresh requests), `minimum` (from time), `refilled_at` (ms). A retry
+    takes from both and needs a token in one: the greater of the two rates holds, not their sum.
+    """
+
+    __slots__ = ("earned", "minimum", "refilled_at")
+
+    earned: "array[float]"
+    minimum: "array[float]"
+    refilled_at: "array[int]"
+
+    COLUMNS = {"earned": "d", "minimum": "d", "refilled_at": "q"}
+
+    def __init__(self, limit: int = _ROWS) -> None:
+        """Creates an empty table; pairs beyond the limit get no retries."""
+        super().__init__(limit)
+
+    def fresh(self, customer: int, service: int, now: int) -> None:
+        """Counts a fresh request, which earns a tenth of a retry."""
+        row = self._refilled(customer, service, now)
+        if row != MISSING:
+            self.earned[row] = min(_BURST, self.earned[row] + _RATIO)
+
+    def spend(self, customer: int, service: int, now: int) -> bool:
+        """Takes one retry from the budget.
+
+        Returns:
+            Whether the retry is allowed.
+        """
+        row = self._refilled(customer, service, now)
+        if row == MISSING or max(self.earned[row], self.minimum[row]) < 1:
+            return False
+        self.earned[row] = max(0.0, self.earned[row] - 1)
+        self.minimum[row] = max(0.0, self.minimum[row] - 1)
+        return True
+
+    def prune(self, now: int) -> None:
+        """Removes the rows of pairs that sent nothing for a minute; their budget is full."""
+        for row in self.rows():
+            if now - self.refilled_at[row] > _IDLE_ROW_MS:
+                self.remove(self.key[row])
+
+    def _refilled(self, customer: int, service: int, now: int) -> int:
+        pair = score(customer, service)
+        row = self.row(pair)
+        if row == MISSING:
+            row = self.add(pair)
+            if row != MISSING:
+                self.minimum[row] = _MIN_BURST
+                self.refilled_at[row] = now
+            return row
+        gained = (now - self.refilled_at[row]) * _MIN_PER_MS
+        self.minimum[row] = min(_MIN_BURST, self.minimum[row] + gained)
+        self.refilled_at[row] = now
+        return row
--- /dev/null
+++ b/shallotshore/shares.py
@@ -0,0 +1,92 @@
+"""Fair share of customers in a service's slots, as one balancer sees it."""
+
+__all__ = ["FairShare"]
+
+from array import array
+
+from shallotshore.balancer_state import CatalogView
+from shallotshore.hashing import score
+from shallotshore.tables import MISSING, Table
+
+_ROWS = 16_384
+_ROOM = 2  # times the share of slots: one batch runs while the next is on its way
+
+
+class ShareTable(Table):
+    """Requests per (customer, service). Columns: `customer`, `service`, `in_flight`, `waiting`."""
+
+    __slots__ = ("customer", "in_flight", "service", "waiting")
+
+    customer: "array[int]"
+    in_flight: "array[int]"
+    service: "array[int]"
+    waiting: "array[int]"
+
+    COLUMNS = {"customer": "Q", "in_flight": "L", "service": "Q", "waiting": "L"}
+
+
+class FairShare:
+    """Bounds a customer's requests in flight while other customers of the service wait."""
+
+    __slots__ = ("_catalog", "_pairs", "_services")
+
+    def __init__(self, catalog: CatalogView) -> None:
+        self._catalog = catalog
+        self._pairs = ShareTable(_ROWS)
+        self._services: dict[int, set[int]] = {}
+
+    def move(self, customer: int, service: int, in_flight: int, waiting: int) -> None:
+        """Adds to the counts of a customer's requests in flight and waiting.
+
+        Args:
+            customer: Id of the customer.
+            service: Id of the service.
+            in_flight: Change of the number in flight.
+            waiting: Change of the number waiting.
+        """
+        pair = score(customer, service)
+        row = self._pairs.add(pair)
+        if row == MISSING:
+            return
+        pairs = self._pairs
+        pairs.customer[row] = customer
+        pairs.service[row] = service
+        pairs.in_flight[row] = max(0, pairs.in_flight[row] + in_flight)
+        pairs.waiting[row] = max(0, pairs.waiting[row] + waiting)
+        active = self._services.setdefault(service, set())
+        if pairs.in_flight[row] or pairs.waiting[row]:
+            active.add(pair)
+            return
+        active.discard(pair)
+        self._pairs.remove(pair)
+        if not active:
+            del self._services[service]
+
+    def may_start(self, customer: int, service: int) -> bool:
+        """Whether a customer may have one more request in flight."""
+        pairs = self._pairs
+        active = self._services.get(service, set())
+        own = score(customer, service)
+        if not any(pairs.waiting[pairs.row(pair)] for pair in active if pair != own):
+            return True
+        row = pairs.row(own)
+        return row == MISSING or pairs.in_flight[row] < self.bound(customer, service)
+
+    def bound(self, customer: int, service: int) -> int:
+        """Returns the most requests in flight of a customer while others wait, at least 1."""
+        pairs = self._pairs
+        active = {pairs.customer[pairs.row(pair)] for pair in self._services.get(service, set())}
+        shares = sum(self._catalog.share(other) for other in active | {customer})
+        slots = 0
+        for upstream in self._catalog.upstreams_of(service):
+            view = self._catalog.upstream(upstream)
+            if view is not None and self._catalog.takes_new_work(upstream):
+                slots += view.slots
+        return max(1, _ROOM * slots * self._catalog.share(customer) // max(shares, 1))
+
+    def may_wait(self, customer: int, service: int) -> bool:
+        """Whether one more request of a customer may wait for its turn."""
+        row = self._pairs.row(score(customer, service))
+        if row == MISSING:
+            return not self._pairs.is_full
+        return self._pairs.waiting[row] < _ROOM * self.bound(customer, service)
--- /dev/null
+++ b/shallotshore/watching.py
@@ -0,0 +1,212 @@
+"""Heartbeats of watched upstreams, and health events to and from other balancers."""
+
+__all__ = ["Watching"]
+
+from array import array
+
+from shallotshore.balancer_state import BalancerState
+from shallotshore.messages import HealthEvent, HealthState, Heartbeat
+from shallotshore.tables import MISSING, Table
+
+_SILENT_MS = 1_500  # three heartbeats
+_CHECK_MS = 100
+_DOUBT_MS = 5_000  # how long an observer that lost most of what it watches suspects itself
+_SMALL_WATCH = 2  # so few that the loss of one is already the loss of half
+_RELAYS_PER_MS = 0.2  # 200 events a second: 16 children then cost a few kilobytes a second each
+_RELAY_BURST = 200.0
+_PRUNE_MS = 1_000
+_ROWS = 4_096
+
+
+class WatchTable(Table):
+    """Upstreams whose heartbeats come here.
+
+    Columns: `heard_at` (ms), `incarnation` and `sequence` of the last heartbeat, `is_silent` (its
+    silence has been published).
+    """
+
+    __slots__ = ("heard_at", "incarnation", "is_silent", "sequence")
+
+    heard_at: "array[int]"
+    incarnation: "array[int]"
+    is_silent: "array[int]"
+    sequence: "array[int]"
+
+    COLUMNS = {"heard_at": "q", "incarnation": "Q", "is_silent": "B", "sequence": "Q"}
+
+
+class Watching:
+    """System that turns heartbeats and silence into events, relays events and judges upstreams."""
+
+    __slots__ = (
+        "_checked_at",
+        "_doubt_since",
+        "_pruned_at",
+        "_relay_at",
+        "_relay_tokens",
+        "_relays",
+        "_state",
+        "_watch",
+    )
+
+    def __init__(self, state: BalancerState) -> None:
+        self._state = state
+        self._watch = WatchTable(_ROWS)
+        self._relays: dict[int, bool] = {}
+        self._relay_tokens = _RELAY_BURST
+        self._relay_at = 0
+        self._checked_at = 0
+        self._pruned_at = 0
+        self._doubt_since = MISSING
+
+    @property
+    def doubts_itself(self) -> bool:
+        """Whether most of what is watched has fallen silent, so that nothing is published."""
+        return self._doubt_since != MISSING
+
+    def run(self, now: int) -> None:
+        """Takes heartbeats and events; ten times a second looks for silence."""
+        inbox = self._state.inbox
+        for _, heartbeat in inbox.take(Heartbeat):
+            self._take_heartbeat(heartbeat, now)
+        for _, event in inbox.take(HealthEvent):
+            self._take_event(event, now)
+        if now - self._checked_at >= _CHECK_MS:
+            self._checked_at = now
+            self._check_silence(now)
+            self._state.exclusions.refresh(now)
+        if now - self._pruned_at >= _PRUNE_MS:
+            self._pruned_at = now
+            self._state.loads.prune(now)
+        self._relay(now)
+
+    def forgive(self, now: int) -> None:
+        """Counts silence from now on, since the silence before was this process's own pause."""
+        for row in self._watch.rows():
+            self._watch.heard_at[row] = now
+
+    def _take_heartbeat(self, heartbeat: Heartbeat, now: int) -> None:
+        state = self._state
+        view = state.catalog.upstream(heartbeat.upstream)
+        if view is None or view.service != heartbeat.service:
+            state.counters.add("heartbeats.unknown_upstream")
+            return
+        row = self._watch.add(heartbeat.upstream)
+        if row == MISSING:
+            state.counters.add("heartbeats.table_full")
+            return
+        watch = self._watch
+        number = (heartbeat.agent_incarnation, heartbeat.sequence)
+        if number <= (watch.incarnation[row], watch.sequence[row]):
+            state.counters.add("heartbeats.old")
+            return
+        watch.incarnation[row], watch.sequence[row] = number
+        watch.heard_at[row] = now
+        watch.is_silent[row] = 0
+        state.hear(heartbeat.upstream, now)
+        state.loads.report(heartbeat.upstream, heartbeat.load, now)
+        health = state.health.row(heartbeat.upstream)
+        held = HealthState.UP if health == MISSING else state.health.state[health]
+        if held != heartbeat.state:
+            self._publish(heartbeat.upstream, view.service, number, heartbeat.state, now)
+
+    def _take_event(self, event: HealthEvent, now: int) -> None:
+        state = self._state
+        view = state.catalog.upstream(event.upstream)
+        if view is None:
+            state.counters.add("events.unknown_upstream")
+            return
+        row = state.health.track(event.upstream, view.service)
+        if row == MISSING:
+            state.counters.add("events.table_full")
+            return
+        if self._contradicts(event):
+            # The other watcher lost heartbeats that arrived here.
+            watch = self._watch.row(event.upstream)
+            number = (self._watch.incarnation[watch], self._watch.sequence[watch])
+            state.counters.add("events.contradicted")
+            self._publish(event.upstream, view.service, number, state.health.state[row], now)
+            return
+        if state.health.accept(row, event.incarnation, event.sequence, event.state, now):
+            state.counters.add("events.accepted")
+            self._relays.setdefault(event.upstream, False)
+        else:
+            state.counters.add("events.old")
+
+    def _contradicts(self, event: HealthEvent) -> bool:
+        """Whether an event says DOWN of an upstream whose later heartbeats have arrived here."""
+        row = self._watch.row(event.upstream)
+        if row == MISSING or self._watch.is_silent[row] or event.state != HealthState.DOWN:
+            return False
+        number = (self._watch.incarnation[row], self._watch.sequence[row])
+        return number >= (event.incarnation, event.sequence)
+
+    def _publish(
+        self, upstream: int, service: int, number: tuple[int, int], health_state: int, now: int
+    ) -> None:
+        health = self._state.health
+        row = health.track(upstream, service)
+        if row == MISSING:
+            return
+        health.accept(row, number[0], number[1], health_state, now)
+        self._state.counters.add("events.published")
+        self._relays[upstream] = True
+
+    def _check_silence(self, now: int) -> None:
+        watch = self._watch
+        self._drop_strangers()
+        silent = [row for row in watch.rows() if now - watch.heard_at[row] > _SILENT_MS]
+        if self._is_in_doubt(len(silent), now):
+            return
+        for row in silent:
+            if not watch.is_silent[row]:
+                watch.is_silent[row] = 1
+                view = self._state.catalog.upstream(watch.key[row])
+                if view is not None:
+                    # One above the last number heard, so that it outranks that heartbeat.
+                    number = (watch.incarnation[row], watch.sequence[row] + 1)
+                    self._publish(watch.key[row], view.service, number, HealthState.DOWN, now)
+
+    def _drop_strangers(self) -> None:
+        """Forgets upstreams that were removed or that others watch now."""
+        state = self._state
+        for row in self._watch.rows():
+            upstream = self._watch.key[row]
+            view = state.catalog.upstream(upstream)
+            if view is None or not state.peers.is_parent(upstream, view.data_centre):
+                self._watch.remove(upstream)
+
+    def _is_in_doubt(self, silent: int, now: int) -> bool:
+        """Whether this process suspects its own link rather than what it watches."""
+        if 2 * silent <= len(self._watch):
+            self._doubt_since = MISSING
+            return False
+        hears_agents = now - self._state.agents_heard_at <= _SILENT_MS
+        if hears_agents and len(self._watch) <= _SMALL_WATCH:
+            self._doubt_since = MISSING
+            return False
+        if self._doubt_since == MISSING:
+            self._doubt_since = now
+            self._state.counters.add("health.self_suspected")
+        return not hears_agents or now - self._doubt_since < _DOUBT_MS
+
+    def _relay(self, now: int) -> None:
+        earned = (now - self._relay_at) * _RELAYS_PER_MS
+        self._relay_tokens = min(_RELAY_BURST, self._relay_tokens + earned)
+        self._relay_at = now
+        health = self._state.health
+        while self._relays and self._relay_tokens >= 1:
+            upstream = next(iter(self._relays))
+            is_origin = self._relays.pop(upstream)
+            row = health.row(upstream)
+            if row == MISSING:
+                continue
+            self._relay_tokens -= 1
+            event = HealthEvent(
+                upstream,
+                health.incarnation[row],
+                health.sequence[row],
+                HealthState(health.state[row]),
+            )
+            for target in self._state.peers.event_targets(is_origin):
+                self._state.outbox.send(target, event)
