--- a/shallotshore/security.py
+++ b/shallotshore/security.py
@@ -4,6 +4,7 @@
 
 import hmac
 import ipaddress
+import ssl
 from hashlib import blake2b
 from pathlib import Path
 from typing import NamedTuple
@@ -109,7 +110,7 @@
         """Reads the files.
 
         Raises:
-            MaterialError: A file cannot be read.
+            MaterialError: A file cannot be read, or key and certificate do not match.
         """
         self._files = files
         self._stamp = self._stamps()
@@ -127,7 +128,7 @@
             Whether the material was replaced.
 
         Raises:
-            MaterialError: A changed file cannot be read; the material held stays in force.
+            MaterialError: The files cannot be used; the material held stays in force.
         """
         stamp = self._stamps()
         if stamp == self._stamp:
@@ -153,6 +154,7 @@
 
     def _read(self) -> None:
         authority, certificate, key = (_read(path) for path in self._files[:3])
+        _check_pair(self._files)
         self._authority, self._certificate, self._key = authority, certificate, key
 
 
@@ -171,6 +173,16 @@
         raise MaterialError(f"{path}: {error.strerror}") from error
 
 
+def _check_pair(files: TlsFiles) -> None:
+    """Refuses material that a half-finished renewal left, before anything uses it."""
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    try:
+        context.load_cert_chain(files.certificate, files.key)
+        context.load_verify_locations(files.authority)
+    except (ssl.SSLError, OSError) as error:
+        raise MaterialError(f"{files.certificate} and {files.key}: {error}") from error
+
+
 def _read_keys(path: Path) -> tuple[bytes, ...]:
     try:
         keys = tuple(bytes.fromhex(line) for line in _read(path).decode("ascii").split())
--- /dev/null
+++ b/tests/test_security.py
@@ -0,0 +1,94 @@
+"""Tests of mutual TLS between processes; tests/data/tls holds keys made for them only."""
+
+import asyncio
+import shutil
+import ssl
+import tempfile
+import unittest
+from pathlib import Path
+
+from shallotshore.application import Application, ApplicationConfig
+from shallotshore.codes import Code
+from shallotshore.control import ControlClient, PeerRefusedError
+from shallotshore.messages import StatusRequest
+from shallotshore.security import MaterialError, TlsFiles, TlsMaterial
+from shallotshore.systems import Core, Counters
+from tests.loopback import free_address, until
+
+DATA = Path(__file__).parent / "data" / "tls"
+
+
+class MutualTlsTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against peers of others and against certificates that run out."""
+
+    async def asyncSetUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.install("first")
+        files = TlsFiles(
+            DATA / "authority.pem", self.folder / "cert.pem", self.folder / "key", "shallotshore"
+        )
+        self.core, self.address = Core(), free_address()
+        config = ApplicationConfig(self.address, tls=TlsMaterial(files))
+        self.application = Application(self.core, config)
+        await self.application.start()
+        self.addAsyncCleanup(self.application.close)
+
+    def install(self, name: str) -> None:
+        shutil.copy(DATA / f"{name}.key", self.folder / "key")
+        shutil.copy(DATA / f"{name}.pem", self.folder / "cert.pem")
+
+    async def ask(self, name: str | None) -> None:
+        """Asks for the status with a certificate of tests/data/tls, or in plain text."""
+        tls = None
+        if name is not None:
+            files = (DATA / "authority.pem", DATA / f"{name}.pem", DATA / f"{name}.key")
+            tls = TlsMaterial(TlsFiles(*files, "shallotshore"))
+        client = ControlClient(("127.0.0.1", 9), tls, Counters())
+        try:
+            await client.status(self.address, StatusRequest(0))
+        finally:
+            await client.close()
+
+    async def served_certificate(self) -> str:
+        return await asyncio.to_thread(ssl.get_server_certificate, self.address)
+
+    async def test_a_peer_with_our_certificate_is_served(self) -> None:
+        await self.ask("first")
+
+    async def test_peers_without_our_certificate_are_refused(self) -> None:
+        for name in ("foreign", None):
+            with self.subTest(name), self.assertRaises(PeerRefusedError):
+                await self.ask(name)
+
+    async def test_our_certificate_of_another_name_is_refused_and_counted(self) -> None:
+        with self.assertRaises(PeerRefusedError) as caught:
+            await self.ask("other")
+        self.assertEqual(caught.exception.code, Code.PEER_NOT_AUTHENTIC)
+        self.assertEqual(self.core.counters["control.refused.peer_not_authentic"], 1)
+
+    async def test_renewed_certificates_are_served_without_restart(self) -> None:
+        before = await self.served_certificate()
+        self.install("renewed")
+        renewed = (DATA / "renewed.pem").read_text()
+        async with asyncio.timeout(10):
+            while (served := await self.served_certificate()) == before:
+                await asyncio.sleep(0.05)
+        self.assertEqual(served, renewed)
+        await self.ask("renewed")
+        await self.ask("first")
+
+    async def test_a_half_written_renewal_keeps_the_certificates_in_force(self) -> None:
+        before = await self.served_certificate()
+        shutil.copy(DATA / "renewed.pem", self.folder / "cert.pem")
+        await until(lambda: self.core.counters["security.renewal_failed"])
+        self.assertEqual(await self.served_certificate(), before)
+        self.install("renewed")
+        async with asyncio.timeout(10):
+            while await self.served_certificate() == before:
+                await asyncio.sleep(0.05)
+
+    def test_missing_files_are_named(self) -> None:
+        with self.assertRaisesRegex(MaterialError, "/missing"):
+            TlsMaterial(TlsFiles(Path("/missing"), Path("/missing"), Path("/missing"), "x"))
