--- a/standins/caller.py
+++ b/standins/caller.py
@@ -30,6 +30,7 @@
 )
 from standins.timers import Timers
 
+REFUSED_PAUSE = 1000  # ms at most that a caller waits after a refused opening
 FEED_SILENCE = 10_000  # ms without a packet after which a caller counts its feed as broken
 OPEN_RESEND = 400  # ms before the opening is sent again, growing with each try
 OPEN_TRIES = 12
@@ -54,6 +55,7 @@
         "_next_flow",
         "_next_request",
         "_now",
+        "_open_after",
         "_rng",
         "customer",
         "feeds",
@@ -85,6 +87,7 @@
         self.told: dict[bytes, int] = {}
         self._rng = rng
         self._next_arrival = -1.0
+        self._open_after = 0
         self._next_flow = 1
         self._next_request = 1
         self._now = 0
@@ -113,7 +116,7 @@
         if self.load.rate > 0:
             due.append(int(max(self._next_arrival, self._now)))
         if len(self.feeds) < self.load.feeds:
-            due.append(self._now + 20)
+            due.append(max(self._now + 20, self._open_after))
         return min(due) if due else None
 
     def arrivals(self, now: int) -> int:
@@ -129,6 +132,10 @@
             self._next_arrival += self._rng.expovariate(self.load.rate) * 1000
         return count
 
+    def may_open(self, now: int) -> bool:
+        """Whether no opening was refused a moment ago."""
+        return now >= self._open_after
+
     def open_feed(self, now: int) -> None:
         """Starts a feed."""
         flow = self._next_flow
@@ -164,6 +171,7 @@
             )
         else:
             self.log.refused.append((now, code))
+            self._open_after = now + self._rng.randint(100, REFUSED_PAUSE)
         self.forget_feed(flow)
 
     def forget_feed(self, flow: int) -> None:
@@ -269,7 +277,7 @@
 
     def run(self, now: int) -> None:
         core = self._core
-        missing = core.load.feeds - len(core.feeds)
+        missing = core.load.feeds - len(core.feeds) if core.may_open(now) else 0
         for _ in range(min(missing, 1 + core.load.feeds // 100)):
             core.open_feed(now)
 
--- a/standins/events.py
+++ b/standins/events.py
@@ -10,13 +10,14 @@
 from standins import planned
 from standins.caller_state import CallerLoad
 from standins.configuration_service import Mode
-from standins.deployments import data_centre_record
+from standins.deployments import data_centre_record, upstream_record
 from standins.network import Link
 from standins.upstream_state import Health
 from standins.world import FABRIC_LAG, PLATFORM, World, agent_name
 
 Event: TypeAlias = Callable[[World, list[str]], None]
 VERBS: dict[str, Event] = {}
+LIGHT = 5  # usual over light rate of requests
 
 
 def verb(event: Event) -> Event:
@@ -50,21 +51,33 @@
 
 @verb
 def load(world: World, words: list[str]) -> None:
-    """Sets fields of the load: service or *, customer or *, name=value ...; "usual" sets all."""
+    """Sets fields of the load: service or *, customer or *, name=value ...
+
+    The single setting "usual" takes the user's load at 70% of the slots, "light" a fifth of its
+    requests with as many feeds.
+    """
     service, customer, *settings = words
     for (whose, used), caller in world.callers.items():
         if service not in ("*", used) or customer not in ("*", whose):
             continue
-        if settings[0] == "usual":
+        if settings[0] in ("usual", "light"):
             usual = world.plan.loads[used]
             for field in fields(CallerLoad):
                 setattr(caller.load, field.name, getattr(usual, field.name))
+            if settings[0] == "light":
+                caller.load.rate /= LIGHT
         else:
             for name, value in options(settings).items():
                 setattr(caller.load, name, _LOAD_READERS.get(name, int)(value))
         world.wake(f"{whose}.{used}")
 
 
+@verb
+def measure(world: World, words: list[str]) -> None:
+    """Lets figures count from now on, after warming up."""
+    world.journal.measured_from = world.now
+
+
 @verb
 def kill_balancer(world: World, words: list[str]) -> None:
     """Ends balancers at once; the fabric notices after a moment, the VM list after its lag."""
@@ -304,6 +317,18 @@
         kill_vm(world, [name])
 
 
+@verb
+def rehome(world: World, words: list[str]) -> None:
+    """Ends an upstream and gives its VM, with both addresses, to a new one of another service."""
+    name, service = words
+    remove_upstream(world, [name])
+    old = world.server(name)
+    new = world.plan.add_server(service, old.settings.data_centre, old.settings.slots)
+    new.address, new.agent = old.address, old.agent
+    start_vm(world, [new.settings.name])
+    world.publish({f"upstream/{new.settings.name}": upstream_record(new)})
+
+
 @verb
 def data_centre(world: World, words: list[str]) -> None:
     """Takes a data centre out of service or brings it back: name, "out" or "in"."""
--- a/standins/measures.py
+++ b/standins/measures.py
@@ -8,8 +8,6 @@
 from standins.caller_state import RequestEnd
 from standins.world import World
 
-STEADY_START = 10_000  # ms after which upstreams of the start are warm for their agents
-
 
 def percentile(values: Sequence[float], share: float) -> float:
     """Returns the value below which a share of the values lies; 0 for none."""
@@ -42,11 +40,15 @@
 
 def figures_of(world: World) -> dict[str, float]:
     """Returns the figures of a run by name."""
-    ends = [end for log in world.caller_logs for end in log.requests]
+    start = world.journal.measured_from
+    ends = [end for log in world.caller_logs for end in log.requests if end.born >= start]
+    broken = [end for log in world.caller_logs for end in log.broken if end.ended >= start]
+    refused = [at for log in world.caller_logs for at, _ in log.refused if at >= start]
     wanted = [end for end in ends if not end.cancelled]
     done = [end for end in wanted if end.outcome == Outcome.DONE]
     latencies = [float(end.ended - end.born) for end in done]
-    first = len(world.sightings.first_hops) or 1
+    first = sum(at >= start for at in world.sightings.first_hops) or 1
+    extra = sum(at >= start for at in world.sightings.extra_hops)
     figures = {
         "requests": float(len(ends)),
         "done": float(len(done)),
@@ -57,16 +59,16 @@
         "p50": percentile(latencies, 0.50),
         "p99": percentile(latencies, 0.99),
         "feeds_open": float(sum(len(log.sessions) for log in world.caller_logs)),
-        "feeds_broken": float(sum(len(log.broken) for log in world.caller_logs)),
-        "feeds_refused": float(sum(len(log.refused) for log in world.caller_logs)),
+        "feeds_broken": float(len(broken)),
+        "feeds_refused": float(len(refused)),
         "feed_packets": float(sum(log.heard for log in world.caller_logs)),
         "longest_gap": float(max((log.longest_gap for log in world.caller_logs), default=0)),
-        "extra_hop_share": len(world.sightings.extra_hops) / first,
+        "extra_hop_share": extra / first,
         "configuration_reads": float(world.configuration.reads),
         "configuration_refused": float(world.configuration.refused),
     }
     for service in world.plan.services:
-        figures[f"imbalance_{service}"] = imbalance(world, service, STEADY_START, world.now)
+        figures[f"imbalance_{service}"] = imbalance(world, service, start, world.now)
     return figures
 
 
--- a/standins/world.py
+++ b/standins/world.py
@@ -134,6 +134,7 @@
             VM_LIST_ADDRESS,
             FABRIC_ADDRESS,
             rng,
+            self.now,
         )
 
     def publish(self, texts: dict[str, bytes]) -> None:
