Ask the witnesses of replaced tables too, and test requests

Cause: a table change may move several witnesses, so that a void's quorum could miss a claim. Change: placement orders upstreams whose data centre is in, remembers replaced tables for 14 s and tells when it cannot know them; verdicts ask their witnesses and accept no HELD from any. Result: 15 tests of dispatch and 2 of placement added and passing.

--- a/shallotshore/balancer.py
+++ b/shallotshore/balancer.py
@@ -41,6 +41,19 @@
     vm_list: tuple[Address, ...] = ()
 
 
+class _Tables:
+    """System that brings what is derived from the catalog up to its revision."""
+
+    __slots__ = ("_state",)
+
+    def __init__(self, state: BalancerState) -> None:
+        self._state = state
+
+    def run(self, now: int) -> None:
+        """Follows the catalog."""
+        self._state.placement.refresh(now)
+
+
 class BalancerCore(Core):
     """A balancer without sockets, wall time or encodings."""
 
@@ -72,6 +85,7 @@
         self._stopping_since = MISSING
         self._ticked_at = MISSING
         self._systems = [
+            _Tables(state),
             self._watching,
             ingress,
             Forwarding(state, ingress, candidates),
--- a/shallotshore/candidates.py
+++ b/shallotshore/candidates.py
@@ -71,8 +71,12 @@
             able = self._taking_new(service, customer, state.catalog.upstreams_of(service))
         tried = set(avoid)
         ordered = sorted(
-            (upstream in tried, state.loads.weight(upstream, view.slots, now), state.rng.random())
-            + (upstream,)
+            (
+                upstream in tried,
+                round(state.loads.weight(upstream, view.slots, now), 2),
+                state.rng.random(),
+                upstream,
+            )
             for upstream, view in able
         )
         return tuple(entry[-1] for entry in ordered[:MAX_CANDIDATES])
--- a/shallotshore/placement.py
+++ b/shallotshore/placement.py
@@ -16,17 +16,37 @@
 _BUCKET_MASK = ((1 << BUCKET_BITS) - 1) << (64 - BUCKET_BITS)
 _STRIDE = 8  # ids kept per cached bucket: five witnesses and the candidates that replace them
 _SLOT_BITS = 13  # 8,192 cached buckets of 80 bytes; the cache is direct-mapped
+FORMER_MS = 14_000  # the life of a request claim, which may stand in a table that has since changed
+_NO_STAMP = -1
+
+
+class Placed(Protocol):
+    """Where an upstream is."""
+
+    @property
+    def data_centre(self) -> int:
+        """Id of the data centre."""
 
 
 class UpstreamSets(Protocol):
     """What placement asks of the catalog."""
 
+    @property
+    def revision(self) -> int:
+        """Revision in force."""
+
     def membership(self, service: int) -> int:
-        """Returns the revision at which the service's set of upstreams last changed."""
+        """Returns the revision at which the set of upstreams in service last changed."""
 
     def upstreams_of(self, service: int) -> Sequence[int]:
         """Returns the ids of all upstream records of the service, sorted."""
 
+    def upstream(self, upstream: int) -> Placed | None:
+        """Returns the record of an upstream."""
+
+    def data_centre_in(self, data_centre: int) -> bool:
+        """Whether the data centre is in service."""
+
 
 def quorum(count: int) -> int:
     """Returns how many of `count` witnesses must grant a claim.
@@ -36,10 +56,31 @@
     return 4 if count >= WITNESSES else count // 2 + 1
 
 
+class _ServiceTable:
+    """The members of a service whose data centre is in, now and in the last seconds."""
+
+    __slots__ = ("former", "known_since", "members", "stamp")
+
+    def __init__(self, now: int) -> None:
+        self.stamp = _NO_STAMP
+        self.members = array("Q")
+        self.known_since = now
+        self.former: tuple[tuple[int, array], ...] = ()
+
+
 class Placement:
     """Rendezvous orders per (service, bucket), computed on demand and cached in columns."""
 
-    __slots__ = ("_catalog", "_ids", "_lengths", "_stamps", "_tags")
+    __slots__ = (
+        "_catalog",
+        "_ids",
+        "_lengths",
+        "_now",
+        "_revisions",
+        "_services",
+        "_stamps",
+        "_tags",
+    )
 
     def __init__(self, catalog: UpstreamSets) -> None:
         """Creates an empty cache.
@@ -50,28 +91,47 @@
         """
         slots = 1 << _SLOT_BITS
         self._catalog = catalog
+        self._now = 0
+        self._revisions: list[tuple[int, int]] = []
+        self._services: dict[int, _ServiceTable] = {}
         self._tags = array("Q", bytes(8 * slots))
-        self._stamps = array("q", [-1]) * slots
+        self._stamps = array("q", [_NO_STAMP]) * slots
         self._lengths = bytearray(slots)
         self._ids = array("Q", bytes(8 * slots * _STRIDE))
 
+    def refresh(self, now: int) -> None:
+        """Takes over the tables that changed with the catalog; to be called at each tick.
+
+        Args:
+            now: Time in ms; former tables are forgotten 14 s after they were replaced.
+        """
+        self._now = now
+        revision = self._catalog.revision
+        if self._revisions and self._revisions[-1][1] == revision:
+            return
+        self._revisions.append((now, revision))
+        while len(self._revisions) > 1 and self._revisions[1][0] <= now - FORMER_MS:
+            del self._revisions[0]
+        for service in self._services:
+            self._table(service)
+
     def order(self, service: int, key: int, limit: int) -> tuple[int, ...]:
         """Returns the first upstreams in the rendezvous order of a key's bucket.
 
+        Upstreams whose data centre is out are not in the order.
+
         Args:
             service: Id of the service.
             key: Flow key or request key.
             limit: Greatest number of ids to return.
         """
+        table = self._table(service)
+        tag = score(service, key & _BUCKET_MASK)
         if limit > _STRIDE:
-            return tuple(
-                rank(_bucket_key(service, key), self._catalog.upstreams_of(service), limit)
-            )
-        tag = _bucket_key(service, key)
+            return tuple(rank(tag, table.members, limit))
         slot = tag >> (64 - _SLOT_BITS)
-        stamp = self._catalog.membership(service)
-        if self._tags[slot] != tag or self._stamps[slot] != stamp:
-            self._fill(slot, tag, stamp, service)
+        if self._tags[slot] != tag or self._stamps[slot] != table.stamp:
+            self._fill(slot, tag, table)
         start = slot * _STRIDE
         return tuple(self._ids[start : start + min(limit, self._lengths[slot])])
 
@@ -79,14 +139,53 @@
         """Returns the upstreams whose agents keep the claims of a key."""
         return self.order(service, key, WITNESSES)
 
-    def _fill(self, slot: int, tag: int, stamp: int, service: int) -> None:
-        ordered = rank(tag, self._catalog.upstreams_of(service), _STRIDE)
+    def former_witnesses(self, service: int, key: int) -> tuple[int, ...]:
+        """Returns the witnesses of a key by tables of the last 14 s that are witnesses no more."""
+        table = self._table(service)
+        if not table.former:
+            return ()
+        table.former = tuple(entry for entry in table.former if entry[0] > self._now)
+        tag = score(service, key & _BUCKET_MASK)
+        present = self.witnesses(service, key)
+        found: dict[int, None] = {}
+        for _, members in table.former:
+            found.update(dict.fromkeys(rank(tag, members, WITNESSES)))
+        return tuple(upstream for upstream in found if upstream not in present)
+
+    def knows_former(self, service: int) -> bool:
+        """Whether all tables of the last 14 s are known, so that no claim can be overlooked."""
+        return self._now - self._table(service).known_since >= FORMER_MS
+
+    def _table(self, service: int) -> _ServiceTable:
+        table = self._services.get(service)
+        if table is None:
+            table = self._services[service] = _ServiceTable(self._known_since(service))
+        stamp = self._catalog.membership(service)
+        if table.stamp != stamp:
+            self._adopt(table, service, stamp)
+        return table
+
+    def _known_since(self, service: int) -> int:
+        """Returns since when (ms) the table of a service used for the first time has held."""
+        membership = self._catalog.membership(service)
+        return next((time for time, held in self._revisions if held >= membership), self._now)
+
+    def _adopt(self, table: _ServiceTable, service: int, stamp: int) -> None:
+        members = array("Q", filter(self._is_in, self._catalog.upstreams_of(service)))
+        if table.stamp != _NO_STAMP and members != table.members:
+            live = tuple(entry for entry in table.former if entry[0] > self._now)
+            table.former = (*live, (self._now + FORMER_MS, table.members))
+        table.stamp = stamp
+        table.members = members
+
+    def _is_in(self, upstream: int) -> bool:
+        view = self._catalog.upstream(upstream)
+        return view is not None and self._catalog.data_centre_in(view.data_centre)
+
+    def _fill(self, slot: int, tag: int, table: _ServiceTable) -> None:
+        ordered = rank(tag, table.members, _STRIDE)
         start = slot * _STRIDE
         self._ids[start : start + len(ordered)] = array("Q", ordered)
         self._lengths[slot] = len(ordered)
         self._tags[slot] = tag
-        self._stamps[slot] = stamp
-
-
-def _bucket_key(service: int, key: int) -> int:
-    return score(service, key & _BUCKET_MASK)
+        self._stamps[slot] = table.stamp
--- a/shallotshore/verdicts.py
+++ b/shallotshore/verdicts.py
@@ -13,37 +13,57 @@
 
 _FIRST_RESEND_MS = 40  # above the round trip between data centres
 _MAX_RESEND_MS = 640
+_FORMER_WAIT_MS = 150  # longer than any round trip in use; a witness silent for longer is gone
+_MAX_FORMER = 32
 _ROWS = 16_384
 
 
 class VoidTable(Table):
     """Voids under way.
 
-    Columns: `attempt`, `service`, `born` (when the request began, ms), `granted` and `refused` (a
-    bit per witness), `due` (ms), `round`. Object column: `witnesses`.
+    Columns: `attempt`, `service`, `born` (when the request began, ms), `granted`, `refused` and
+    `heard` (a bit per witness asked), `due` and `since` (ms, when these witnesses were first
+    asked), `round`. Object columns: `witnesses`, and `former` with those of replaced tables.
     """
 
-    __slots__ = ("attempt", "born", "due", "granted", "refused", "round", "service", "witnesses")
+    __slots__ = (
+        "attempt",
+        "born",
+        "due",
+        "former",
+        "granted",
+        "heard",
+        "refused",
+        "round",
+        "service",
+        "since",
+        "witnesses",
+    )
 
     attempt: "array[int]"
     born: "array[int]"
     due: "array[int]"
     granted: "array[int]"
+    heard: "array[int]"
     refused: "array[int]"
     round: "array[int]"
     service: "array[int]"
+    since: "array[int]"
+    former: list[tuple[int, ...]]
     witnesses: list[tuple[int, ...]]
 
     COLUMNS = {
         "attempt": "Q",
         "born": "q",
         "due": "q",
-        "granted": "B",
-        "refused": "B",
+        "granted": "Q",
+        "heard": "Q",
+        "refused": "Q",
         "round": "B",
         "service": "Q",
+        "since": "q",
     }
-    OBJECT_COLUMNS = {"witnesses": ()}
+    OBJECT_COLUMNS = {"former": (), "witnesses": ()}
 
 
 class Verdicts:
@@ -53,11 +73,12 @@
     that more witnesses hold a claim of than a quorum of voids leaves over.
     """
 
-    __slots__ = ("_state", "_voids", "held", "proven")
+    __slots__ = ("_next_due", "_state", "_voids", "held", "proven")
 
     def __init__(self, state: BalancerState) -> None:
         self._state = state
         self._voids = VoidTable(_ROWS)
+        self._next_due = 0
         self.proven: list[int] = []
         self.held: list[int] = []
 
@@ -78,7 +99,6 @@
             return
         self._voids.service[row] = service
         self._voids.attempt[row] = self._state.rng.getrandbits(64)
-        self._voids.witnesses[row] = self._state.placement.witnesses(service, key)
         self._voids.born[row] = now - age
         self._send(row, now)
 
@@ -91,55 +111,81 @@
         self.proven.clear()
         self.held.clear()
         for _, reply in self._state.inbox.take(VoidReply):
-            self._take(reply)
+            self._take(reply, now)
+        if now < self._next_due:
+            return
         for row in self._voids.rows():
-            if now >= self._voids.due[row]:
+            if now >= self._voids.due[row] and not self._conclude(row, now):
                 self._send(row, now)
+        self._next_due = min((self._voids.due[row] for row in self._voids.rows()), default=now)
+
+    def _conclude(self, row: int, now: int) -> bool:
+        if not self._is_proven(row, now):
+            return False
+        self.proven.append(self._voids.key[row])
+        self.end(self._voids.key[row])
+        return True
 
     def _send(self, row: int, now: int) -> None:
         state = self._state
         voids = self._voids
         key = voids.key[row]
         service = voids.service[row]
-        self._follow_table(row)
+        self._follow_table(row, now)
         age = now - voids.born[row]
         membership = state.catalog.membership(service)
         void = Void(key, voids.attempt[row], service, age, CLAIM_LEASE_MS, membership)
-        for position, witness in enumerate(voids.witnesses[row]):
+        for position, witness in enumerate(voids.witnesses[row] + voids.former[row]):
             if not voids.granted[row] >> position & 1:
                 state.send_to(witness, void)
         voids.due[row] = now + min(_MAX_RESEND_MS, _FIRST_RESEND_MS << voids.round[row])
+        self._next_due = min(self._next_due, voids.due[row])
         voids.round[row] = min(voids.round[row] + 1, 8)
 
-    def _follow_table(self, row: int) -> None:
+    def _follow_table(self, row: int, now: int) -> None:
         """Starts the count again when the witnesses have changed."""
         voids = self._voids
-        witnesses = self._state.placement.witnesses(voids.service[row], voids.key[row])
-        if witnesses != voids.witnesses[row]:
+        placement = self._state.placement
+        witnesses = placement.witnesses(voids.service[row], voids.key[row])
+        former = placement.former_witnesses(voids.service[row], voids.key[row])[:_MAX_FORMER]
+        if witnesses != voids.witnesses[row] or not set(former) <= set(voids.former[row]):
             voids.witnesses[row] = witnesses
-            voids.granted[row] = 0
-            voids.refused[row] = 0
+            voids.former[row] = former
+            voids.granted[row] = voids.refused[row] = voids.heard[row] = 0
+            voids.since[row] = now
 
-    def _take(self, reply: VoidReply) -> None:
+    def _is_proven(self, row: int, now: int) -> bool:
+        """Whether no attempt can have been or will be started by any table in use of late."""
+        voids = self._voids
+        count = len(voids.witnesses[row])
+        granted = (voids.granted[row] & ((1 << count) - 1)).bit_count()
+        if granted < quorum(count) or not self._state.placement.knows_former(voids.service[row]):
+            return False
+        if not voids.former[row]:
+            return True
+        everyone = (1 << count + len(voids.former[row])) - 1
+        is_complete = voids.heard[row] == everyone or now - voids.since[row] >= _FORMER_WAIT_MS
+        return is_complete and not voids.refused[row]
+
+    def _take(self, reply: VoidReply, now: int) -> None:
         voids = self._voids
         row = voids.row(reply.key)
         if row == MISSING or voids.attempt[row] != reply.attempt:
             self._state.counters.add("voids.late_replies")
             return
-        witnesses = voids.witnesses[row]
-        if reply.witness not in witnesses:
+        asked = voids.witnesses[row] + voids.former[row]
+        if reply.witness not in asked:
             self._state.counters.add("voids.strange_replies")
             return
-        bit = 1 << witnesses.index(reply.witness)
-        needed = quorum(len(witnesses))
+        bit = 1 << asked.index(reply.witness)
+        voids.heard[row] |= bit
         if reply.code == Code.OK:
             voids.granted[row] |= bit
             voids.refused[row] &= ~bit
-            if voids.granted[row].bit_count() >= needed:
-                self.proven.append(reply.key)
-                self.end(reply.key)
+            self._conclude(row, now)
         elif reply.code == Code.HELD and not voids.refused[row] & bit:
             voids.granted[row] &= ~bit
             voids.refused[row] |= bit
-            if voids.refused[row].bit_count() == len(witnesses) - needed + 1:
+            count = len(voids.witnesses[row])
+            if voids.refused[row].bit_count() == count - quorum(count) + 1:
                 self.held.append(reply.key)
--- a/tests/balancer_fakes.py
+++ b/tests/balancer_fakes.py
@@ -148,14 +148,14 @@
     return [message for message in payloads if isinstance(message, kind)]
 
 
-def answer_to(attempt: Attempt, part: int = 0, parts: int = 1, **changes: int) -> AttemptAnswer:
+def answer_to(tried: Attempt, part: int = 0, parts: int = 1, **changes: int) -> AttemptAnswer:
     """Returns an answer of the first candidate, with fields changed as told."""
     fields = {
-        "key": attempt.key,
-        "attempt": attempt.attempt,
-        "service": attempt.service,
-        "customer": attempt.customer,
-        "upstream": attempt.candidates[0],
+        "key": tried.key,
+        "attempt": tried.attempt,
+        "service": tried.service,
+        "customer": tried.customer,
+        "upstream": tried.candidates[0],
         "code": 100,
     }
     fields.update(changes)
--- /dev/null
+++ b/tests/test_dispatch.py
@@ -0,0 +1,191 @@
+"""Tests of requests: attempts, answers, outcomes."""
+
+import unittest
+
+from shallotshore.codes import Code, Outcome
+from shallotshore.messages import (
+    Attempt,
+    CallerAnswer,
+    CallerCancel,
+    CallerRequest,
+    CancelAttempt,
+    Declined,
+    Load,
+    Void,
+    VoidReply,
+)
+from shallotshore.retries import MAX_ATTEMPTS
+from tests.balancer_fakes import (
+    CUSTOMER,
+    IDLE,
+    OTHER_CUSTOMER,
+    OTHER_VIP,
+    VIP,
+    Bench,
+    answer_to,
+    only,
+)
+
+
+def decline(attempt: Attempt, code: int = Code.OVERLOADED) -> Declined:
+    """Returns a refusal by the last candidate named."""
+    return Declined(attempt.key, attempt.attempt, attempt.candidates[-1], code, IDLE, 1)
+
+
+def grants(bench: Bench, voids: list[Void], sent: list, code: int = Code.OK) -> list[VoidReply]:
+    """Returns the witnesses' replies to voids."""
+    addresses = [address for address, message in sent if isinstance(message, Void)]
+    return [
+        VoidReply(void.key, void.attempt, bench.id_at(address), code)
+        for void, address in zip(voids, addresses, strict=True)
+    ]
+
+
+class DispatchTest(unittest.TestCase):
+    """Guards whole answers, single outcomes and bounded retries."""
+
+    def setUp(self) -> None:
+        self.bench = Bench()
+        self.bench.run(wait=15_000)  # until all former tables are known
+
+    def test_parts_are_given_only_when_all_have_arrived_and_of_one_run(self) -> None:
+        (attempt,) = self.bench.request(repeatable=True)
+        parts = [answer_to(attempt, part, 3) for part in range(3)]
+        other = answer_to(attempt, 1, 3, upstream=attempt.candidates[1])
+        early = self.bench.run(parts[2], parts[2], parts[0], other)
+        self.assertEqual(only(early, CallerAnswer), [])
+        answers = only(self.bench.run(parts[1]), CallerAnswer)
+        self.assertEqual([answer.payload for answer in answers], [b"part 0", b"part 1", b"part 2"])
+        self.assertEqual({answer.checksum for answer in answers}, {9})
+
+    def test_missing_part_ends_as_unknown_and_not_as_an_answer(self) -> None:
+        (attempt,) = self.bench.request(budget=1000)
+        sent = self.bench.run(answer_to(attempt, 0, 2), wait=1100)
+        (answer,) = only(sent, CallerAnswer)
+        self.assertEqual((answer.outcome, answer.code), (Outcome.UNKNOWN, Code.ANSWER_INCOMPLETE))
+
+    def test_crossed_late_and_doubled_answers_reach_no_caller(self) -> None:
+        (first,) = self.bench.request(1)
+        (second,) = self.bench.request(2)
+        crossed = answer_to(first, attempt=second.attempt)
+        foreign = answer_to(first, customer=OTHER_CUSTOMER)
+        wrong_service = answer_to(first, service=1)
+        self.assertEqual(self.bench.run(crossed, foreign, wrong_service), [])
+        self.assertEqual(len(only(self.bench.run(answer_to(first)), CallerAnswer)), 1)
+        self.assertEqual(self.bench.run(answer_to(first)), [])
+        counts = self.bench.core.counters
+        self.assertEqual(
+            (counts["answers.crossed"], counts["answers.mismatched"], counts["answers.late"]),
+            (2, 1, 1),
+        )
+
+    def test_budget_shrinks_and_age_grows_by_the_time_spent(self) -> None:
+        (attempt,) = self.bench.request(budget=2000)
+        (again,) = only(self.bench.run(wait=320), Attempt)
+        self.assertEqual(again.attempt, attempt.attempt)
+        self.assertEqual(attempt.age + attempt.budget, again.age + again.budget)
+        self.assertGreaterEqual(again.age, 300)
+
+    def test_decline_moves_on_at_once_to_upstreams_not_yet_tried(self) -> None:
+        (attempt,) = self.bench.request()
+        (second,) = only(self.bench.run(decline(attempt)), Attempt)
+        self.assertFalse(set(attempt.candidates) & set(second.candidates[:1]))
+        self.assertNotEqual(second.attempt, attempt.attempt)
+
+    def test_attempts_are_bounded_and_then_not_run_needs_a_quorum(self) -> None:
+        (attempt,) = self.bench.request(budget=9000)
+        tries, sent = 1, []
+        while True:
+            sent = self.bench.run(decline(attempt), wait=600)
+            attempts = only(sent, Attempt)
+            if not attempts:
+                break
+            attempt, tries = attempts[0], tries + 1
+        self.assertLessEqual(tries, MAX_ATTEMPTS)
+        self.assertEqual(only(sent, CallerAnswer), [])
+        replies = grants(self.bench, only(sent, Void)[:5], sent[:5])
+        self.assertEqual(only(self.bench.run(*replies[:3]), CallerAnswer), [])
+        (answer,) = only(self.bench.run(replies[3]), CallerAnswer)
+        self.assertEqual((answer.outcome, answer.code), (Outcome.NOT_RUN, Code.OVERLOADED))
+
+    def test_held_key_is_never_reported_as_not_run(self) -> None:
+        (attempt,) = self.bench.request(budget=1000)
+        sent = self.bench.run(wait=900)
+        voids = only(sent, Void)[:5]
+        first = [entry for entry in sent if isinstance(entry[1], Void)][:5]
+        replies = grants(self.bench, voids, first, Code.HELD)[:2]
+        replies += grants(self.bench, voids, first)[2:]
+        (answer,) = only(self.bench.run(*replies, wait=300), CallerAnswer)
+        self.assertEqual(answer.outcome, Outcome.UNKNOWN)
+        self.assertEqual(self.bench.run(answer_to(attempt)), [])
+
+    def test_answer_during_the_proof_wins(self) -> None:
+        (attempt,) = self.bench.request(budget=1000)
+        self.bench.run(wait=900)
+        (answer,) = only(self.bench.run(answer_to(attempt)), CallerAnswer)
+        self.assertEqual(answer.outcome, Outcome.DONE)
+
+    def test_cancellation_is_passed_on_and_proven_before_it_is_told(self) -> None:
+        (attempt,) = self.bench.request()
+        sent = self.bench.call(CallerCancel((1).to_bytes(16)))
+        cancels = only(sent, CancelAttempt)
+        self.assertEqual({cancel.attempt for cancel in cancels}, {attempt.attempt})
+        self.assertEqual(only(sent, CallerAnswer), [])
+        replies = grants(self.bench, only(sent, Void), sent)
+        (answer,) = only(self.bench.run(*replies), CallerAnswer)
+        self.assertEqual((answer.outcome, answer.code), (Outcome.NOT_RUN, Code.CANCELLED))
+
+    def test_resend_attaches_to_the_pending_request(self) -> None:
+        (attempt,) = self.bench.request()
+        resend = CallerRequest((1).to_bytes(16), False, 500, 1500, b"work")
+        self.assertEqual(self.bench.call(resend), [])
+        self.assertEqual(len(only(self.bench.run(answer_to(attempt)), CallerAnswer)), 1)
+
+    def test_failed_run_is_repeated_only_when_repeatable(self) -> None:
+        (once,) = self.bench.request(1)
+        failed = answer_to(once, code=Code.UPSTREAM_LOST)
+        (answer,) = only(self.bench.run(failed), CallerAnswer)
+        self.assertEqual((answer.outcome, answer.code), (Outcome.UNKNOWN, Code.UPSTREAM_LOST))
+        (twice,) = self.bench.request(2, repeatable=True)
+        (again,) = only(self.bench.run(answer_to(twice, code=Code.UPSTREAM_LOST)), Attempt)
+        self.assertNotEqual(again.candidates[0], twice.candidates[0])
+
+    def test_too_long_a_lifetime_is_refused_without_an_attempt(self) -> None:
+        self.assertEqual(self.bench.request(budget=10_001), [])
+        self.assertEqual(self.bench.core.counters["attempts.sent"], 0)
+
+    def test_least_loaded_upstream_is_chosen_and_old_reports_count_little(self) -> None:
+        loads = self.bench.core.state.loads
+        for upstream in self.bench.ids[1:]:
+            loads.report(upstream, Load(3, 0, 3, 0), self.bench.now)
+        (attempt,) = self.bench.request(1)
+        self.assertEqual(attempt.candidates[0], self.bench.ids[0])
+        self.bench.run(answer_to(attempt), wait=4000)
+        chosen = {self.bench.request(number)[0].candidates[0] for number in range(2, 9)}
+        self.assertEqual(chosen, set(self.bench.ids))
+
+    def test_customer_over_its_share_waits_while_another_one_waits(self) -> None:
+        bench = self.bench
+        own = [bench.request(number) for number in range(60)]
+        self.assertEqual(sum(map(len, own)), 60)
+        (attempt,) = bench.request(100, vip=OTHER_VIP)
+        for _ in range(3):
+            sent = bench.run(decline(attempt))
+            attempt = (only(sent, Attempt) or [attempt])[0]
+            if not only(sent, Attempt):
+                break
+        self.assertEqual(bench.request(61), [])
+        shares = bench.core._dispatch._shares
+        self.assertEqual(shares.bound(CUSTOMER, attempt.service), 21)
+
+    def test_full_table_refuses_new_requests_and_answers_open_ones(self) -> None:
+        self.bench.core._dispatch.pending._limit = 1
+        (attempt,) = self.bench.request(1)
+        refused = CallerRequest((2).to_bytes(16), False, 0, 1000, b"")
+        (answer,) = only(self.bench.call(refused, VIP), CallerAnswer)
+        self.assertEqual((answer.outcome, answer.code), (Outcome.UNKNOWN, Code.TABLE_FULL))
+        self.assertEqual(len(only(self.bench.run(answer_to(attempt)), CallerAnswer)), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -10,9 +10,12 @@
 class Sets:
     """Upstream sets of services with a membership revision that rises at each change."""
 
+    data_centre = 1
+
     def __init__(self, members: dict[int, list[int]]) -> None:
         self.members = members
         self.revision = 1
+        self.out: set[int] = set()
 
     def membership(self, service: int) -> int:
         return self.revision
@@ -20,6 +23,16 @@
     def upstreams_of(self, service: int) -> list[int]:
         return sorted(self.members.get(service, []))
 
+    def upstream(self, upstream: int) -> "Sets | None":
+        return None if upstream in self.out else self
+
+    def data_centre_in(self, data_centre: int) -> bool:
+        return True
+
+    def take_out(self, upstreams: list[int]) -> None:
+        self.out = set(upstreams)
+        self.revision += 1
+
 
 class PlacementTest(unittest.TestCase):
     """Guards the agreement of balancers and agents on candidates and witnesses."""
@@ -57,6 +70,30 @@
             counts[self.placement.order(1, key, 1)[0]] += 1
         self.assertLess(max(counts.values()), 1.35 * len(self.keys) / 7)
 
+    def test_witnesses_of_the_replaced_table_stay_known_for_the_life_of_a_claim(self) -> None:
+        self.placement.refresh(0)
+        before = {key: self.placement.witnesses(1, key) for key in self.keys}
+        self.assertFalse(self.placement.knows_former(1))
+        self.sets.take_out(self.ids[:3])
+        self.placement.refresh(20_000)
+        self.assertTrue(self.placement.knows_former(1))
+        for key in self.keys:
+            present = self.placement.witnesses(1, key)
+            former = self.placement.former_witnesses(1, key)
+            self.assertFalse(set(present) & set(self.ids[:3]))
+            self.assertLessEqual(set(before[key]), set(present) | set(former))
+            self.assertFalse(set(present) & set(former))
+        self.placement.refresh(34_000)
+        self.assertEqual(self.placement.former_witnesses(1, self.keys[0]), ())
+
+    def test_table_of_a_service_used_first_after_its_change_is_not_vouched_for(self) -> None:
+        self.placement.refresh(0)
+        self.sets.take_out(self.ids[:1])
+        self.placement.refresh(20_000)
+        self.assertFalse(self.placement.knows_former(1))
+        self.placement.refresh(34_000)
+        self.assertTrue(self.placement.knows_former(1))
+
     def test_unknown_service_has_no_candidates(self) -> None:
         self.assertEqual(self.placement.order(3, self.keys[0], 3), ())
 
