Add the graceful stop, the guard after a pause and claims that outlive their witness

Cause: a process that slept acts on old beliefs, a stopping witness takes its claims with it, and a ramp that restarts one system later lets work above the cold limit through.

--- a/shallotshore/admission.py
+++ b/shallotshore/admission.py
@@ -6,6 +6,7 @@
 from shallotshore.codes import Code
 from shallotshore.fair_queue import is_over_share
 from shallotshore.messages import Attempt, Forward, HealthState
+from shallotshore.upstream_link import restart_ramp
 
 QUEUE_PER_SLOT = 2  # a longer queue only adds waiting: its requests would do better elsewhere
 
@@ -13,22 +14,18 @@
 class AdmissionSystem:
     """Advances the ramp and publishes the present limit."""
 
-    __slots__ = ("_incarnation", "_state", "_was_in")
+    __slots__ = ("_state", "_was_in")
 
     def __init__(self, state: AgentState) -> None:
         self._state = state
         self._was_in = True
-        self._incarnation = 0
 
     def run(self, now: int) -> None:
         """Runs the step at `now` (ms)."""
         state = self._state
         is_in = state.data_centre_in
-        incarnation = state.upstream.incarnation
-        if incarnation != self._incarnation or (is_in and not self._was_in):
-            self._incarnation = incarnation
-            state.ramp.restart(now)
-            state.counters.add("ramps_started")
+        if is_in and not self._was_in:
+            restart_ramp(state, now)
         self._was_in = is_in
         record = state.record
         if record is None:
--- a/shallotshore/agent_state.py
+++ b/shallotshore/agent_state.py
@@ -26,6 +26,7 @@
 from shallotshore.placement import Placement
 from shallotshore.ramp import Ramp
 from shallotshore.systems import Counters, Inbox, Outbox
+from shallotshore.tables import MISSING
 
 MAX_CLAIMS = 65_536
 MAX_CLAIMING = 4_096
@@ -105,7 +106,9 @@
     table_changed: bool = False
     ramp: Ramp = field(default_factory=Ramp)
     ring: deque[int] = field(default_factory=deque)
+    disputed: set[int] = field(default_factory=set)
     stored_bytes: int = 0
+    last_finished: int = 0
     active: dict[int, None] = field(default_factory=dict)
     rounds: int = 0
     parents: tuple[Address, ...] = ()
@@ -146,6 +149,12 @@
         upstream = self.upstream
         return upstream.ready and now - upstream.heard <= STALLED_AFTER
 
+    def member_addresses(self) -> dict[int, Address]:
+        """Returns the agents' addresses of the service's witnesses by upstream id."""
+        members = self.catalog.upstreams_of(self.service)
+        records = {member: self.catalog.upstream(member) for member in members}
+        return {member: r.address for member, r in records.items() if r is not None}
+
     def load(self) -> Load:
         """Returns the load that rides on answers and heartbeats."""
         waiting = self.work.claiming + self.work.queued
@@ -170,13 +179,21 @@
         Returns:
             False when the upstream has no record.
         """
-        record = self.catalog.upstream(peer)
-        address = self.former.address(peer) if record is None else record.address
+        address = self._address_of(peer)
         if address is None:
             return False
         self.outbox.send(address, message)
         return True
 
+    def _address_of(self, peer: int) -> Address | None:
+        """Returns an agent's address by its record, its former one or its last heartbeat."""
+        record = self.catalog.upstream(peer)
+        if record is not None:
+            return record.address
+        row = self.peers.row(peer)
+        heard = None if row == MISSING else self.peers.address[row]
+        return self.former.address(peer) or heard
+
     def live_balancer(self, balancer: Address) -> Address:
         """Returns the address to answer to: the balancer, or a parent when it is gone."""
         return balancer
--- a/shallotshore/agent_tables.py
+++ b/shallotshore/agent_tables.py
@@ -36,14 +36,26 @@
 
     `round` is the `attempt` field of the claim: it rises with each claim of one holder, so that
     a late message of an earlier claim can be told from the present one. `others` lists further
-    (holder, round) pairs of a repeatable request.
+    (holder, round) pairs of a repeatable request. `spare` is 1 for a flow claim taken over from a
+    witness that stopped, which the holder's heartbeat does not count.
     """
 
-    __slots__ = ("expires", "granted", "holder", "incarnation", "kind", "others", "round", "state")
+    __slots__ = (
+        "expires",
+        "granted",
+        "holder",
+        "incarnation",
+        "kind",
+        "others",
+        "round",
+        "spare",
+        "state",
+    )
 
     COLUMNS = {
         "state": "B",
         "kind": "B",
+        "spare": "B",
         "holder": "Q",
         "incarnation": "Q",
         "round": "Q",
@@ -54,6 +66,7 @@
 
     state: "array[int]"
     kind: "array[int]"
+    spare: "array[int]"
     holder: "array[int]"
     incarnation: "array[int]"
     round: "array[int]"
@@ -280,10 +293,11 @@
 
     `held` and `held_digest` describe the flow claims kept here for the peer; `lent` and
     `lent_digest` describe the own flow claims kept there. `lease` is the time until which the
-    claims kept for the peer stay in force.
+    claims kept for the peer stay in force. `listed` and `parts` gather the parts of its list.
     """
 
     __slots__ = (
+        "address",
         "agent_incarnation",
         "asked",
         "heard",
@@ -293,7 +307,9 @@
         "lease",
         "lent",
         "lent_digest",
+        "listed",
         "mismatches",
+        "parts",
         "recovered",
         "sequence",
         "state",
@@ -314,6 +330,7 @@
         "lease": "q",
         "asked": "q",
     }
+    OBJECT_COLUMNS = {"address": None, "listed": frozenset(), "parts": frozenset()}
 
     state: "array[int]"
     mismatches: "array[int]"
@@ -328,6 +345,9 @@
     heard: "array[int]"
     lease: "array[int]"
     asked: "array[int]"
+    address: list[Address | None]
+    listed: list[frozenset[int]]
+    parts: list[frozenset[int]]
 
 
 class PassedTable(Table):
--- a/shallotshore/answers.py
+++ b/shallotshore/answers.py
@@ -32,7 +32,7 @@
 )
 from shallotshore.passing import next_candidate, pass_to
 from shallotshore.tables import MISSING
-from shallotshore.upstream_link import note_upstream
+from shallotshore.upstream_link import note_upstream, restart_ramp
 
 MAX_PARTS = 4_096  # parts of one answer: 4 MB at 1 KB a part
 PASSED_LIFE = 10_000  # ms; the greatest lifetime of a request
@@ -75,7 +75,9 @@
     elif message.code in NOT_STARTED:
         _return_unstarted(state, row, Code(message.code), now)
     else:
-        _note_failed(state, now)
+        # A request that was told to stop fails by that and says nothing about the upstream.
+        if not requests.cancelling[row] and now < requests.deadline[row]:
+            _note_failed(state, now)
         finish(state, row, Code.UPSTREAM_FAILED, now)
 
 
@@ -194,6 +196,7 @@
     requests.code[row] = code
     requests.attempt[row] = None
     state.active.pop(requests.key[row], None)
+    state.last_finished = now
     if code != Code.OK:
         state.stored_bytes -= _size(requests.answer[row])
         requests.answer[row] = None
@@ -258,7 +261,7 @@
     if len(answer) < message.parts:
         return
     if state.ramp.note_good(now - requests.started[row], now):
-        _restart_ramp(state, now)
+        restart_ramp(state, now)
     finish(state, row, Code.OK, now)
 
 
@@ -295,12 +298,7 @@
 
 def _note_failed(state: AgentState, now: int) -> None:
     if state.ramp.note_failed(now):
-        _restart_ramp(state, now)
-
-
-def _restart_ramp(state: AgentState, now: int) -> None:
-    state.ramp.restart(now)
-    state.counters.add("ramps_started")
+        restart_ramp(state, now)
 
 
 def _count_off(state: AgentState, row: int) -> None:
--- a/shallotshore/claiming.py
+++ b/shallotshore/claiming.py
@@ -1,6 +1,6 @@
 """Claimant side of claims: collects a quorum of grants before a flow or request starts."""
 
-__all__ = ["ClaimingSystem", "begin_claim", "end_claim", "give_back"]
+__all__ = ["DISPUTE_ROUND", "ClaimingSystem", "begin_claim", "end_claim", "give_back"]
 
 from shallotshore.agent_state import AgentState
 from shallotshore.agent_tables import ClaimingState
@@ -13,6 +13,7 @@
 RESEND_INTERVAL = 30  # ms; several round trips between data centres fit into a request's budget
 FORMER_WAIT = 150  # ms given to witnesses of the former table that are not in the new one
 MAX_TRIES = 4
+DISPUTE_ROUND = 0  # in a reply about a flow that another holder claims too
 BACKOFF = (10, 50)  # ms; random, so that two claimants that split the witnesses part
 
 
@@ -113,6 +114,9 @@
 
 def _note_reply(state: AgentState, reply: ClaimReply) -> None:
     claiming = state.claiming
+    if reply.attempt == DISPUTE_ROUND:
+        _note_dispute(state, reply)
+        return
     row = claiming.row(reply.key)
     current = row != MISSING and claiming.round[row] == reply.attempt
     if not current or reply.witness not in claiming.witnesses[row]:
@@ -130,6 +134,16 @@
         claiming.holder[row] = reply.holder
 
 
+def _note_dispute(state: AgentState, reply: ClaimReply) -> None:
+    """Notes that a witness of an owned flow has another holder for it."""
+    flows = state.flows
+    row = flows.row(reply.key)
+    known = row != MISSING and reply.witness in flows.witnesses[row]
+    if known and reply.holder != state.own:
+        flows.votes[row] |= 1 << flows.witnesses[row].index(reply.witness)
+        state.disputed.add(reply.key)
+
+
 def _may_change(kind: int, code: int) -> bool:
     """Whether a later copy of the claim may be granted.
 
--- a/shallotshore/claims.py
+++ b/shallotshore/claims.py
@@ -18,7 +18,7 @@
 from functools import singledispatch
 
 from shallotshore.agent_state import AgentState
-from shallotshore.agent_tables import ClaimState, ClaimTable
+from shallotshore.agent_tables import ClaimState, ClaimTable, FlowState
 from shallotshore.codes import Code
 from shallotshore.messages import (
     Address,
@@ -101,6 +101,8 @@
     if claim.service != state.service:
         state.counters.add("claims_of_wrong_service")
         return None
+    if claim.holder != state.own and _owns(state, claim.key):
+        return ClaimReply(claim.key, claim.attempt, state.own, Code.HELD, state.own)
     _drop_if_lapsed(state, claim.key, now)
     row = state.claims.row(claim.key)
     code = _fresh_verdict(state, claim, now) if row == MISSING else None
@@ -174,12 +176,28 @@
             state.claims.expires[row] = now + FLOW_LEASE
 
 
-def record_flow_claim(state: AgentState, claim: Claim, now: int) -> Code:
-    """Records a flow claim that its holder lists in a sync; a present holder keeps the key."""
-    row = state.claims.row(claim.key)
-    if row != MISSING and state.claims.state[row] != ClaimState.LOST:
-        return Code.OK if state.claims.holder[row] == claim.holder else Code.HELD
-    return _record_claim(state, claim, now)
+def record_flow_claim(state: AgentState, claim: Claim, now: int, spare: bool = False) -> Code:
+    """Records a flow claim from a list; a present holder keeps the key.
+
+    Args:
+        state: State of the witness.
+        claim: The claim that the list stands for.
+        now: Monotonic time in milliseconds.
+        spare: Whether the list comes from a witness that stops, not from the holder.
+    """
+    claims = state.claims
+    row = claims.row(claim.key)
+    if row != MISSING and claims.state[row] != ClaimState.LOST:
+        if claims.holder[row] != claim.holder:
+            return Code.HELD
+        if spare or claims.state[row] != ClaimState.HELD or not claims.spare[row]:
+            return Code.OK
+    code = _record_claim(state, claim, now)
+    if code == Code.OK and spare:
+        row = claims.row(claim.key)
+        _count_held(state, row, -1)
+        claims.spare[row] = 1
+    return code
 
 
 def drop_flow_claim(state: AgentState, key: int) -> None:
@@ -187,6 +205,11 @@
     _forget(state, key)
 
 
+def _owns(state: AgentState, key: int) -> bool:
+    row = state.flows.row(key)
+    return row != MISSING and state.flows.state[row] != FlowState.CLAIMING
+
+
 def _fresh_verdict(state: AgentState, claim: Claim, now: int) -> Code:
     if claim.membership < state.membership:
         return Code.STALE_TABLE
@@ -234,6 +257,7 @@
     claims.incarnation[row] = claim.incarnation
     claims.round[row] = claim.attempt
     claims.granted[row] = now
+    claims.spare[row] = 0
     longest = FLOW_LEASE if claim.kind == ClaimKind.FLOW else REQUEST_LEASE
     claims.expires[row] = now + min(claim.lease, longest)
     _count_held(state, row, 1)
@@ -304,7 +328,7 @@
 
 def _count_held(state: AgentState, row: int, change: int) -> None:
     """Keeps the count and digest that the holder's heartbeat is compared with."""
-    if state.claims.kind[row] != ClaimKind.FLOW:
+    if state.claims.kind[row] != ClaimKind.FLOW or state.claims.spare[row]:
         return
     peer = state.peers.add(state.claims.holder[row])
     if peer == MISSING:
--- a/shallotshore/flows.py
+++ b/shallotshore/flows.py
@@ -23,6 +23,7 @@
 )
 from shallotshore.passing import next_candidate, pass_to
 from shallotshore.peers import lend, take_home
+from shallotshore.placement import quorum
 from shallotshore.tables import MISSING
 from shallotshore.upstream_link import note_upstream
 
@@ -73,6 +74,8 @@
         for row in state.claiming.rows():
             if state.claiming.kind[row] == ClaimKind.FLOW:
                 _settle(state, state.claiming.key[row], now)
+        while state.disputed:
+            _judge_dispute(state, state.disputed.pop(), now)
         for _, data in state.inbox.take(UpstreamData):
             _reply(state, data, now)
         for _, close in state.inbox.take(UpstreamClose):
@@ -309,6 +312,24 @@
             _end(state, key, now)
 
 
+def _judge_dispute(state: AgentState, key: int, now: int) -> None:
+    """Gives a flow up when too many witnesses have another holder for it.
+
+    This happens to a process that slept beyond its leases. The caller is not told: its flow is
+    alive at the other holder.
+    """
+    flows = state.flows
+    row = flows.row(key)
+    if row == MISSING:
+        return
+    witnesses = flows.witnesses[row]
+    if len(witnesses) - flows.votes[row].bit_count() >= quorum(len(witnesses)):
+        return
+    state.outbox.send(state.config.local, UpstreamClose(key, Code.FLOW_LOST))
+    state.counters.add("flows_disputed")
+    _end(state, key, now)
+
+
 def _tell_caller(state: AgentState, row: int, code: Code) -> None:
     flows = state.flows
     caller, vip, balancer = flows.caller[row], flows.vip[row], flows.balancer[row]
--- a/shallotshore/former_tables.py
+++ b/shallotshore/former_tables.py
@@ -47,26 +47,25 @@
         self._present: dict[int, Address] = {}
         self._former: list[FormerTable] = []
 
-    def adopt(self, membership: int, addresses: dict[int, Address], now: int) -> bool:
+    @property
+    def membership(self) -> int:
+        """Revision of the present set, or -1."""
+        return self._revision
+
+    def adopt(self, membership: int, addresses: dict[int, Address], now: int) -> None:
         """Notes the present set of upstreams.
 
         Args:
             membership: Revision at which the set last changed.
             addresses: Agents' addresses by upstream id.
             now: Monotonic time in milliseconds.
-
-        Returns:
-            Whether the set is another one than before.
         """
-        if membership == self._revision:
-            return False
         if self._present:
             table = FormerTable(self._revision, self._present)
             table.until = now + FORMER_LIFE
             self._former = [*self._former[1 - MAX_FORMER :], table]
         self._revision = membership
         self._present = addresses
-        return True
 
     def witnesses(self, key: int, now: int) -> tuple[int, ...]:
         """Returns the witnesses that a key had under former tables that still count."""
--- a/shallotshore/peers.py
+++ b/shallotshore/peers.py
@@ -1,11 +1,12 @@
 """Heartbeats between agents, repair of claim lists, and recovery after a restart."""
 
-__all__ = ["PeersSystem", "lend", "take_home"]
+__all__ = ["PeersSystem", "extend_leases", "hand_over", "lend", "take_home"]
 
 from functools import singledispatch
 
 from shallotshore.agent_state import AgentState
-from shallotshore.agent_tables import FlowState
+from shallotshore.agent_tables import ClaimState, FlowState
+from shallotshore.claiming import DISPUTE_ROUND
 from shallotshore.claims import (
     FLOW_LEASE,
     PACKET_DELAY,
@@ -25,6 +26,7 @@
     Heartbeat,
     Message,
 )
+from shallotshore.placement import WITNESSES
 from shallotshore.tables import MISSING
 
 PARENT_INTERVAL = 500  # ms between heartbeats to parent balancers
@@ -53,7 +55,7 @@
         """Runs the step at `now` (ms)."""
         state = self._state
         if state.table_changed:
-            _relend(state)
+            _relend(state, now)
         for message_type in (Heartbeat, ClaimQuery, ClaimSync):
             for source, message in state.inbox.take(message_type):
                 _handle(message, state, source, now)
@@ -64,6 +66,7 @@
                 state.outbox.send(parent, self._heartbeat(MISSING, now))
         if now >= self._next_peers:
             self._next_peers = now + PEER_INTERVAL
+            _renew_own_lease(state, now)
             for peer in state.peer_ids():
                 state.send_to_peer(peer, self._heartbeat(state.peers.add(peer), now))
 
@@ -122,7 +125,7 @@
             state.peers.lent_digest[peer] ^= state.flows.key[row]
 
 
-def _relend(state: AgentState) -> None:
+def _relend(state: AgentState, now: int) -> None:
     """Computes the witnesses of all own flows anew and syncs with those that gained keys."""
     gained: set[int] = set()
     for row in state.flows.rows():
@@ -134,6 +137,38 @@
         gained.update(set(state.flows.witnesses[row]).difference(former))
     for peer in gained:
         _send_sync(state, peer, state.own)
+    if state.own in gained:
+        for key in _keys_lent_to(state, state.own):
+            _keep_own_claim(state, key, now)
+
+
+def extend_leases(state: AgentState, gap: int) -> None:
+    """Prolongs the claims kept for peers by a pause in which their heartbeats went unheard."""
+    for row in state.peers.rows():
+        if state.peers.lease[row]:
+            state.peers.lease[row] += gap
+
+
+def hand_over(state: AgentState) -> None:
+    """Sends the flow claims kept for peers to the upstream that ranks after their witnesses."""
+    lists: dict[tuple[int, int], list[int]] = {}
+    for row in state.claims.rows():
+        key, holder = state.claims.key[row], state.claims.holder[row]
+        is_flow = state.claims.kind[row] == ClaimKind.FLOW
+        if not is_flow or state.claims.state[row] != ClaimState.HELD or holder == state.own:
+            continue
+        order = state.placement.order(state.service, key, WITNESSES + 1)
+        if len(order) > WITNESSES and order[-1] not in (holder, state.own):
+            lists.setdefault((order[-1], holder), []).append(key)
+    for (peer, holder), keys in lists.items():
+        _send_list(state, peer, holder, _incarnation_of(state, holder), keys)
+    state.counters.add("claims_handed_over", sum(len(keys) for keys in lists.values()))
+
+
+def _renew_own_lease(state: AgentState, now: int) -> None:
+    row = state.peers.add(state.own)
+    if row != MISSING:
+        state.peers.lease[row] = now + FLOW_LEASE
 
 
 @singledispatch
@@ -158,6 +193,8 @@
     has_restarted = message.agent_incarnation != peers.agent_incarnation[row]
     peers.agent_incarnation[row], peers.sequence[row] = order
     peers.heard[row] = now
+    peers.address[row] = source
+    state.phase.settling_until = min(state.phase.settling_until, now)
     peers.state[row] = message.state
     if has_restarted and peers.lent[row]:
         _send_sync(state, message.upstream, state.own)
@@ -202,8 +239,7 @@
         _send_sync(state, message.holder, message.holder)
         return
     for peer in state.peer_ids():
-        record = state.catalog.upstream(peer)
-        if record is not None and record.address == source:
+        if _is_from(state, source, peer):
             _send_sync(state, peer, state.own)
 
 
@@ -213,17 +249,22 @@
     For the own upstream these are the flows that the peer witnesses, for the peer itself the
     claims that are kept here.
     """
-    if peer == state.own:
-        return
-    if holder == state.own:
-        keys = _keys_lent_to(state, peer)
-        incarnation = state.upstream.incarnation
-    else:
+    if holder != state.own:
         keys = flow_claims_of(state, holder)
-        row = state.peers.row(holder)
-        incarnation = 0 if row == MISSING else state.peers.incarnation[row]
-    if holder == state.own and state.phase.recovering:
-        return
+        _send_list(state, peer, holder, _incarnation_of(state, holder), keys)
+    elif peer != state.own and not state.phase.recovering:
+        keys = _keys_lent_to(state, peer)
+        _send_list(state, peer, holder, state.upstream.incarnation, keys)
+
+
+def _incarnation_of(state: AgentState, peer: int) -> int:
+    row = state.peers.row(peer)
+    return 0 if row == MISSING else state.peers.incarnation[row]
+
+
+def _send_list(
+    state: AgentState, peer: int, holder: int, incarnation: int, keys: list[int]
+) -> None:
     parts = max(1, -(-len(keys) // KEYS_PER_SYNC))
     for part in range(parts):
         chunk = tuple(keys[part * KEYS_PER_SYNC : (part + 1) * KEYS_PER_SYNC])
@@ -252,9 +293,8 @@
         state.counters.add("claim_lists_late")
         return
     for peer in state.peer_ids():
-        record = state.catalog.upstream(peer)
         row = state.peers.add(peer)
-        if record is not None and record.address == source and row != MISSING:
+        if _is_from(state, source, peer) and row != MISSING:
             _note_part(state, row, message)
     for key in message.keys:
         _recover_flow(state, key, now)
@@ -306,27 +346,52 @@
 
 
 def _take_list(state: AgentState, message: ClaimSync, source: Address, now: int) -> None:
-    """Takes over a holder's list; a list in one part also shows what the holder has ended."""
-    conflicts = 0
-    row = state.peers.row(message.holder)
-    if row != MISSING and message.incarnation < state.peers.incarnation[row]:
+    """Takes over a holder's list; the holder's own list also shows what it has ended."""
+    row = state.peers.add(message.holder)
+    if row == MISSING or message.incarnation < state.peers.incarnation[row]:
         state.counters.add("claim_lists_late")
         return
+    is_own_list = _is_from(state, source, message.holder)
     for key in message.keys:
         claim = _listed_claim(state, key, message.holder, message.incarnation)
-        if record_flow_claim(state, claim, now) == Code.HELD:
-            conflicts += 1
-            present = state.claims.holder[state.claims.row(key)]
-            reply = ClaimReply(key, 0, state.own, Code.HELD, present)
-            state.outbox.send(source, reply)
-    state.counters.add("claim_conflicts", conflicts)
-    if message.parts == 1:
-        _drop_unlisted(state, message, now)
-
-
-def _drop_unlisted(state: AgentState, message: ClaimSync, now: int) -> None:
-    listed = set(message.keys)
-    for key in flow_claims_of(state, message.holder):
-        row = state.claims.row(key)
-        if key not in listed and now - state.claims.granted[row] >= SETTLED_AFTER:
+        if record_flow_claim(state, claim, now, spare=not is_own_list) == Code.HELD:
+            _dispute(state, key, source)
+    if is_own_list and _has_whole_list(state, row, message):
+        _drop_unlisted(state, message.holder, state.peers.listed[row], now)
+
+
+def _dispute(state: AgentState, key: int, source: Address) -> None:
+    """Tells one who lists a flow that another holds it here."""
+    state.counters.add("claim_conflicts")
+    present = state.claims.holder[state.claims.row(key)]
+    reply = ClaimReply(key, DISPUTE_ROUND, state.own, Code.HELD, present)
+    state.outbox.send(source, reply)
+
+
+def _is_from(state: AgentState, source: Address, peer: int) -> bool:
+    record = state.catalog.upstream(peer)
+    row = state.peers.row(peer)
+    heard = None if row == MISSING else state.peers.address[row]
+    return source == (heard if record is None else record.address)
+
+
+def _has_whole_list(state: AgentState, row: int, message: ClaimSync) -> bool:
+    """Gathers the parts of a list; a part that is here already begins a new list."""
+    peers = state.peers
+    if message.part in peers.parts[row] or message.parts == 1:
+        peers.parts[row] = peers.listed[row] = frozenset()
+    peers.parts[row] |= {message.part}
+    peers.listed[row] |= frozenset(message.keys)
+    if len(peers.parts[row]) < message.parts:
+        return False
+    peers.parts[row] = frozenset()
+    return True
+
+
+def _drop_unlisted(state: AgentState, holder: int, listed: frozenset[int], now: int) -> None:
+    claims = state.claims
+    for key in flow_claims_of(state, holder):
+        row = claims.row(key)
+        settled = now - claims.granted[row] >= SETTLED_AFTER
+        if key not in listed and settled and not claims.spare[row]:
             drop_flow_claim(state, key)
--- a/shallotshore/ramp.py
+++ b/shallotshore/ramp.py
@@ -13,6 +13,7 @@
 COLD_EVIDENCE_WINDOW = 1_000  # ms within which slow and failed answers count as one sign
 FAILURES_IN_A_ROW = 3  # refusals alone that show a limit above what the upstream bears
 OPEN_WINDOW = 1_000  # ms
+OPENS_PER_SLOT = 10  # flows a second; an opening costs a server far less than a request
 
 
 class Ramp:
@@ -95,7 +96,8 @@
         """Returns whether one more flow may be opened within the second."""
         while self._opens and now - self._opens[0] >= OPEN_WINDOW:
             self._opens.popleft()
-        return self.is_warm(record) or len(self._opens) < max(1, record.cold_limit) + self._steps
+        bears = OPENS_PER_SLOT * self.limit(record)
+        return self.is_warm(record) or len(self._opens) < bears
 
     def note_flow(self) -> None:
         """Notes that an opened flow got its first data."""
--- a/shallotshore/upstream_link.py
+++ b/shallotshore/upstream_link.py
@@ -1,6 +1,6 @@
 """Health of the local upstream and detection of its restarts."""
 
-__all__ = ["UpstreamLinkSystem", "note_upstream"]
+__all__ = ["UpstreamLinkSystem", "note_upstream", "restart_ramp"]
 
 from shallotshore.agent_state import AgentState
 from shallotshore.messages import UpstreamHealth, UpstreamProbe
@@ -46,6 +46,15 @@
         return False
     if incarnation > upstream.incarnation:
         upstream.incarnation = incarnation
-        state.counters.add("upstream_incarnations")
+        upstream.ready = False  # until this incarnation says so itself
+        restart_ramp(state, now)
     upstream.heard = now
     return True
+
+
+def restart_ramp(state: AgentState, now: int) -> None:
+    """Starts the ramp from the cold limit; no work starts above it from here on."""
+    state.ramp.restart(now)
+    record = state.record
+    state.limit = 0 if record is None else state.ramp.limit(record)
+    state.counters.add("ramps_started")
