Test claims and faults between agents

Cause: at-most-once and single ownership must hold under loss, duplication, reordering and restarts.

--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,146 @@
+"""Tests of the witness side of claims."""
+
+import random
+import unittest
+from dataclasses import replace
+
+from shallotshore.agent import AgentConfig, AgentCore
+from shallotshore.catalog import Catalog
+from shallotshore.claims import REQUEST_LEASE, TOMBSTONE_LEASE, judge_claim, live_holder, take_back
+from shallotshore.codes import Code
+from shallotshore.messages import Claim, ClaimKind, Heartbeat, Release, Void, VoidReply
+from tests.agents import SERVICE, records
+
+OLD = 100_000  # ms of uptime: the witness vouches for every request
+
+
+def witness(revision: int = 1) -> AgentCore:
+    """Returns a witness that has been up for long."""
+    config = AgentConfig(
+        ("10.2.0.0", 4000), "dc-0", "desk-0", "spotdesk", ("127.0.0.1", 0), incarnation=1
+    )
+    core = AgentCore(config, random.Random(1), Catalog.from_records(revision, records(5)))
+    core.tick(1)
+    return core
+
+
+def claim(holder: int, round_number: int, kind: ClaimKind = ClaimKind.REQUEST) -> Claim:
+    """Returns a claim of key 9."""
+    return Claim(9, kind, SERVICE, holder, 1, round_number, 0, 60_000, 1)
+
+
+class ClaimsTest(unittest.TestCase):
+    """Guards at-most-once: a witness must never let two holders have one key."""
+
+    def setUp(self) -> None:
+        self.core = witness()
+        self.state = self.core.state
+
+    def judge(self, message: Claim, now: int = OLD) -> int | None:
+        reply = judge_claim(self.state, message, now)
+        return None if reply is None else reply.code
+
+    def void(self, now: int = OLD, age: int = 0) -> int:
+        self.core.tick(now)  # ends the pause since the tick before, which drops what is read late
+        self.core.receive(("10.1.0.1", 1), Void(9, 5, SERVICE, age, 10_000, 1))
+        self.core.tick(now)
+        sent = [m for _, m in self.core.outbox.drain() if isinstance(m, VoidReply)]
+        return sent[-1].code
+
+    def test_second_holder_is_refused_and_told_the_first(self) -> None:
+        self.assertEqual(self.judge(claim(11, 1)), Code.OK)
+        reply = judge_claim(self.state, claim(12, 1), OLD)
+        assert reply is not None
+        self.assertEqual((reply.code, reply.holder), (Code.HELD, 11))
+
+    def test_repeated_claim_is_granted_again(self) -> None:
+        """A lost reply must not make the holder lose its own claim."""
+        self.assertEqual([self.judge(claim(11, 1)) for _ in range(2)], [Code.OK, Code.OK])
+
+    def test_late_copies_of_an_ended_round_change_nothing(self) -> None:
+        """A copy of round 1 that is delayed past round 2 must not free the key."""
+        self.judge(claim(11, 1))
+        take_back(self.state, Release(9, 11, 1), OLD)
+        self.assertIsNone(self.judge(claim(11, 1)))
+        self.assertEqual(self.judge(claim(11, 2)), Code.OK)
+        self.assertIsNone(self.judge(claim(11, 1)))
+        take_back(self.state, Release(9, 11, 1), OLD)
+        self.assertEqual(self.judge(claim(12, 1)), Code.HELD)
+
+    def test_release_before_its_claim_stops_the_claim(self) -> None:
+        take_back(self.state, Release(9, 11, 1), OLD)
+        self.assertIsNone(self.judge(claim(11, 1)))
+        self.assertEqual(self.judge(claim(12, 1)), Code.OK)
+        self.assertEqual(self.judge(claim(11, 1), OLD + TOMBSTONE_LEASE), Code.HELD)
+
+    def test_release_of_another_holder_frees_nothing(self) -> None:
+        self.judge(claim(11, 1))
+        take_back(self.state, Release(9, 12, 7), OLD)
+        self.assertEqual(self.judge(claim(12, 8)), Code.HELD)
+
+    def test_restarted_holder_is_refused_its_own_request(self) -> None:
+        """The earlier process may have run the request, and its memory is gone."""
+        self.judge(claim(11, 1))
+        self.assertEqual(self.judge(replace(claim(11, 5), incarnation=2)), Code.HELD)
+        self.assertEqual(self.judge(claim(11, 6)), Code.OK)
+
+    def test_repeatable_key_has_several_holders_and_frees_one_by_one(self) -> None:
+        kind = ClaimKind.REPEATABLE_REQUEST
+        self.assertEqual(self.judge(claim(11, 1, kind)), Code.OK)
+        self.assertEqual(self.judge(claim(12, 1, kind)), Code.OK)
+        take_back(self.state, Release(9, 11, 1), OLD)
+        self.assertEqual(self.void(), Code.HELD)
+        take_back(self.state, Release(9, 12, 1), OLD)
+        self.assertEqual(self.void(), Code.OK)
+
+    def test_void_and_claim_exclude_each_other(self) -> None:
+        """A request reported as not run must not start later."""
+        self.assertEqual(self.void(), Code.OK)
+        for kind in (ClaimKind.REQUEST, ClaimKind.REPEATABLE_REQUEST):
+            self.assertEqual(self.judge(claim(11, 1, kind)), Code.VOIDED)
+        self.assertEqual(self.void(), Code.OK)
+
+    def test_claimed_key_is_not_voided(self) -> None:
+        self.judge(claim(11, 1))
+        self.assertEqual(self.void(), Code.HELD)
+
+    def test_young_witness_vouches_for_nothing_older(self) -> None:
+        """A restarted witness may have lost a grant or a void."""
+        self.assertEqual(self.judge(claim(11, 1), now=2_000), Code.TOO_YOUNG)
+        self.assertEqual(self.judge(replace(claim(11, 1), age=3_000), now=5_000), Code.TOO_YOUNG)
+        self.assertEqual(self.void(now=5_000, age=3_000), Code.TOO_YOUNG)
+        self.assertEqual(self.judge(replace(claim(11, 1), age=2_900), now=5_000), Code.OK)
+
+    def test_claim_under_an_older_table_is_refused(self) -> None:
+        core = witness(revision=4)
+        reply = judge_claim(core.state, replace(claim(11, 1), membership=3), OLD)
+        assert reply is not None
+        self.assertEqual(reply.code, Code.STALE_TABLE)
+
+    def test_claim_of_another_service_is_not_answered(self) -> None:
+        self.assertIsNone(self.judge(replace(claim(11, 1), service=1)))
+
+    def test_request_claim_lapses_after_its_lease(self) -> None:
+        self.judge(claim(11, 1))
+        self.assertEqual(self.judge(claim(12, 1), OLD + REQUEST_LEASE - 1), Code.HELD)
+        self.assertEqual(self.judge(claim(12, 2), OLD + REQUEST_LEASE), Code.OK)
+
+    def test_heartbeats_renew_flow_claims(self) -> None:
+        holder = self.state.peer_ids()[0]
+        self.judge(claim(holder, 1, ClaimKind.FLOW))
+        beat = Heartbeat(holder, SERVICE, 1, 1, 1, 1, self.state.load(), 1, 1, 9)  # type: ignore
+        self.core.tick(OLD + 29_000)
+        self.core.receive(("10.2.0.1", 4000), beat)
+        self.core.tick(OLD + 29_000)
+        self.assertIsNotNone(live_holder(self.state, 9, OLD + 58_000))
+        self.assertIsNone(live_holder(self.state, 9, OLD + 59_000))
+
+    def test_full_table_refuses_new_keys(self) -> None:
+        self.judge(claim(11, 1))
+        self.state.claims._limit = 1
+        self.assertEqual(self.judge(replace(claim(11, 2), key=10)), Code.TABLE_FULL)
+        self.assertEqual(self.judge(claim(11, 1)), Code.OK)
+
+
+if __name__ == "__main__":
+    unittest.main()
