--- a/tests/agents.py
+++ b/tests/agents.py
@@ -1,5 +1,21 @@
 """A few agents with scripted upstreams on a virtual clock and a network with faults."""
 
+__all__ = [
+    "ACME",
+    "BALANCER",
+    "CALLER",
+    "GROVE",
+    "OTHER_VIP",
+    "SERVICE",
+    "VIP",
+    "YOUTH",
+    "FakeUpstream",
+    "Fleet",
+    "attempt",
+    "packet",
+    "records",
+]
+
 import random
 from collections.abc import Iterable
 from dataclasses import replace
@@ -17,7 +33,6 @@
     Message,
     PacketKind,
     UpstreamAnswer,
-    UpstreamCancel,
     UpstreamData,
     UpstreamHealth,
     UpstreamOpen,
@@ -136,6 +151,12 @@
         self.upstreams.setdefault(local, FakeUpstream(local))
         return core
 
+    def restart(self, upstream: int, incarnation: int) -> AgentCore:
+        """Restarts the agent of an upstream id; what it held is gone."""
+        name = self.agent(upstream).state.config.upstream
+        record = next(r for r in self.records if isinstance(r, Upstream) and r.name == name)
+        return self.start(record, incarnation)
+
     def agent(self, upstream: int) -> AgentCore:
         """Returns the agent of an upstream id."""
         return next(core for core in self.agents.values() if core.state.own == upstream)
@@ -239,22 +260,3 @@
         1,
         name,
     )
-
-
-__all__ = [
-    "ACME",
-    "BALANCER",
-    "CALLER",
-    "GROVE",
-    "OTHER_VIP",
-    "SERVICE",
-    "TICK",
-    "VIP",
-    "YOUTH",
-    "FakeUpstream",
-    "Fleet",
-    "UpstreamCancel",
-    "attempt",
-    "packet",
-    "records",
-]
