--- a/shallotshore/agent.py
+++ b/shallotshore/agent.py
@@ -8,7 +8,7 @@
 
 from shallotshore.admission import AdmissionSystem
 from shallotshore.agent_state import AgentConfig, AgentState
-from shallotshore.answers import AnswerSystem
+from shallotshore.outcomes import AnswerSystem
 from shallotshore.catalog import Catalog
 from shallotshore.claiming import ClaimingSystem
 from shallotshore.claims import ClaimsSystem
--- a/shallotshore/requests.py
+++ b/shallotshore/requests.py
@@ -5,7 +5,7 @@
 from shallotshore.admission import may_accept, mismatch
 from shallotshore.agent_state import AgentState
 from shallotshore.agent_tables import ClaimingState, ClaimState, RequestState
-from shallotshore.answers import (
+from shallotshore.outcomes import (
     abandon,
     attempt_for,
     decline,
