--- a/shallotshore/dispatch.py
+++ b/shallotshore/dispatch.py
@@ -4,7 +4,7 @@
 
 from functools import singledispatchmethod
 
-from shallotshore.answer_parts import AnswerParts
+from shallotshore.answers import AnswerParts
 from shallotshore.balancer_state import BalancerState
 from shallotshore.candidates import Candidates
 from shallotshore.codes import Code, Outcome
