--- a/shallotshore/datagrams.py
+++ b/shallotshore/datagrams.py
@@ -150,4 +150,5 @@
         if plain and self._plain_from not in (None, source):
             self._counters.add("datagrams.refused.plain_source")
             return
+        self._counters.add(f"datagrams.received.{type(message).__name__.lower()}")
         self._deliver(source, message)
--- a/standins/checker.py
+++ b/standins/checker.py
@@ -1,6 +1,6 @@
 """Judges the promises from what callers, upstreams and the network saw, and from the journal."""
 
-__all__ = ["PROMISES", "Judgement", "Verdict", "judge"]
+__all__ = ["PROMISES", "SECONDS_TO_OBEY", "Judgement", "Verdict", "excused", "judge"]
 
 from collections.abc import Callable, Iterator
 from typing import NamedTuple, TypeAlias
@@ -39,7 +39,7 @@
         yield from log.requests
 
 
-def _excused(world: World, end: FeedEnd) -> bool:
+def excused(world: World, end: FeedEnd) -> bool:
     """Whether a feed's server ended, or its data centre was out, while the feed was open."""
     name = end.session.split("/")[0]
     if any(end.opened <= at <= end.ended for at in world.journal.ended.get(name, ())):
@@ -58,7 +58,7 @@
     """P1: an established feed ends only with its server, its data centre or its caller's wish."""
     for log in world.caller_logs:
         for end in log.broken:
-            if _excused(world, end) or _customer_gone(world, end.customer, end.opened, end.ended):
+            if excused(world, end) or _customer_gone(world, end.customer, end.opened, end.ended):
                 continue
             text = f"feed {end.flow} of {end.customer} on {end.session} ended with {end.code}"
             yield Verdict("P1", end.ended, text)
--- /dev/null
+++ b/standins/demo.py
@@ -0,0 +1,230 @@
+"""Runs both users' deployments on loopback and shows what their customers see.
+
+Balancers and agents are processes of their own; callers, upstreams, fabric, configuration service
+and VM list are stand-ins in this process. All talk through real sockets.
+"""
+
+__all__ = ["main"]
+
+import asyncio
+import random
+import signal
+import sys
+import tempfile
+from functools import partial
+from pathlib import Path
+from string import Template
+
+import msgspec
+import structlog
+from absl import flags
+
+from shallotshore.application import clock
+from shallotshore.control import ControlClient, PeerRefusedError
+from shallotshore.messages import StatusRequest
+from shallotshore.systems import Counters
+from standins.checker import SECONDS_TO_OBEY, judge
+from standins.demo_table import rows_of, table
+from standins.deployments import KOLTSEGTER, VATULELE
+from standins.events import VERBS
+from standins.live_world import LiveWorld
+from standins.ports import HOST, Ports
+from standins.scenario import Line, Scenario
+
+# Upstreams that have just met their agents are taken for cold, so the usual load comes late.
+SCRIPT = f"""
+0    deployment {KOLTSEGTER} {VATULELE}
+0    load $main * feeds=20 rate=3
+0    load $bulk * feeds=5 rate=0.5
+9    load * * usual
+16   kill_balancer balancer-2
+17   add_balancer $dc1
+20   drain $main-1
+24   add_upstream $main $dc1
+28   data_centre $dc2 out
+36   data_centre $dc2 in
+41   load * * rate=0
+45   end
+"""
+STEADY = (12_000, 16_000)  # ms: the usual load before the first change
+OUT_FROM, OUT_UNTIL = 28_000 + SECONDS_TO_OBEY, 36_000  # ms
+READY_LIMIT = 15.0  # seconds for all programs to start and hold a revision
+PROGRESS_INTERVAL = 5.0  # seconds
+_WORK = ("datagrams.received.forward", "datagrams.received.attempt")
+
+
+class Demo:
+    """One user's deployment, its script and what was seen.
+
+    Attributes:
+        user: Name of the user.
+        world: The deployment.
+        late_packets: Packets that came to a removed data centre after its limit, by service.
+    """
+
+    __slots__ = ("_client", "_scenario", "_started", "late_packets", "user", "world")
+
+    def __init__(self, user: str, seed: int, ports: Ports, logs: Path) -> None:
+        """Starts all processes of a user's deployment."""
+        self.user = user
+        self.world = LiveWorld.on_loopback(user, seed, ports, logs)
+        self.late_packets: dict[str, int] = {}
+        self._scenario = Scenario.from_text(SCRIPT)
+        self._client = ControlClient((HOST, 0), None, Counters())
+        self._started = 0
+
+    async def run(self) -> None:
+        """Waits until the programs are ready and plays the script."""
+        await self.world.pump.settle()
+        await self._until_ready()
+        self._started = clock()
+        for line in self._scenario.lines:
+            self.world.pump.call_at(self._started + line.at, partial(self._act, line))
+        watch = asyncio.create_task(self._watch_removed())
+        while clock() < self._started + self._scenario.end:
+            await asyncio.sleep(PROGRESS_INTERVAL / 5)
+            self.world.pump.look_for_dead()
+            if (clock() - self._started) % (PROGRESS_INTERVAL * 1000) < PROGRESS_INTERVAL * 200:
+                self._say(self._progress())
+        await watch
+
+    def result(self) -> list[str]:
+        """Prints the table and returns every broken promise as text."""
+        steady = (self._started + STEADY[0], self._started + STEADY[1])
+        print(f"\n{self.user}\n{table(rows_of(self.world, steady, self.late_packets))}")
+        faults = [f"{v.promise}: {v.text}" for v in judge(self.world)]
+        faults += [
+            f"P4: {count} packets came to the removed data centre for {service}"
+            for service, count in self.late_packets.items()
+            if count
+        ]
+        return [f"{self.user}: {fault}" for fault in faults + self.world.pump.faults]
+
+    async def close(self) -> None:
+        """Ends all processes."""
+        await self._client.close()
+        await self.world.pump.close()
+
+    def _act(self, line: Line) -> None:
+        names = self.world.plan.words()
+        words = [Template(word).substitute(names) for word in line.words]
+        self._say(" ".join([line.verb, *words]))
+        VERBS[line.verb](self.world, words)
+
+    def _say(self, text: str) -> None:
+        print(f"{(clock() - self._started) / 1000:5.1f} s  {self.user:<11} {text}", flush=True)
+
+    def _progress(self) -> str:
+        logs = self.world.caller_logs
+        return ", ".join(
+            [
+                f"{sum(len(log.sessions) for log in logs)} feeds open",
+                f"{sum(len(log.broken) for log in logs)} ended",
+                f"{sum(len(log.requests) for log in logs)} requests answered",
+            ]
+        )
+
+    async def _until_ready(self) -> None:
+        """Waits until every program answers and holds a revision.
+
+        Raises:
+            TimeoutError: A program is not ready in time.
+        """
+        async with asyncio.timeout(READY_LIMIT):
+            for name in self.world.programs():
+                while not await self._is_ready(name):
+                    await asyncio.sleep(0.1)
+
+    async def _is_ready(self, name: str) -> bool:
+        report = await self._report(name)
+        core = report.get("core") if report else None
+        return isinstance(core, dict) and core.get("revision", 0) > 0
+
+    async def _report(self, name: str) -> dict:
+        process = self.world.pump.process(name)
+        if process is None:
+            return {}
+        try:
+            reply = await self._client.status(process.addresses[0], StatusRequest(1))
+        except PeerRefusedError:
+            return {}
+        return msgspec.json.decode(reply.text)
+
+    async def _watch_removed(self) -> None:
+        """Counts what comes to agents of the removed data centre after its limit."""
+        removed = self.world.plan.data_centres[1]
+        servers = [s for s in self.world.plan.servers.values() if s.settings.data_centre == removed]
+        await self._sleep_until(OUT_FROM)
+        before = {s.settings.name: await self._packets(s.settings.name) for s in servers}
+        await self._sleep_until(OUT_UNTIL - 500)
+        for server in servers:
+            service, name = server.settings.service, server.settings.name
+            gained = await self._packets(name) - before[name]
+            self.late_packets[service] = self.late_packets.get(service, 0) + gained
+
+    async def _sleep_until(self, at: int) -> None:
+        await asyncio.sleep(max(0, self._started + at - clock()) / 1000)
+
+    async def _packets(self, upstream: str) -> int:
+        report = await self._report(f"{upstream}.agent")
+        counters = report.get("counters", {})
+        return sum(counters.get(name, 0) for name in _WORK)
+
+
+def main(arguments: list[str]) -> int:
+    """Runs the demo.
+
+    Args:
+        arguments: `--users=a,b` and `--seed=N`.
+
+    Returns:
+        The exit status: 0 when every promise was kept.
+    """
+    flag_values = flags.FlagValues()
+    users = [KOLTSEGTER, VATULELE]
+    flags.DEFINE_list("users", users, "Users to run.", flag_values=flag_values)
+    flags.DEFINE_integer("seed", 1, "Seed of the stand-ins.", flag_values=flag_values)
+    try:
+        flag_values(["demo", *arguments])
+    except flags.Error as error:
+        print(error, file=sys.stderr)
+        return 2
+    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(40))
+    return asyncio.run(_run(flag_values.users, flag_values.seed))
+
+
+async def _run(users: list[str], seed: int) -> int:
+    """Runs the users' deployments side by side; ends all processes whatever happens."""
+    loop, task = asyncio.get_running_loop(), asyncio.current_task()
+    assert task is not None
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, task.cancel)
+    ports = Ports.blocks(len(users), random.Random())
+    demos: list[Demo] = []
+    with tempfile.TemporaryDirectory(prefix="shallotshore-demo-") as folder:
+        try:
+            for number, user in enumerate(users):
+                logs = Path(folder) / user
+                logs.mkdir()
+                demos.append(Demo(user, seed + number, ports[number], logs))
+            await asyncio.gather(*(demo.run() for demo in demos))
+            faults = [fault for demo in demos for fault in demo.result()]
+        except TimeoutError:
+            faults = ["the programs were not ready in time"]
+        finally:
+            for demo in demos:
+                await demo.close()
+        if faults:
+            _show_logs(Path(folder))
+    for fault in faults:
+        print(fault)
+    print(f"{len(faults)} broken promises" if faults else "all promises were kept")
+    return 1 if faults else 0
+
+
+def _show_logs(folder: Path) -> None:
+    """Prints the lines that programs wrote at the level of errors, a few of each."""
+    for path in sorted(folder.glob("*/*.log")):
+        lines = [line for line in path.read_text().splitlines() if '"level": "error"' in line]
+        for line in lines[:3]:
+            print(f"{path.parent.name}/{path.stem}: {line}")
--- /dev/null
+++ b/standins/demo_table.py
@@ -0,0 +1,95 @@
+"""The demo's table: what each customer saw at each service."""
+
+__all__ = ["Row", "rows_of", "table"]
+
+from typing import NamedTuple
+
+from shallotshore.codes import Outcome
+from standins.caller import Caller
+from standins.checker import excused
+from standins.measures import imbalance, percentile
+from standins.world import World
+
+
+class Row(NamedTuple):
+    """One customer's use of one service; latencies in ms, counts of flows and requests.
+
+    `given_up` counts feeds that ended with their server or its data centre; `broken` all others
+    that the caller did not end. `lost` counts requests whose caller heard nothing.
+    """
+
+    customer: str
+    service: str
+    flows: int
+    broken: int
+    given_up: int
+    requests: int
+    done: int
+    lost: int
+    doubled: int
+    not_run: int
+    unknown: int
+    p50: int
+    p99: int
+    imbalance: float
+    late_packets: int
+
+
+def rows_of(world: World, steady: tuple[int, int], late_packets: dict[str, int]) -> list[Row]:
+    """Returns the rows of a deployment.
+
+    Args:
+        world: A deployment that has run.
+        steady: Begin and end (ms) of the time for which imbalance is taken.
+        late_packets: Packets that came to agents of a removed data centre after its limit, by
+            service.
+    """
+    starts: dict[bytes, int] = {}
+    for log in world.logs.values():
+        for run in log.runs:
+            starts[run.ident] = starts.get(run.ident, 0) + 1
+    return [
+        _row(world, caller, starts, steady, late_packets.get(caller.service, 0))
+        for caller in world.callers.values()
+    ]
+
+
+def _row(
+    world: World, caller: Caller, starts: dict[bytes, int], steady: tuple[int, int], late: int
+) -> Row:
+    log = caller.log
+    outcomes = [end.outcome for end in log.requests]
+    latencies = [end.ended - end.born for end in log.requests if end.outcome == Outcome.DONE]
+    given_up = sum(excused(world, end) for end in log.broken)
+    doubled = sum(not end.repeatable and starts.get(end.ident, 0) > 1 for end in log.requests)
+    return Row(
+        caller.customer,
+        caller.service,
+        len(log.sessions) + len(log.broken),
+        len(log.broken) - given_up,
+        given_up,
+        len(outcomes),
+        outcomes.count(Outcome.DONE),
+        outcomes.count(0),
+        doubled,
+        outcomes.count(Outcome.NOT_RUN),
+        outcomes.count(Outcome.UNKNOWN),
+        int(percentile(latencies, 0.50)),
+        int(percentile(latencies, 0.99)),
+        round(imbalance(world, caller.service, *steady), 2),
+        late,
+    )
+
+
+def table(rows: list[Row]) -> str:
+    """Returns rows as aligned text under their headings."""
+    headings = [name.replace("_", " ") for name in Row._fields]
+    lines = [headings, *([str(value) for value in row] for row in rows)]
+    widths = [max(len(line[column]) for line in lines) for column in range(len(headings))]
+    return "\n".join(
+        "  ".join(
+            cell.ljust(width) if column < 2 else cell.rjust(width)
+            for column, (cell, width) in enumerate(zip(line, widths, strict=True))
+        )
+        for line in lines
+    )
--- /dev/null
+++ b/standins/live.py
@@ -0,0 +1,316 @@
+"""Runs a deployment on real sockets: stand-ins in this process, the product's programs as others.
+
+`LivePump` has the interface of `standins.pump.Pump`, so that the same world, events and checker
+work on the virtual clock and on loopback.
+"""
+
+__all__ = ["LivePump", "LiveProcess", "Program", "Programs"]
+
+import asyncio
+import ctypes
+import os
+import signal
+import subprocess
+import sys
+from collections.abc import Callable, Coroutine
+from functools import partial, singledispatchmethod
+from pathlib import Path
+from typing import Any
+
+from shallotshore.application import Application, ApplicationConfig, clock
+from shallotshore.datagrams import DatagramEndpoint
+from shallotshore.messages import Address, Message
+from shallotshore.security import MacKeys
+from shallotshore.systems import Core
+from standins.configuration_service import PlatformService
+from standins.deployments import Server
+from standins.fabric import Fabric
+from standins.network import Network
+from standins.ports import Ports
+from standins.processes import Site
+
+_END_WAIT = 5.0  # seconds that a killed process has until the demo gives up waiting for it
+_SET_PARENT_DEATH_SIGNAL = 1  # option of prctl(2)
+
+
+class Program(Core):
+    """Stands for a balancer or an agent that runs as a process of its own.
+
+    Attributes:
+        arguments: Command line after the program's name.
+        child: The process, once it is started.
+    """
+
+    __slots__ = ("arguments", "child")
+
+    def __init__(self, arguments: list[str]) -> None:
+        super().__init__()
+        self.arguments = arguments
+        self.child: subprocess.Popen | None = None
+
+    def stop(self, now: int) -> None:
+        """Asks the process to stop gracefully."""
+        self.signal(signal.SIGTERM)
+
+    @property
+    def stopped(self) -> bool:
+        """Whether the process has ended."""
+        return self.child is not None and self.child.poll() is not None
+
+    def signal(self, number: int) -> None:
+        """Sends a signal to the process unless it has ended."""
+        if self.child is not None and self.child.poll() is None:
+            self.child.send_signal(number)
+
+
+class Programs:
+    """The cast of a live world: the product's own programs."""
+
+    __slots__ = ("_ports",)
+
+    def __init__(self, ports: Ports) -> None:
+        self._ports = ports
+
+    def balancer(self, site: Site) -> Program:
+        """Returns a balancer that is not started yet."""
+        return Program(["balancer", *self._settings(site)])
+
+    def agent(self, site: Site, server: Server) -> Program:
+        """Returns an agent that is not started yet."""
+        own = [
+            f"--name={server.settings.name}",
+            f"--service={server.settings.service}",
+            f"--upstream_address={_text(server.address)}",
+        ]
+        return Program(["agent", *self._settings(site), *own])
+
+    def _settings(self, site: Site) -> list[str]:
+        ports = self._ports
+        return [
+            f"--address={_text(site.address)}",
+            f"--data_centre={site.data_centre}",
+            f"--peers={','.join(_text(peer) for peer in site.peers)}",
+            f"--configuration_service={_text(ports.of(site.configuration))}",
+            f"--vm_list={_text(ports.of(site.vm_list))}",
+        ]
+
+
+class LiveProcess:
+    """One running core or program with its addresses and its place."""
+
+    __slots__ = (
+        "addresses",
+        "alive",
+        "application",
+        "core",
+        "endpoints",
+        "name",
+        "paused",
+        "place",
+    )
+
+    def __init__(self, name: str, place: str, addresses: list[Address], core: Core) -> None:
+        self.name = name
+        self.place = place
+        self.addresses = addresses
+        self.core = core
+        self.alive = True
+        self.paused = False
+        self.application: Application | None = None
+        self.endpoints: list[DatagramEndpoint] = []
+
+
+class LivePump:
+    """Starts, pauses and ends processes on loopback.
+
+    Attributes:
+        network: Not used: packets take the time that loopback takes.
+        taps: Not used: packets between programs cannot be seen from outside.
+        faults: What went wrong in the demo itself, as text.
+    """
+
+    __slots__ = (
+        "_jobs",
+        "_logs",
+        "_ports",
+        "_processes",
+        "_programs",
+        "_worker",
+        "faults",
+        "network",
+        "taps",
+    )
+
+    def __init__(self, network: Network, ports: Ports, logs: Path) -> None:
+        """Creates a pump without processes; needs a running loop.
+
+        Args:
+            network: Kept for the interface.
+            ports: Gives loopback addresses.
+            logs: Folder for the programs' log lines.
+        """
+        self.network = network
+        self.taps: dict[type, list] = {}
+        self.faults: list[str] = []
+        self._ports = ports
+        self._logs = logs
+        self._processes: dict[str, LiveProcess] = {}
+        self._programs: list[Program] = []
+        self._jobs: asyncio.Queue[Coroutine[Any, Any, None]] = asyncio.Queue()
+        self._worker = asyncio.get_running_loop().create_task(self._work())
+
+    @property
+    def now(self) -> int:
+        """Present time in ms, on the clock that applications use."""
+        return clock()
+
+    def process(self, name: str) -> LiveProcess | None:
+        """Returns the living process of a name."""
+        return self._processes.get(name)
+
+    def at_address(self, address: Address) -> LiveProcess | None:
+        """Returns the living process at an address."""
+        found = (p for p in self._processes.values() if address in p.addresses)
+        return next(found, None)
+
+    def start(self, name: str, place: str, addresses: list[Address], core: Core) -> LiveProcess:
+        """Starts a process; a living one of the same name is killed first."""
+        self.kill(name)
+        own = [self._ports.of(address) for address in addresses]
+        process = LiveProcess(name, place, own, core)
+        self._processes[name] = process
+        self._launch(core, process)
+        return process
+
+    def kill(self, name: str) -> None:
+        """Ends a process at once."""
+        process = self._processes.pop(name, None)
+        if process is None:
+            return
+        process.alive = False
+        if isinstance(process.core, Program):
+            process.core.signal(signal.SIGKILL)
+        else:
+            self._jobs.put_nowait(_close(process))
+
+    def pause(self, name: str) -> None:
+        """Stops a program; what arrives for it waits in its sockets."""
+        self._signal(name, signal.SIGSTOP, paused=True)
+
+    def resume(self, name: str) -> None:
+        """Lets a paused program go on."""
+        self._signal(name, signal.SIGCONT, paused=False)
+
+    def call_at(self, time: int, action: Callable[[], None]) -> None:
+        """Runs an action at a time in ms."""
+        asyncio.get_running_loop().call_later(max(0, time - self.now) / 1000, action)
+
+    def send_all(self, process: LiveProcess) -> None:
+        """Sends what a process wants to send."""
+        if process.application is not None:
+            process.application.wake()
+
+    async def settle(self) -> None:
+        """Waits until all starts and ends asked for are done."""
+        await self._jobs.join()
+
+    def look_for_dead(self) -> None:
+        """Notes programs that ended although nobody asked them to."""
+        for process in self._processes.values():
+            core = process.core
+            if isinstance(core, Program) and core.stopped and not process.paused:
+                code = core.child.returncode if core.child else None
+                text = f"{process.name} ended by itself with status {code}"
+                if code and text not in self.faults:
+                    self.faults.append(text)
+
+    async def close(self) -> None:
+        """Ends every process that was ever started, each by its own id."""
+        for name in list(self._processes):
+            self.kill(name)
+        for program in self._programs:
+            program.signal(signal.SIGKILL)
+        await asyncio.wait_for(self.settle(), _END_WAIT)
+        self._worker.cancel()
+        for program in self._programs:
+            if program.child is not None:
+                program.child.wait(_END_WAIT)
+
+    @singledispatchmethod
+    def _launch(self, core: Core, process: LiveProcess) -> None:
+        """Runs a stand-in in this process."""
+        self._run_here(process, control=False)
+
+    @_launch.register
+    def _(self, core: PlatformService, process: LiveProcess) -> None:
+        self._run_here(process, control=True)
+
+    @_launch.register
+    def _(self, core: Fabric, process: LiveProcess) -> None:
+        self._run_here(process, control=False)
+        assert process.application is not None
+        for address in process.addresses[1:]:
+            deliver = partial(_deliver_at, process.application, core, address)
+            endpoint = DatagramEndpoint(address, MacKeys.without_key(), core.counters, deliver)
+            process.endpoints.append(endpoint)
+            self._jobs.put_nowait(endpoint.start())
+
+    @_launch.register
+    def _(self, core: Program, process: LiveProcess) -> None:
+        with open(self._logs / f"{process.name}.log", "ab") as log:
+            core.child = subprocess.Popen(
+                [sys.executable, "-m", "shallotshore", *core.arguments],
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                preexec_fn=_die_with_parent,
+            )
+        self._programs.append(core)
+
+    def _run_here(self, process: LiveProcess, control: bool) -> None:
+        config = ApplicationConfig(process.addresses[0], control=control)
+        process.application = Application(process.core, config)
+        self._jobs.put_nowait(process.application.start())
+
+    def _signal(self, name: str, number: int, paused: bool) -> None:
+        process = self._processes.get(name)
+        if process is not None and isinstance(process.core, Program):
+            process.paused = paused
+            process.core.signal(number)
+
+    async def _work(self) -> None:
+        """Does starts and ends one after the other, so that a restart finds its port free."""
+        while True:
+            job = await self._jobs.get()
+            try:
+                await job
+            except (OSError, RuntimeError) as error:
+                self.faults.append(f"a stand-in could not start or end: {error}")
+            finally:
+                self._jobs.task_done()
+
+
+def _text(address: Address) -> str:
+    return f"{address[0]}:{address[1]}"
+
+
+def _deliver_at(
+    application: Application, core: Fabric, local: Address, source: Address, message: Message
+) -> None:
+    core.receive_at(local, source, message)
+    application.wake()
+
+
+async def _close(process: LiveProcess) -> None:
+    for endpoint in process.endpoints:
+        await endpoint.close()
+    if process.application is not None:
+        await process.application.close()
+
+
+def _die_with_parent() -> None:
+    """Has the kernel kill this new process when the demo ends, however it ends."""
+    parent = os.getppid()
+    ctypes.CDLL(None).prctl(_SET_PARENT_DEATH_SIGNAL, signal.SIGKILL)
+    if os.getppid() != parent:
+        os._exit(1)
--- a/standins/world.py
+++ b/standins/world.py
@@ -93,16 +93,20 @@
             cast: Makes the cores of balancers and agents.
         """
         world = cls(deployment(user), seed, cast)
-        world._start_platform()
-        for name in world.plan.balancers:
-            world.start_balancer(name)
-        for server in world.plan.servers.values():
-            world.start_upstream(server.settings.name, cold_since=LONG_AGO)
-            world.start_agent(server.settings.name)
-        for customer, service in world.plan.vips:
-            world.start_caller(customer, service)
+        world.start_all()
         return world
 
+    def start_all(self) -> None:
+        """Starts all processes of the deployment; its upstreams are warm."""
+        self._start_platform()
+        for name in self.plan.balancers:
+            self.start_balancer(name)
+        for server in self.plan.servers.values():
+            self.start_upstream(server.settings.name, cold_since=LONG_AGO)
+            self.start_agent(server.settings.name)
+        for customer, service in self.plan.vips:
+            self.start_caller(customer, service)
+
     @property
     def now(self) -> int:
         """Present time in ms."""
