Run deployments of stand-ins and programs on loopback

The demo has to show the product on real sockets. A pump with the interface of the virtual one starts stand-ins in its own process and balancers and agents as processes, so that world, events, checker and scenario lines are used unchanged. Children are ended by their own id, and the kernel ends them when the demo itself is killed.

Measured: a request's way through caller, fabric and a core on real sockets, and start, stop and kill of real agent processes, pass in the tests.

--- a/shallotshore/main.py
+++ b/shallotshore/main.py
@@ -7,6 +7,7 @@
 import os
 import random
 import sys
+import time
 from collections.abc import Callable, Sequence
 from importlib import import_module
 
@@ -105,30 +106,29 @@
 
 
 def _balancer_core(settings: Settings) -> RunnableCore:
-    from shallotshore.balancer import BalancerConfig, BalancerCore
-
-    config = BalancerConfig(
+    module = import_module("shallotshore.balancer")
+    config = module.BalancerConfig(
         address=settings.address,
         data_centre=settings.data_centre,
         peers=settings.peers,
-        configuration_service=settings.configuration_service,
+        configuration=settings.configuration,
         vm_list=settings.vm_list,
     )
-    return BalancerCore.from_config(config, random.Random(settings.seed))
+    return module.BalancerCore.from_config(config, random.Random(settings.seed))
 
 
 def _agent_core(settings: Settings) -> RunnableCore:
     from shallotshore.agent import AgentConfig, AgentCore
 
+    assert settings.upstream_address is not None, "required by read_settings"
     config = AgentConfig(
         address=settings.address,
         data_centre=settings.data_centre,
-        peers=settings.peers,
-        configuration_service=settings.configuration_service,
-        vm_list=settings.vm_list,
         upstream=settings.name,
         service=settings.service,
-        upstream_address=settings.upstream_address,
+        local=settings.upstream_address,
+        incarnation=time.time_ns() // 1_000_000,  # rises with each start, also on a new VM
+        peers=settings.peers,
     )
     return AgentCore.from_config(config, random.Random(settings.seed))
 
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -197,8 +197,8 @@
     """Runs the users' deployments side by side; ends all processes whatever happens."""
     loop, task = asyncio.get_running_loop(), asyncio.current_task()
     assert task is not None
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, task.cancel)
+    for signal_number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signal_number, task.cancel)
     ports = Ports.blocks(len(users), random.Random())
     demos: list[Demo] = []
     with tempfile.TemporaryDirectory(prefix="shallotshore-demo-") as folder:
--- /dev/null
+++ b/tests/test_live.py
@@ -0,0 +1,92 @@
+"""Tests of what the demo runs on: stand-ins and programs on loopback."""
+
+import os
+import random
+import tempfile
+import unittest
+from pathlib import Path
+
+from shallotshore.codes import Code, Outcome
+from shallotshore.messages import CallerAnswer, CallerRequest, FabricPacket
+from shallotshore.systems import Core
+from standins.caller import Caller
+from standins.caller_state import CallerLoad
+from standins.fabric import Fabric
+from standins.live import LivePump, Program
+from standins.network import Network
+from standins.ports import Ports
+from tests.loopback import until
+
+VIP, FABRIC, BALANCER, CALLER = (("192.0.1.1", port) for port in range(1, 5))
+
+
+class Refuser(Core):
+    """A balancer that refuses every request."""
+
+    def receive(self, source: tuple[str, int], message: object) -> None:
+        assert isinstance(message, FabricPacket)
+        assert isinstance(message.payload, CallerRequest)
+        answer = CallerAnswer(
+            message.payload.request, Outcome.NOT_RUN, Code.OVERLOADED, 0, 1, 0, b""
+        )
+        self.outbox.send(source, FabricPacket(message.caller, message.vip, answer))
+
+
+def is_alive(pid: int) -> bool:
+    """Returns whether a process of an id exists."""
+    try:
+        os.kill(pid, 0)
+    except ProcessLookupError:
+        return False
+    return True
+
+
+class LivePumpTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against a demo that shows nothing or leaves processes behind."""
+
+    async def asyncSetUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.ports = Ports.blocks(1, random.Random())[0]
+        self.pump = LivePump(Network(random.Random(1)), self.ports, Path(folder.name))
+        self.addAsyncCleanup(self.pump.close)
+
+    async def test_stand_ins_talk_through_real_sockets(self) -> None:
+        of = self.ports.of
+        self.pump.start("balancer", "here", [BALANCER], Refuser())
+        fabric = Fabric([of(BALANCER)], random.Random(1))
+        self.pump.start("fabric", "here", [FABRIC, VIP], fabric)
+        caller = Caller("ba", "spotdesk", of(VIP), CallerLoad(rate=50), random.Random(1))
+        self.pump.start("caller", "here", [CALLER], caller)
+        await until(lambda: len(caller.log.requests) >= 10)
+        self.assertEqual({end.code for end in caller.log.requests}, {Code.OVERLOADED})
+        self.assertEqual((caller.log.wrong, self.pump.faults), ([], []))
+
+    async def test_programs_start_stop_and_leave_nothing_behind(self) -> None:
+        program, other = self.start("first"), self.start("second")
+        assert program.child is not None
+        assert other.child is not None
+        self.assertTrue(is_alive(program.child.pid))
+        self.pump.kill("first")
+        await until(lambda: program.stopped)
+        await self.pump.close()
+        self.assertFalse(is_alive(other.child.pid))
+
+    async def test_a_program_that_ends_by_itself_is_a_fault(self) -> None:
+        program = self.start("wrong", "--no_such_setting=1")
+        await until(lambda: program.stopped)
+        self.pump.look_for_dead()
+        self.assertEqual(self.pump.faults, ["wrong ended by itself with status 2"])
+
+    def start(self, name: str, *more: str) -> Program:
+        address = self.ports.of((name, 1))
+        arguments = [
+            f"--address={address[0]}:{address[1]}",
+            "--data_centre=suva-a",
+            f"--name={name}",
+            "--service=spotdesk",
+            "--upstream_address=127.0.0.1:9",
+        ]
+        program = Program(["agent", *arguments, *more])
+        self.pump.start(name, "here", [address], program)
+        return program
