Test forwarding, health and retries, and fix the threshold of suspicion

Cause: three unanswered attempts decayed below the threshold of 3 before the next judgement, so that own evidence never excluded an upstream; a reset for a VIP not yet known ended flows that another balancer had opened.

--- a/shallotshore/health.py
+++ b/shallotshore/health.py
@@ -10,8 +10,8 @@
 from shallotshore.tables import MISSING, Table
 
 _NONE: frozenset[int] = frozenset()
-_SUSPECTED = 3.0  # three unanswered attempts within a half-life
-_TRUSTED = 1.5  # below the threshold of suspicion, so that one attempt does not make it flap
+_SUSPECTED = 2.0  # three unanswered attempts within a half-life: 1 + 0.7 + 0.5
+_TRUSTED = 1.0  # below the threshold of suspicion, so that one attempt does not make it flap
 _HALF_LIFE_MS = 5_000
 _FIRST_HOLD_MS = 2_000
 _MAX_HOLD_MS = 60_000
--- a/shallotshore/ingress.py
+++ b/shallotshore/ingress.py
@@ -74,11 +74,14 @@
 
     @singledispatchmethod
     def _refuse(self, message: Message, packet: FabricPacket) -> None:
-        """Answers a message to an unknown VIP; others than openings and requests get none."""
+        """Answers an opening or a request to an unknown VIP.
 
-    @_refuse.register(CallerOpen)
-    @_refuse.register(CallerData)
-    def _refuse_flow(self, message: CallerOpen | CallerData, packet: FabricPacket) -> None:
+        Packets of established flows get no answer: the flow may have been opened through a balancer
+        that already knows the VIP, and a reset would end it.
+        """
+
+    @_refuse.register
+    def _refuse_open(self, message: CallerOpen, packet: FabricPacket) -> None:
         reset = CallerReset(message.flow, Code.UNKNOWN_ADDRESS)
         self._state.answer(packet.caller, packet.vip, reset)
 
--- /dev/null
+++ b/tests/test_forwarding.py
@@ -0,0 +1,161 @@
+"""Tests of flow packets: hints, order, resets and the search for an owner."""
+
+import unittest
+
+from shallotshore.codes import Code
+from shallotshore.hashing import flow_key
+from shallotshore.hints import HintTable
+from shallotshore.messages import (
+    CallerClose,
+    CallerData,
+    CallerOpen,
+    CallerReset,
+    FabricPacket,
+    FlowHint,
+    FlowReset,
+    Forward,
+    Load,
+    PacketKind,
+)
+from tests.balancer_fakes import CALLER, CUSTOMER, OTHER_CUSTOMER, SERVICE, VIP, Bench, only
+
+KEY = flow_key(CALLER, VIP, 5)
+
+
+def reset(upstream: int, code: int = Code.NO_SUCH_FLOW, revision: int = 1) -> FlowReset:
+    """Returns an agent's reset of the flow of all tests."""
+    return FlowReset(KEY, 5, CALLER, VIP, upstream, code, revision)
+
+
+class ForwardingTest(unittest.TestCase):
+    """Guards established flows, which no change may break or hand to another service."""
+
+    def setUp(self) -> None:
+        self.bench = Bench()
+        self.order = self.bench.core.state.placement.order(SERVICE, KEY, 7)
+
+    def data(self) -> Forward:
+        (forward,) = only(self.bench.call(CallerData(5, b"tick")), Forward)
+        return forward
+
+    def test_hint_leads_to_the_owner_and_ends_with_its_lease(self) -> None:
+        self.bench.run(FlowHint(KEY, self.order[6], 30_000))
+        forward = self.data()
+        self.assertEqual(forward.candidates, (self.order[6], self.order[0], self.order[1]))
+        self.assertEqual(forward.kind, PacketKind.DATA)
+        self.bench.run(wait=30_000)
+        self.assertEqual(self.data().candidates, self.order[:3])
+
+    def test_hint_to_an_upstream_of_another_service_is_not_followed(self) -> None:
+        self.bench.run(FlowHint(KEY, self.order[6], 30_000))
+        self.bench.catalog.upstreams[self.order[6]].service = 1
+        self.bench.catalog.table += 1
+        self.assertNotIn(self.order[6], self.data().candidates)
+
+    def test_flow_hinted_to_a_removed_data_centre_is_reset_once(self) -> None:
+        self.bench.run(FlowHint(KEY, self.order[6], 30_000))
+        self.bench.catalog.upstreams[self.order[6]].data_centre = 2
+        self.bench.catalog.out = {2}
+        self.bench.catalog.table += 1
+        sent = self.bench.call(CallerData(5, b""))
+        self.assertEqual([r.code for r in only(sent, CallerReset)], [Code.DATA_CENTRE_OUT])
+        self.assertEqual(self.data().candidates, self.order[:3])
+
+    def test_opening_avoids_leaving_full_and_foreign_upstreams_but_packets_do_not(self) -> None:
+        views = self.bench.catalog.upstreams
+        views[self.order[0]].leaving = True
+        views[self.order[1]].customers = (OTHER_CUSTOMER,)
+        self.bench.peers.leaving = {views[self.order[2]].address}
+        full = Load(0, 0, 3, views[self.order[3]].connections)
+        self.bench.core.state.loads.report(self.order[3], full, self.bench.now)
+        (opened,) = only(self.bench.call(CallerOpen(5, b"")), Forward)
+        self.assertEqual(opened.candidates, (self.order[4], self.order[5], self.order[6]))
+        self.bench.core.state.hints.drop(KEY)
+        self.assertEqual(self.data().candidates, (self.order[0], *self.order[2:4]))
+
+    def test_opening_away_from_the_first_candidate_leaves_a_hint(self) -> None:
+        self.bench.catalog.upstreams[self.order[0]].leaving = True
+        self.bench.call(CallerOpen(5, b""))
+        self.assertEqual(self.data().candidates[0], self.order[1])
+
+    def test_opening_with_no_upstream_is_refused(self) -> None:
+        for view in self.bench.catalog.upstreams.values():
+            view.leaving = True
+        sent = self.bench.call(CallerOpen(5, b""))
+        self.assertEqual([r.code for r in only(sent, CallerReset)], [Code.FLOW_REFUSED])
+
+    def test_unknown_flow_is_sought_at_each_other_upstream_once_and_then_reset(self) -> None:
+        first = self.data()
+        asked = list(first.candidates)
+        sent = self.bench.run(reset(asked[-1]))
+        while only(sent, Forward):
+            (forward,) = only(sent, Forward)
+            self.assertEqual((forward.kind, forward.payload), (PacketKind.DATA, b"tick"))
+            asked += forward.candidates
+            sent = self.bench.run(reset(asked[-1]))
+        self.assertEqual(asked, list(self.order))
+        self.assertEqual([r.code for r in only(sent, CallerReset)], [Code.NO_SUCH_FLOW])
+        again = self.bench.run(reset(first.candidates[-1]))
+        self.assertEqual(len(only(again, CallerReset)), 1)
+
+    def test_reset_of_a_packet_no_longer_kept_does_not_end_the_flow(self) -> None:
+        self.assertEqual(self.bench.run(reset(self.order[2])), [])
+
+    def test_agent_of_a_removed_data_centre_does_not_end_a_flow_owned_elsewhere(self) -> None:
+        self.data()
+        refusal = reset(self.order[0], Code.DATA_CENTRE_OUT, revision=2)
+        (forward,) = only(self.bench.run(refusal), Forward)
+        self.assertEqual(forward.candidates[0], self.order[1])
+        word = reset(self.order[1], Code.DATA_CENTRE_OUT)
+        self.assertEqual(len(only(self.bench.run(word), CallerReset)), 1)
+
+    def test_reset_that_names_another_flow_is_dropped(self) -> None:
+        self.data()
+        wrong = reset(self.order[0], Code.FLOW_LOST)
+        wrong.flow = 6
+        self.assertEqual(self.bench.run(wrong), [])
+
+    def test_reset_against_a_hint_is_believed_the_second_time(self) -> None:
+        self.data()
+        self.bench.core.state.hints.put(KEY, self.order[0], self.bench.now + 30_000)
+        self.assertEqual(self.bench.run(reset(self.order[6])), [])
+        self.assertEqual(len(only(self.bench.run(reset(self.order[6])), CallerReset)), 1)
+
+    def test_close_is_forwarded_and_forgets_the_owner(self) -> None:
+        self.bench.run(FlowHint(KEY, self.order[6], 30_000))
+        (forward,) = only(self.bench.call(CallerClose(5)), Forward)
+        self.assertEqual((forward.kind, forward.candidates[0]), (PacketKind.CLOSE, self.order[6]))
+        self.assertEqual(self.bench.core.state.hints.owner(KEY, self.bench.now), 0)
+
+    def test_packets_name_the_customer_of_their_address(self) -> None:
+        self.assertEqual((self.data().service, self.data().customer), (SERVICE, CUSTOMER))
+
+    def test_searches_are_bounded_in_rate(self) -> None:
+        for flow in range(700):
+            self.bench.core.receive(CALLER, FabricPacket(CALLER, VIP, CallerData(flow, b"")))
+        sent = self.bench.run()
+        for forward in only(sent, Forward):
+            last = forward.candidates[-1]
+            answer = FlowReset(forward.key, forward.flow, CALLER, VIP, last, Code.NO_SUCH_FLOW, 1)
+            self.bench.core.receive(CALLER, answer)
+        sent = self.bench.run()
+        self.assertLessEqual(len(only(sent, Forward)), 500)
+        self.assertEqual(only(sent, CallerReset), [])
+
+
+class HintTableTest(unittest.TestCase):
+    """Guards the bounded cache against wrong owners."""
+
+    def test_collisions_push_out_hints_but_never_mix_owners(self) -> None:
+        hints = HintTable(slot_bits=4)
+        for key in range(1, 200):
+            hints.put(key, 1000 + key, 50 + key)
+        for key in range(1, 200):
+            self.assertIn(hints.owner(key, 0), (0, 1000 + key))
+        self.assertEqual(hints.owner(199, 0), 1199)
+        hints.drop(199)
+        self.assertEqual(hints.owner(199, 0), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_watching.py
@@ -0,0 +1,141 @@
+"""Tests of health: silence, events, suspicion, floor and flap damping."""
+
+import random
+import unittest
+
+from shallotshore.messages import HealthEvent, HealthState, Heartbeat
+from shallotshore.retries import RetryBudget, backoff
+from tests.balancer_fakes import IDLE, PEER, SERVICE, Bench, only
+
+
+class WatchingTest(unittest.TestCase):
+    """Guards against using dead upstreams and against emptying a service by wrong verdicts."""
+
+    def setUp(self) -> None:
+        self.bench = Bench()
+        self.sequence = 0
+
+    def beat(
+        self, *upstreams: int, state: HealthState = HealthState.UP, steps: int = 1
+    ) -> list[HealthEvent]:
+        """Delivers heartbeats every 500 ms and returns the events sent."""
+        events = []
+        for _ in range(steps):
+            self.sequence += 1
+            beats = [
+                Heartbeat(u, SERVICE, 1, 1, self.sequence, state, IDLE, 1, 0, 0) for u in upstreams
+            ]
+            events += only(self.bench.run(*beats, wait=500), HealthEvent)
+        return events
+
+    def excluded(self, *, packets: bool = False) -> frozenset[int]:
+        exclusions = self.bench.core.state.exclusions
+        return exclusions.for_packets(SERVICE) if packets else exclusions.for_new_work(SERVICE)
+
+    def down(self, upstream: int, sequence: int) -> HealthEvent:
+        return HealthEvent(upstream, 1, sequence, HealthState.DOWN)
+
+    def test_silent_upstream_is_published_once_and_excluded_until_it_was_well(self) -> None:
+        dead, *alive = self.bench.ids
+        self.assertEqual(self.beat(*self.bench.ids, steps=2), [])
+        events = self.beat(*alive, steps=6)
+        self.assertEqual([(e.upstream, e.state) for e in events], [(dead, HealthState.DOWN)])
+        self.assertEqual(self.excluded(packets=True), {dead})
+        events = self.beat(*self.bench.ids)
+        self.assertEqual([(e.upstream, e.state) for e in events], [(dead, HealthState.UP)])
+        self.assertEqual((self.excluded(), self.excluded(packets=True)), ({dead}, frozenset()))
+        self.beat(*self.bench.ids, steps=5)
+        self.assertEqual(self.excluded(), frozenset())
+
+    def test_each_flap_doubles_the_time_of_being_well(self) -> None:
+        flapping, *alive = self.bench.ids
+        self.beat(*self.bench.ids)
+        waits = []
+        for _ in range(3):
+            self.beat(*alive, steps=5)
+            waits.append(0)
+            while flapping in self.excluded():
+                self.beat(*self.bench.ids)
+                waits[-1] += 1
+        self.assertEqual(waits, sorted(waits))
+        self.assertGreater(waits[2], 3 * waits[0])
+
+    def test_mass_silence_is_not_published_at_first(self) -> None:
+        self.beat(*self.bench.ids, steps=2)
+        self.assertEqual(self.beat(*self.bench.ids[:3], steps=8), [])
+        self.assertEqual(self.bench.core.counters["health.self_suspected"], 1)
+        self.assertEqual(self.excluded(), frozenset())
+
+    def test_own_pause_is_not_taken_for_the_silence_of_others(self) -> None:
+        self.beat(*self.bench.ids, steps=2)
+        self.bench.now += 10_000
+        self.assertEqual(self.beat(*self.bench.ids, steps=4), [])
+
+    def test_upstream_that_others_watch_now_is_not_published(self) -> None:
+        self.beat(*self.bench.ids, steps=2)
+        self.bench.peers.strangers = {self.bench.ids[0]}
+        self.assertEqual(self.beat(*self.bench.ids[1:], steps=6), [])
+
+    def test_old_events_change_nothing_and_new_ones_are_relayed_once(self) -> None:
+        upstream = self.bench.ids[0]
+        sent = self.bench.run(self.down(upstream, 9), wait=100)
+        self.assertEqual(sent, [(PEER, self.down(upstream, 9))])
+        old = HealthEvent(upstream, 1, 8, HealthState.UP)
+        self.assertEqual(self.bench.run(self.down(upstream, 9), old, wait=200), [])
+        self.assertEqual(self.excluded(), {upstream})
+
+    def test_word_of_an_upstream_outranks_silence_seen_elsewhere(self) -> None:
+        upstream = self.bench.ids[0]
+        self.beat(*self.bench.ids, steps=3)
+        (event,) = only(self.bench.run(self.down(upstream, 2), wait=200), HealthEvent)
+        self.assertEqual((event.state, event.sequence), (HealthState.UP, 3))
+        self.assertEqual(self.excluded(), frozenset())
+
+    def test_half_of_a_service_stays_in_use_whatever_is_said(self) -> None:
+        dead = self.bench.ids[:6]
+        self.bench.run(*[self.down(upstream, 9) for upstream in dead], wait=200)
+        self.assertEqual(len(self.excluded()), 3)
+        self.bench.catalog.upstreams[self.bench.ids[6]].leaving = True
+        self.bench.catalog.revision += 1
+        self.bench.run(wait=200)
+        self.assertEqual(len(self.excluded()), 3)
+
+    def test_stalled_upstream_gets_packets_but_no_new_work(self) -> None:
+        self.beat(self.bench.ids[0], state=HealthState.STALLED)
+        self.assertEqual(self.excluded(), {self.bench.ids[0]})
+        self.assertEqual(self.excluded(packets=True), frozenset())
+
+    def test_unanswered_work_is_own_evidence_that_decays(self) -> None:
+        state = self.bench.core.state
+        for _ in range(3):
+            state.health.suspect(self.bench.ids[0], SERVICE, self.bench.now)
+        self.assertEqual(only(self.bench.run(wait=200), HealthEvent), [])
+        self.assertEqual(self.excluded(), {self.bench.ids[0]})
+        self.bench.run(wait=12_000)
+        self.assertEqual(self.excluded(), frozenset())
+
+
+class RetriesTest(unittest.TestCase):
+    """Guards a failing service against a multiple of its load."""
+
+    def test_retries_are_a_tenth_of_fresh_requests_but_three_a_second(self) -> None:
+        budget = RetryBudget()
+        allowed = 0
+        for now in range(0, 100_000, 10):  # 100 requests a second
+            budget.fresh(1, 2, now)
+            allowed += budget.spend(1, 2, now)
+        self.assertAlmostEqual(allowed, 1000, delta=25)
+        quiet = sum(budget.spend(3, 2, now) for now in range(0, 10_000, 100))
+        self.assertAlmostEqual(quiet, 30, delta=4)
+
+    def test_backoff_is_spread_over_the_whole_doubling_range(self) -> None:
+        rng = random.Random(1)
+        for failures, bound in ((1, 20), (2, 40), (10, 500)):
+            delays = [backoff(failures, rng) for _ in range(500)]
+            self.assertLessEqual(max(delays), bound)
+            self.assertGreater(max(delays), 0.9 * bound)
+            self.assertLess(min(delays), 0.1 * bound)
+
+
+if __name__ == "__main__":
+    unittest.main()
