Ask former witnesses through placement, and all present ones while they are unknown

Cause: placement keeps the former tables, and an agent that just started does not know them. Change: former_tables is gone; a claim needs every present witness until the table is known for 14 s; a refusal waits up to 150 ms for a witness that may name the holder.

--- a/shallotshore/agent.py
+++ b/shallotshore/agent.py
@@ -8,12 +8,10 @@
 
 from shallotshore.admission import AdmissionSystem
 from shallotshore.agent_state import AgentConfig, AgentState
-from shallotshore.outcomes import AnswerSystem
 from shallotshore.catalog import Catalog
 from shallotshore.claiming import ClaimingSystem
 from shallotshore.claims import ClaimsSystem
 from shallotshore.flows import FlowIntakeSystem, FlowSystem
-from shallotshore.former_tables import FormerTables
 from shallotshore.hashing import name_id
 from shallotshore.messages import (
     Message,
@@ -23,6 +21,7 @@
     UpstreamData,
     UpstreamHealth,
 )
+from shallotshore.outcomes import AnswerSystem
 from shallotshore.peers import PeersSystem, extend_leases, hand_over
 from shallotshore.placement import Placement
 from shallotshore.requests import RequestIntakeSystem, RequestSystem
@@ -66,7 +65,6 @@
             counters=self.counters,
             own=name_id("upstream", config.upstream),
             service=service,
-            former=FormerTables(service),
             parents=config.peers[:2],
         )
         self._systems = [
@@ -105,9 +103,7 @@
         gap = self._guard.gap(now)
         if gap:
             self._wake(gap, now)
-        state.table_changed = state.membership != state.former.membership
-        if state.table_changed:
-            state.former.adopt(state.membership, state.member_addresses(), now)
+        state.follow_table(now)
         super().tick(now)
         # Types that no system takes must not pile up.
         self.counters.add("messages_unexpected", self.inbox.clear())
--- a/shallotshore/agent_state.py
+++ b/shallotshore/agent_state.py
@@ -20,7 +20,6 @@
     RequestTable,
 )
 from shallotshore.catalog import Catalog, UpstreamView
-from shallotshore.former_tables import FormerTables
 from shallotshore.hashing import name_id
 from shallotshore.messages import Address, HealthState, Load, Message
 from shallotshore.placement import Placement
@@ -101,8 +100,8 @@
     counters: Counters
     own: int
     service: int
-    former: FormerTables
     limit: int = 0
+    table: int = -1
     table_changed: bool = False
     ramp: Ramp = field(default_factory=Ramp)
     ring: deque[int] = field(default_factory=deque)
@@ -149,11 +148,11 @@
         upstream = self.upstream
         return upstream.ready and now - upstream.heard <= STALLED_AFTER
 
-    def member_addresses(self) -> dict[int, Address]:
-        """Returns the agents' addresses of the service's witnesses by upstream id."""
-        members = self.catalog.upstreams_of(self.service)
-        records = {member: self.catalog.upstream(member) for member in members}
-        return {member: r.address for member, r in records.items() if r is not None}
+    def follow_table(self, now: int) -> None:
+        """Takes over a changed set of upstreams; `table_changed` holds for this tick."""
+        self.placement.refresh(now)
+        self.table_changed = self.membership != self.table
+        self.table = self.membership
 
     def load(self) -> Load:
         """Returns the load that rides on answers and heartbeats."""
@@ -186,13 +185,15 @@
         return True
 
     def _address_of(self, peer: int) -> Address | None:
-        """Returns an agent's address by its record, its former one or its last heartbeat."""
+        """Returns an agent's address by its record, or by its last heartbeat without one.
+
+        The upstream of a former table may still hold flows or claims when its record is gone.
+        """
         record = self.catalog.upstream(peer)
         if record is not None:
             return record.address
         row = self.peers.row(peer)
-        heard = None if row == MISSING else self.peers.address[row]
-        return self.former.address(peer) or heard
+        return None if row == MISSING else self.peers.address[row]
 
     def live_balancer(self, balancer: Address) -> Address:
         """Returns the address to answer to: the balancer, or a parent when it is gone."""
--- a/shallotshore/agent_tables.py
+++ b/shallotshore/agent_tables.py
@@ -87,7 +87,8 @@
 class ClaimingTable(Table):
     """Claims that this agent is collecting a quorum for.
 
-    `witnesses` lists the `needed` witnesses of the present table, then those of former tables.
+    `witnesses` lists the `present` witnesses of the table in force, of which `needed` must grant,
+    then those of former tables.
     `granted` and `refused` are bit sets over it. `born` is the time at which the request began at
     its caller, `aimed` the time at which the witnesses were chosen.
     """
@@ -103,6 +104,7 @@
         "membership",
         "needed",
         "next_send",
+        "present",
         "refused",
         "round",
         "state",
@@ -114,6 +116,7 @@
         "state": "B",
         "kind": "B",
         "tries": "B",
+        "present": "B",
         "needed": "B",
         "code": "H",
         "round": "Q",
@@ -131,6 +134,7 @@
     state: "array[int]"
     kind: "array[int]"
     tries: "array[int]"
+    present: "array[int]"
     needed: "array[int]"
     aimed: "array[int]"
     code: "array[int]"
--- a/shallotshore/claiming.py
+++ b/shallotshore/claiming.py
@@ -11,7 +11,8 @@
 from shallotshore.tables import MISSING
 
 RESEND_INTERVAL = 30  # ms; several round trips between data centres fit into a request's budget
-FORMER_WAIT = 150  # ms given to witnesses of the former table that are not in the new one
+ANSWER_WAIT = 150  # ms; above the round trip between data centres, or the witness is silent
+MAX_FORMER = 24  # with five present witnesses they fit the bit sets of 32
 MAX_TRIES = 4
 DISPUTE_ROUND = 0  # in a reply about a flow that another holder claims too
 BACKOFF = (10, 50)  # ms; random, so that two claimants that split the witnesses part
@@ -101,9 +102,10 @@
     claiming = state.claiming
     key = claiming.key[row]
     present = state.witnesses(key)
-    former = state.former.witnesses(key, now)
-    claiming.witnesses[row] = present + tuple(w for w in former if w not in present)
-    claiming.needed[row] = len(present)
+    former = state.placement.former_witnesses(state.service, key)[:MAX_FORMER]
+    claiming.witnesses[row] = present + former
+    claiming.present[row] = len(present)
+    claiming.needed[row] = _needed(state, len(present))
     claiming.membership[row] = state.membership
     claiming.granted[row] = 0
     claiming.refused[row] = 0
@@ -112,6 +114,15 @@
     claiming.next_send[row] = now
 
 
+def _needed(state: AgentState, count: int) -> int:
+    """Returns how many witnesses of the present table must grant.
+
+    An agent that has not known the table for the life of a claim cannot ask former witnesses. All
+    present ones together meet every earlier quorum while two witnesses are common to both tables.
+    """
+    return quorum(count) if state.placement.knows_former(state.service) else count
+
+
 def _note_reply(state: AgentState, reply: ClaimReply) -> None:
     claiming = state.claiming
     if reply.attempt == DISPUTE_ROUND:
@@ -203,16 +214,18 @@
 
 def _decide(state: AgentState, row: int, now: int) -> None:
     claiming = state.claiming
-    present = (1 << claiming.needed[row]) - 1
+    count, needed = claiming.present[row], claiming.needed[row]
+    present = (1 << count) - 1
     grants = (claiming.granted[row] & present).bit_count()
     refusals = (claiming.refused[row] & present).bit_count()
-    needed = quorum(claiming.needed[row])
     if claiming.code[row] == Code.VOIDED:
         _refuse(state, row, now, retry=False)
-    elif _refused_by_former(state, row) or claiming.needed[row] - refusals < needed:
+    elif _refused_by_former(state, row) or count - refusals < needed:
         # Another holder can have a quorum only among the witnesses that did not grant.
         is_held = claiming.code[row] == Code.HELD
-        contended = is_held and claiming.needed[row] - grants < needed
+        if not is_held and not _all_answered(state, row, now):
+            return  # a witness yet to answer may name the holder
+        contended = is_held and count - grants < quorum(count)
         _refuse(state, row, now, retry=contended)
     elif grants >= needed and _former_done(state, row, now):
         claiming.state[row] = ClaimingState.GRANTED
@@ -221,16 +234,23 @@
 def _refused_by_former(state: AgentState, row: int) -> bool:
     """Whether a claim that needs the former witnesses too has met a holder at any witness."""
     claiming = state.claiming
-    has_former = len(claiming.witnesses[row]) > claiming.needed[row]
+    has_former = len(claiming.witnesses[row]) > claiming.present[row]
     return has_former and claiming.code[row] == Code.HELD
 
 
+def _all_answered(state: AgentState, row: int, now: int) -> bool:
+    claiming = state.claiming
+    answered = claiming.granted[row] | claiming.refused[row]
+    everyone = (1 << len(claiming.witnesses[row])) - 1
+    return answered == everyone or now - claiming.aimed[row] >= ANSWER_WAIT
+
+
 def _former_done(state: AgentState, row: int, now: int) -> bool:
     claiming = state.claiming
     answered = claiming.granted[row] | claiming.refused[row]
     everyone = (1 << len(claiming.witnesses[row])) - 1
-    former = everyone & ~((1 << claiming.needed[row]) - 1)
-    return answered & former == former or now - claiming.aimed[row] >= FORMER_WAIT
+    former = everyone & ~((1 << claiming.present[row]) - 1)
+    return answered & former == former or now - claiming.aimed[row] >= ANSWER_WAIT
 
 
 def _refuse(state: AgentState, row: int, now: int, retry: bool) -> None:
--- a/shallotshore/requests.py
+++ b/shallotshore/requests.py
@@ -5,6 +5,11 @@
 from shallotshore.admission import may_accept, mismatch
 from shallotshore.agent_state import AgentState
 from shallotshore.agent_tables import ClaimingState, ClaimState, RequestState
+from shallotshore.claiming import begin_claim, end_claim
+from shallotshore.claims import REQUEST_LEASE, is_voided, live_holder
+from shallotshore.codes import Code
+from shallotshore.fair_queue import enqueue, next_queued
+from shallotshore.messages import Attempt, ClaimKind, UpstreamCancel, UpstreamRequest
 from shallotshore.outcomes import (
     abandon,
     attempt_for,
@@ -15,11 +20,6 @@
     pass_attempt,
     replay,
 )
-from shallotshore.claiming import begin_claim, end_claim
-from shallotshore.claims import REQUEST_LEASE, is_voided, live_holder
-from shallotshore.codes import Code
-from shallotshore.fair_queue import enqueue, next_queued
-from shallotshore.messages import Attempt, ClaimKind, UpstreamCancel, UpstreamRequest
 from shallotshore.passing import next_candidate
 from shallotshore.tables import MISSING
 
--- a/tests/agents.py
+++ b/tests/agents.py
@@ -50,6 +50,7 @@
 GROVE = name_id("customer", "grove")
 TICK = 5  # ms
 YOUTH = 2_100  # ms until witnesses vouch for new requests
+FORMER = 14_100  # ms until agents know all tables whose claims may live
 
 
 def records(count: int, **fields: object) -> list[Record]:
@@ -170,6 +171,14 @@
         core = next(iter(self.agents.values()))
         return core.state.placement.order(SERVICE, key, 3)
 
+    def grow_up(self) -> None:
+        """Lets the time pass after which a quorum of witnesses suffices."""
+        for _ in range(FORMER // 100):
+            self.now += 99
+            self.run(1)
+            for address in list(self.agents):
+                self._tick(address)
+
     def run(self, duration: int) -> None:
         """Lets virtual time pass."""
         end = self.now + duration
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -5,7 +5,7 @@
 from shallotshore.codes import Code
 from shallotshore.hashing import flow_key, request_key
 from shallotshore.messages import AttemptAnswer, FlowHint, FlowReply, FlowReset, PacketKind
-from tests.agents import CALLER, VIP, YOUTH, Fleet, attempt, packet
+from tests.agents import CALLER, VIP, Fleet, attempt, packet
 
 
 class AgentTest(unittest.TestCase):
@@ -13,7 +13,7 @@
 
     def setUp(self) -> None:
         self.fleet = Fleet(5)
-        self.fleet.run(YOUTH)
+        self.fleet.grow_up()
 
     def test_flow_is_opened_and_echoed(self) -> None:
         order = self.fleet.order(flow_key(CALLER, VIP, 7))
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -8,7 +8,7 @@
 from shallotshore.hashing import request_key
 from shallotshore.messages import AttemptAnswer, FlowReply, FlowReset, PacketKind
 from shallotshore.records import Upstream
-from tests.agents import VIP, YOUTH, Fleet, attempt, packet
+from tests.agents import VIP, Fleet, attempt, packet
 
 SEEDS = range(6)
 REQUESTS = 40
@@ -17,7 +17,7 @@
 def faulty_fleet(seed: int) -> Fleet:
     """Returns a fleet whose network loses, doubles and reorders messages."""
     fleet = Fleet(5, seed, slots=3, cold_limit=1)
-    fleet.run(YOUTH)
+    fleet.grow_up()
     fleet.loss, fleet.duplication, fleet.delay = 0.1, 0.2, (1, 40)
     return fleet
 
@@ -74,7 +74,7 @@
     def test_flows_live_through_restarts_of_agents(self) -> None:
         """An agent that restarts beside a living upstream must keep its flows."""
         fleet = Fleet(5, 3)
-        fleet.run(YOUTH)
+        fleet.grow_up()
         packets = [packet(PacketKind.OPEN, (), flow) for flow in range(20)]
         for opening in packets:
             order = fleet.order(opening.key)
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -21,7 +21,7 @@
 
     def setUp(self) -> None:
         self.fleet = Fleet(5)
-        self.fleet.run(YOUTH)
+        self.fleet.grow_up()
 
     def order(self, name: bytes) -> tuple[int, ...]:
         return self.fleet.order(request_key(VIP, name))
@@ -38,8 +38,9 @@
     def test_work_over_the_limit_passes_to_the_next_candidate(self) -> None:
         order = self.order(b"a")
         for number in range(3):
+            self.fleet.upstream(order[number]).service_time = 500
             self.fleet.send(order[0], attempt(b"%d" % number, order, number))
-        self.fleet.run(15)
+        self.fleet.run(100)
         self.assertEqual([len(self.fleet.upstream(u).started()) for u in order], [1, 1, 1])
 
     def test_last_candidate_queues_twice_its_slots_and_declines_the_rest(self) -> None:
@@ -137,10 +138,7 @@
         order = self.order(b"a")
         self.fleet.send(order[0], attempt(b"a", order, 1))
         self.fleet.run(200)
-        record = next(
-            r for r in self.fleet.records if getattr(r, "name", "") == self.name(order[0])
-        )
-        self.fleet.start(record, incarnation=2)
+        self.fleet.restart(order[0], incarnation=2)
         self.fleet.run(YOUTH)
         aged = replace(attempt(b"a", order[:1], 2), age=YOUTH + 200)
         self.fleet.send(order[0], aged)
