--- /dev/null
+++ b/standins/run.py
@@ -0,0 +1,104 @@
+"""Runs one scenario file and prints what it showed: `python -m standins.run FILE --user NAME`.
+
+With --trace and the hexadecimal id of a request, or the number of a flow and --customer, it prints
+every message about it in order of delivery.
+"""
+
+__all__ = ["main"]
+
+import sys
+import time
+from pathlib import Path
+
+from absl import app, flags
+
+from shallotshore import messages
+from shallotshore.hashing import flow_key, request_key
+from shallotshore.messages import Address, FabricPacket, Message
+from standins.pump import Process
+from standins.scenario import Scenario
+from standins.world import World
+
+_USER = flags.DEFINE_string("user", "", "User whose deployment it runs in; by default each.")
+_SEED = flags.DEFINE_integer("seed", None, "Seed; by default the scenario's.")
+_TRACE = flags.DEFINE_string("trace", "", "Request id (32 hex digits) or flow number to trace.")
+_CUSTOMER = flags.DEFINE_string("customer", "", "Customer of a traced flow.")
+_SERVICE = flags.DEFINE_string("service", "", "Service of a traced flow; by default the first.")
+_LIMIT = flags.DEFINE_integer("limit", 40, "Greatest number of problems to print.")
+_REQUEST_DIGITS = 32
+
+
+class Trace:
+    """Prints each delivery of a message about one request or flow."""
+
+    __slots__ = ("_keys", "_names", "_world")
+
+    def __init__(self, world: World, keys: set[object]) -> None:
+        self._world = world
+        self._keys = keys
+        self._names: dict[Address, str] = {}
+        for name in messages.__all__:
+            kind = getattr(messages, name)
+            if isinstance(kind, type) and issubclass(kind, Message):
+                world.pump.taps.setdefault(kind, []).append(self._see)
+
+    def _see(self, now: int, source: Address, process: Process, message: Message) -> None:
+        inner = message.payload if isinstance(message, FabricPacket) else message
+        told = {getattr(inner, field, None) for field in ("key", "request", "flow")}
+        if not told & self._keys:
+            return
+        sender = self._world.pump.at_address(source)
+        name = sender.name if sender is not None else f"{source[0]}:{source[1]}"
+        print(f"{now:6} {name:22} > {process.name:22} {_short(message)}")
+
+
+def _short(message: Message) -> str:
+    if isinstance(message, FabricPacket):
+        return f"Fabric {_short(message.payload)}"
+    skipped = ("key", "payload", "caller", "vip", "checksum", "flow", "request", "service")
+    fields = [f"{name}={getattr(message, name)}" for name in _slots(message) if name not in skipped]
+    return f"{type(message).__name__} {' '.join(fields)}"
+
+
+def _slots(message: Message) -> tuple[str, ...]:
+    return tuple(type(message).__slots__)
+
+
+def _keys(world: World) -> set[object]:
+    if len(_TRACE.value) == _REQUEST_DIGITS:
+        ident = bytes.fromhex(_TRACE.value)
+        return {ident} | {request_key(vip, ident) for vip in world.plan.vips.values()}
+    service = _SERVICE.value or world.plan.services[0]
+    vip = world.plan.vips[(_CUSTOMER.value, service)]
+    process = world.pump.process(f"{_CUSTOMER.value}.{service}")
+    assert process is not None
+    return {flow_key(process.addresses[0], vip, int(_TRACE.value))}
+
+
+def _prepare(world: World) -> None:
+    if _TRACE.value:
+        Trace(world, _keys(world))
+
+
+def main(arguments: list[str]) -> int:
+    """Runs the file named by the only argument.
+
+    Returns:
+        The exit status: 1 when a promise was broken or a bound missed.
+    """
+    scenario = Scenario.from_text(Path(arguments[1]).read_text(encoding="utf-8"))
+    failed = False
+    for user in (_USER.value,) if _USER.value else scenario.users:
+        start = time.monotonic()
+        outcome = scenario.run(user, _SEED.value, prepare=_prepare)
+        print(f"{user}: {time.monotonic() - start:.1f} s, {outcome.world.pump.delivered} messages")
+        for name, value in outcome.figures.items():
+            print(f"  {name:24} {value:10.4g}")
+        for problem in outcome.problems[: _LIMIT.value]:
+            print(f"  {problem}")
+        failed = failed or bool(outcome.problems)
+    return int(failed)
+
+
+if __name__ == "__main__":
+    app.run(lambda arguments: sys.exit(main(arguments)))
--- a/standins/scenario.py
+++ b/standins/scenario.py
@@ -10,6 +10,7 @@
 __all__ = ["Line", "Outcome", "Scenario", "ScenarioError"]
 
 import shlex
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
 from string import Template
@@ -96,15 +97,24 @@
             raise ScenarioError("a scenario needs the lines `deployment` and `end`")
         return scenario
 
-    def run(self, user: str, seed: int | None = None, cast: Cast = PRODUCT) -> Outcome:
+    def run(
+        self,
+        user: str,
+        seed: int | None = None,
+        cast: Cast = PRODUCT,
+        prepare: Callable[[World], None] | None = None,
+    ) -> Outcome:
         """Runs the scenario and judges it.
 
         Args:
             user: Whose deployment it runs in.
             seed: Seed of all random numbers; by default the one of the scenario's text.
             cast: Makes the cores of balancers and agents.
+            prepare: Called with the deployment before time starts.
         """
         world = World.of_user(user, self.seed if seed is None else seed, cast)
+        if prepare is not None:
+            prepare(world)
         names = world.plan.words()
         for line in self.lines:
             words = [Template(word).substitute(names) for word in line.words]
