--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,14 @@
 soak: setup
 	$(BIN)/python -m bench.soak --seeds $(SEEDS)
 
+# One file that needs only a Python 3.11; see docs/binary.md for where it unpacks itself.
+binary: setup
+	$(BIN)/python .ci/collect_packages.py build/binary
+	mkdir -p dist
+	$(BIN)/shiv --site-packages build/binary -e shallotshore.main:run --compressed \
+	  --extend-pythonpath --reproducible -p "/usr/bin/env python3.11" -o dist/shallotshore
+	.ci/check_binary
+
 clean:
 	rm -rf build dist .mypy_cache .ruff_cache
 
--- a/shallotshore/application.py
+++ b/shallotshore/application.py
@@ -31,7 +31,10 @@
 
 
 class RunnableCore(Protocol):
-    """What the application needs of a core; `stop`, `stopped` and `status` are optional."""
+    """What the application needs of a core.
+
+    `stop`, `stopped`, `status` and `is_busy` are used when a core has them.
+    """
 
     counters: Counters
     outbox: Outbox
@@ -257,6 +260,9 @@
         for destination, message in self._core.outbox.drain():
             self._times.observe(message, now)
             self._senders[codec.transport_of(message)](destination, message)
+        if getattr(self._core, "is_busy", False):
+            # Large work is cut into slices of one tick each; arrivals get their turn between them.
+            self.wake()
         self._look_for_end(now)
 
     def _run_core(self, now: int) -> None:
