Add propagation, membership, the wake-up guard and three schemas a kind

Cause: every process must hold the newest revision without reading the platform itself, and records of any age must be understood together.

--- a/shallotshore/catalog.py
+++ b/shallotshore/catalog.py
@@ -284,7 +284,7 @@
         services.cold_limit[service] = record.cold_limit
         services.warmup[service] = record.warmup_ms
         services.queue_factor[service] = record.queue_factor
-        update.note_service(services.key[service])
+        self.changed_services.add(services.key[service])
 
     @_put.register
     def _(self, record: Upstream, row: int, update: Update) -> None:
@@ -305,19 +305,19 @@
         self._data_centres.upstreams[data_centre] += 1
         customers = tuple(name_id("customer", name) for name in record.customers)
         store.set_upstream(row, record, customers)
-        update.note_service(self._services.key[service])
+        self.changed_services.add(self._services.key[service])
 
     @_put.register
     def _(self, record: DataCentre, row: int, update: Update) -> None:
         data_centre = self._data_centre_row(record.name)
         self._data_centres.is_in[data_centre] = record.state == "in"
         self._data_centres.changed[data_centre] = self.store.record_revision[row]
-        update.note_data_centre(self._data_centres.key[data_centre])
+        self.changed_data_centres.add(self._data_centres.key[data_centre])
 
     @_put.register
     def _(self, record: Customer, row: int, update: Update) -> None:
         customer = self._customers.add(self.store.key[row])
-        self._unbind(customer, update)
+        self._unbind(customer)
         bindings = []
         for binding in record.bindings:
             service = self._service_row(binding.service)
@@ -326,7 +326,7 @@
             self._routes[bindings[-1][0]] = Route(service_id, self.store.key[row])
             users = set(self._services.customers[service]) | {self.store.key[row]}
             self._services.customers[service] = tuple(sorted(users))
-            update.note_service(service_id)
+            self.changed_services.add(service_id)
         self._customers.share[customer] = record.share
         self._customers.bindings[customer] = tuple(bindings)
 
@@ -361,7 +361,7 @@
         data_centre = self._data_centre_row(record.name)
         self._data_centres.is_in[data_centre] = 0
         self._data_centres.changed[data_centre] = 0
-        update.note_data_centre(self._data_centres.key[data_centre])
+        self.changed_data_centres.add(self._data_centres.key[data_centre])
         if not self._data_centres.upstreams[data_centre]:
             return
         for upstream in self.store.rows():
@@ -370,7 +370,7 @@
 
     @_drop.register
     def _(self, record: Customer, row: int, revision: int, update: Update) -> None:
-        self._unbind(self._customers.row(self.store.key[row]), update)
+        self._unbind(self._customers.row(self.store.key[row]))
         self._customers.remove(self.store.key[row])
 
     @_drop.register
@@ -424,18 +424,18 @@
         members = self._edit_members(service_row)
         del members[bisect_left(members, self.store.key[row])]
         self._note_membership(service_row, revision, update)
-        update.note_service(self._services.key[service_row])
+        self.changed_services.add(self._services.key[service_row])
 
     def _note_membership(self, service_row: int, revision: int, update: Update) -> None:
         if not update.relayed:
             service = self._services.key[service_row]
             self._memberships[service] = max(self._memberships.get(service, 0), revision)
 
-    def _unbind(self, customer: int, update: Update) -> None:
+    def _unbind(self, customer: int) -> None:
         for address, service in self._customers.bindings[customer]:
             self._routes.pop(address, None)
             row = self._services.row(service)
             users = set(self._services.customers[row]) - {self._customers.key[customer]}
             self._services.customers[row] = tuple(users)
-            update.note_service(service)
+            self.changed_services.add(service)
         self._customers.bindings[customer] = ()
--- /dev/null
+++ b/shallotshore/field_rules.py
@@ -0,0 +1,315 @@
+"""Rules for the fields of records, and how a JSON value is read under each."""
+
+__all__ = [
+    "AddressRule",
+    "Binding",
+    "BindingList",
+    "BindingMap",
+    "Choice",
+    "Flag",
+    "HostPort",
+    "NameList",
+    "NameRule",
+    "Number",
+    "Problem",
+    "Rule",
+    "Seconds",
+    "read_field",
+    "split_host_port",
+]
+
+import ipaddress
+import re
+from collections.abc import Collection
+from dataclasses import dataclass, field
+from functools import singledispatch
+from typing import Any, NamedTuple
+
+from shallotshore.codes import Code
+from shallotshore.messages import Address
+
+MAX_NAME_LENGTH = 200
+MAX_PORT = 65_535
+
+_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]*")
+_PORT = re.compile(r"[1-9][0-9]{0,4}")
+
+
+class Problem(NamedTuple):
+    """Why a record or a revision was refused, or what is doubtful about it."""
+
+    code: Code
+    key: str
+    field: str
+    detail: str
+
+
+class Binding(NamedTuple):
+    """A service that a customer reaches at an address (VIP); old schemas hold it as one string."""
+
+    service: str
+    address: Address
+
+
+class Problems:
+    """Collects the problems of one record."""
+
+    __slots__ = ("_key", "found")
+
+    def __init__(self, key: str) -> None:
+        self._key = key
+        self.found: list[Problem] = []
+
+    def add(self, code: Code, path: str, detail: str) -> None:
+        """Adds a problem of a field."""
+        self.found.append(Problem(code, self._key, path, detail))
+
+    def wrong_type(self, path: str, expected: str, value: object) -> None:
+        """Adds a problem of a value that has the wrong JSON type."""
+        self.add(Code.RECORD_FIELD_TYPE, path, f"expected {expected}, got {_json_type(value)}")
+
+    def unexpected(self, path: str, names: Collection[str]) -> None:
+        """Adds a problem for each field that the schema does not define."""
+        for name in sorted(names):
+            self.add(Code.RECORD_FIELD_UNKNOWN, f"{path}{name}", "the schema does not define it")
+
+
+class Rule:
+    """Base of all rules."""
+
+    __slots__ = ()
+
+
+@dataclass(slots=True, frozen=True)
+class NameRule(Rule):
+    """The name of a record: letters, digits, dots, hyphens and underscores."""
+
+
+@dataclass(slots=True, frozen=True)
+class Number(Rule):
+    """A whole number between two bounds, both included."""
+
+    low: int
+    high: int
+
+
+@dataclass(slots=True, frozen=True)
+class Seconds(Rule):
+    """A duration in seconds, which may have a fraction."""
+
+    high: int
+
+
+@dataclass(slots=True, frozen=True)
+class Flag(Rule):
+    """True or false."""
+
+
+@dataclass(slots=True, frozen=True)
+class Choice(Rule):
+    """One of some words."""
+
+    words: tuple[str, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class AddressRule(Rule):
+    """An object of host (an IP number) and port."""
+
+
+@dataclass(slots=True, frozen=True)
+class HostPort(Rule):
+    """An address in one string: "10.0.0.1:7000", or "[fd00::1]:7000"."""
+
+
+@dataclass(slots=True, frozen=True)
+class NameList(Rule):
+    """A list of different names."""
+
+
+@dataclass(slots=True, frozen=True)
+class BindingList(Rule):
+    """A list of objects of service and address."""
+
+    address: Rule = field(default_factory=AddressRule)
+
+
+@dataclass(slots=True, frozen=True)
+class BindingMap(Rule):
+    """An object from service to one address in a string."""
+
+
+@singledispatch
+def read_field(rule: Rule, path: str, value: object, problems: Problems) -> Any:
+    """Reads a JSON value under a rule.
+
+    Args:
+        rule: The rule of the field.
+        path: The field's path in the record, for problems.
+        value: The decoded JSON value.
+        problems: Receives every problem found.
+
+    Returns:
+        The value for the record; it has no meaning when a problem was found.
+    """
+    raise TypeError(type(rule))
+
+
+@read_field.register
+def _(rule: NameRule, path: str, value: object, problems: Problems) -> str:
+    if not isinstance(value, str):
+        problems.wrong_type(path, "a string", value)
+        return ""
+    if len(value) > MAX_NAME_LENGTH or not _NAME.fullmatch(value):
+        allowed = f"up to {MAX_NAME_LENGTH} letters, digits and . _ -"
+        detail = f"{value[:MAX_NAME_LENGTH]!r} is not a name of {allowed}"
+        problems.add(Code.RECORD_FIELD_VALUE, path, detail)
+    return value
+
+
+@read_field.register
+def _(rule: Number, path: str, value: object, problems: Problems) -> int:
+    if not isinstance(value, int) or isinstance(value, bool):
+        problems.wrong_type(path, "a whole number", value)
+        return rule.low
+    if not rule.low <= value <= rule.high:
+        detail = f"{value} is not between {rule.low} and {rule.high}"
+        problems.add(Code.RECORD_FIELD_VALUE, path, detail)
+    return value
+
+
+@read_field.register
+def _(rule: Seconds, path: str, value: object, problems: Problems) -> float:
+    if not isinstance(value, int | float) or isinstance(value, bool):
+        problems.wrong_type(path, "a number of seconds", value)
+        return 0.0
+    if not 0 <= value <= rule.high:
+        detail = f"{value} is not between 0 and {rule.high}"
+        problems.add(Code.RECORD_FIELD_VALUE, path, detail)
+        return 0.0
+    return float(value)
+
+
+@read_field.register
+def _(rule: Flag, path: str, value: object, problems: Problems) -> bool:
+    if not isinstance(value, bool):
+        problems.wrong_type(path, "true or false", value)
+    return value is True
+
+
+@read_field.register
+def _(rule: Choice, path: str, value: object, problems: Problems) -> str:
+    if not isinstance(value, str):
+        problems.wrong_type(path, "a string", value)
+        return rule.words[0]
+    if value not in rule.words:
+        detail = f"{value[:MAX_NAME_LENGTH]!r} is none of {', '.join(rule.words)}"
+        problems.add(Code.RECORD_FIELD_VALUE, path, detail)
+    return value
+
+
+@read_field.register
+def _(rule: AddressRule, path: str, value: object, problems: Problems) -> Address:
+    if not isinstance(value, dict):
+        problems.wrong_type(path, "an object of host and port", value)
+        return "", 0
+    parts = _read_object(path, value, ("host", "port"), problems)
+    host, port = parts.get("host", ""), parts.get("port", 1)
+    if not isinstance(host, str):
+        problems.wrong_type(f"{path}.host", "a string", host)
+        return "", 0
+    if "host" in parts and not _is_ip_number(host):
+        problems.add(Code.RECORD_FIELD_VALUE, f"{path}.host", f"{host[:64]!r} is no IP number")
+    return host, read_field(Number(1, MAX_PORT), f"{path}.port", port, problems)
+
+
+@read_field.register
+def _(rule: HostPort, path: str, value: object, problems: Problems) -> str:
+    if not isinstance(value, str):
+        problems.wrong_type(path, "a string", value)
+        return ""
+    if split_host_port(value) is None:
+        problems.add(Code.RECORD_FIELD_VALUE, path, f"{value[:64]!r} is not an IP number and port")
+    return value
+
+
+@read_field.register
+def _(rule: NameList, path: str, value: object, problems: Problems) -> tuple[str, ...]:
+    if not isinstance(value, list):
+        problems.wrong_type(path, "a list", value)
+        return ()
+    names = []
+    for index, item in enumerate(value):
+        name = read_field(NameRule(), f"{path}[{index}]", item, problems)
+        if name in names:
+            problems.add(Code.RECORD_DUPLICATE, f"{path}[{index}]", f"{name} is named twice")
+        names.append(name)
+    return tuple(names)
+
+
+@read_field.register
+def _(rule: BindingList, path: str, value: object, problems: Problems) -> tuple[Binding, ...]:
+    if not isinstance(value, list):
+        problems.wrong_type(path, "a list", value)
+        return ()
+    bindings: list[Binding] = []
+    for index, item in enumerate(value):
+        place = f"{path}[{index}]"
+        if not isinstance(item, dict):
+            problems.wrong_type(place, "an object of service and address", item)
+            continue
+        parts = _read_object(place, item, ("service", "address"), problems)
+        if len(parts) < 2:
+            continue
+        service = read_field(NameRule(), f"{place}.service", parts["service"], problems)
+        address = read_field(rule.address, f"{place}.address", parts["address"], problems)
+        if any(address == other.address for other in bindings):
+            problems.add(Code.RECORD_DUPLICATE, f"{place}.address", "the address is used twice")
+        bindings.append(Binding(service, address))
+    return tuple(bindings)
+
+
+@read_field.register
+def _(rule: BindingMap, path: str, value: object, problems: Problems) -> tuple[Binding, ...]:
+    if not isinstance(value, dict):
+        problems.wrong_type(path, "an object from service to address", value)
+        return ()
+    items = [{"service": service, "address": address} for service, address in value.items()]
+    return read_field(BindingList(HostPort()), path, items, problems)
+
+
+def split_host_port(text: str) -> Address | None:
+    """Returns host and port of an address in one string, or None when it is malformed."""
+    host, separator, port = text.rpartition(":")
+    if host.startswith("[") and host.endswith("]"):
+        host = host[1:-1]
+    elif ":" in host:
+        return None
+    if not separator or not _PORT.fullmatch(port) or int(port) > MAX_PORT:
+        return None
+    return (host, int(port)) if _is_ip_number(host) else None
+
+
+def _read_object(
+    path: str, value: dict[str, Any], names: tuple[str, ...], problems: Problems
+) -> dict[str, Any]:
+    for name in names:
+        if name not in value:
+            problems.add(Code.RECORD_FIELD_MISSING, f"{path}.{name}", "the field is required")
+    problems.unexpected(f"{path}.", value.keys() - set(names))
+    return {name: value[name] for name in names if name in value}
+
+
+def _is_ip_number(host: str) -> bool:
+    try:
+        # Only the canonical form, so that equal addresses are equal strings.
+        return str(ipaddress.ip_address(host)) == host
+    except ValueError:
+        return False
+
+
+def _json_type(value: object) -> str:
+    names = {dict: "an object", list: "a list", str: "a string", bool: "true or false"}
+    if value is None:
+        return "null"
+    return names.get(type(value), "a number")
--- /dev/null
+++ b/shallotshore/membership.py
@@ -0,0 +1,202 @@
+"""The VM list: live balancers, who reads the platform's services and who relays to whom."""
+
+__all__ = ["FAN_OUT", "READERS", "Membership", "Vm"]
+
+from array import array
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from typing import Annotated
+
+from result import Err, Result
+
+from shallotshore.codes import Code
+from shallotshore.field_rules import Choice, HostPort, NameRule, Problem, split_host_port
+from shallotshore.hashing import name_id, rank
+from shallotshore.messages import Address
+from shallotshore.record_reader import read_object
+from shallotshore.records import schema_of
+from shallotshore.replica import Replica, Update
+from shallotshore.store import RecordStore
+from shallotshore.tables import MISSING
+
+READERS = 2  # per data centre, so that the death of one delays nothing
+PARENTS = 2  # balancers that an agent follows
+FAN_OUT = 16  # 737 balancers of a data centre are reached in 3 hops
+VM_LIMIT = 1 << 18
+
+
+@dataclass(slots=True)
+class Vm:
+    """One VM as the platform's VM list tells it, with the address of its process."""
+
+    name: Annotated[str, NameRule()]
+    role: Annotated[str, Choice(("balancer", "agent"))]
+    address: Annotated[str, HostPort()]
+    data_centre: Annotated[str, NameRule()]
+    state: Annotated[str, Choice(("live", "leaving"))] = "live"
+
+
+_SCHEMA = schema_of(Vm)
+
+
+class VmStore(RecordStore):
+    """Columns of VMs."""
+
+    __slots__ = ("address", "data_centre", "is_balancer", "is_leaving")
+
+    address: list[Address]
+    data_centre: array
+    is_balancer: array
+    is_leaving: array
+
+    COLUMNS = RecordStore.COLUMNS | {
+        "data_centre": "Q",  # id
+        "is_balancer": "B",
+        "is_leaving": "B",
+    }
+    OBJECT_COLUMNS = {"address": ("", 0)}
+
+
+class Membership(Replica):
+    """All balancers, and those agents whose VMs are leaving.
+
+    Live agents are left out, since upstream records name them and they are ten times as many as
+    the balancers. A slice holds the VMs of one data centre.
+    """
+
+    __slots__ = ("_addresses", "_balancers", "_leaving", "store")
+
+    store: VmStore
+
+    def __init__(self, limit: int = VM_LIMIT) -> None:
+        """Creates an empty list.
+
+        Args:
+            limit: Greatest number of VMs.
+        """
+        super().__init__(VmStore(limit))
+        self._balancers: dict[int, dict[int, Address]] = {}
+        self._addresses: dict[Address, int] = {}
+        self._leaving: dict[Address, int] = {}
+
+    def balancers(self, data_centre: int) -> tuple[Address, ...]:
+        """Returns the addresses of the live balancers of a data centre, by its id."""
+        return tuple(self._balancers.get(data_centre, {}).values())
+
+    def is_balancer(self, address: Address) -> bool:
+        """Whether a live balancer has the address."""
+        return address in self._addresses
+
+    def all_balancers(self) -> list[Address]:
+        """Returns the addresses of all live balancers."""
+        return [address for balancers in self._balancers.values() for address in balancers.values()]
+
+    def ranked(self, key: int, data_centre: int, limit: int) -> list[Address]:
+        """Returns live balancers of a data centre in the rendezvous order of a key."""
+        balancers = self._balancers.get(data_centre, {})
+        return [balancers[vm] for vm in rank(key, balancers, limit)]
+
+    def parents(self, upstream: int, data_centre: int) -> list[Address]:
+        """Returns the balancers that an upstream's agent follows and sends heartbeats to."""
+        return self.ranked(upstream, data_centre, PARENTS)
+
+    def readers(self, data_centre: int) -> list[Address]:
+        """Returns the balancers that read the platform's services for their data centre."""
+        return self.ranked(data_centre, data_centre, READERS)
+
+    def children(self, address: Address, data_centre: int) -> list[Address]:
+        """Returns the balancers to which a balancer relays.
+
+        The readers are the roots; every other balancer has one parent in the rendezvous order.
+
+        Args:
+            address: The relaying balancer.
+            data_centre: Its data centre.
+        """
+        ordered = self.ranked(data_centre, data_centre, VM_LIMIT)
+        if address not in ordered:
+            return []
+        position = ordered.index(address)
+        start = READERS + position * FAN_OUT
+        children = ordered[start : start + FAN_OUT]
+        if position < READERS:
+            children += [reader for reader in ordered[:READERS] if reader != address]
+        return children
+
+    def is_leaving(self, address: Address) -> bool:
+        """Whether the VM at an address is about to be taken away."""
+        return address in self._leaving
+
+    # How entries change the columns.
+
+    def slice_ids(self, scope: int) -> Iterable[int]:
+        """Returns the ids of all keys of a data centre, or of all keys for scope 0."""
+        return [
+            key_id
+            for key_id in self.store.all_ids()
+            if not scope or self.store.data_centre[self.store.row(key_id)] == scope
+        ]
+
+    def in_slice(self, key_id: int, scope: int) -> bool:
+        """Whether a key, which may be deleted, is in a data centre's slice."""
+        row = self.store.row(key_id)
+        if row != MISSING:
+            return scope in (0, self.store.data_centre[row])
+        tombstone = self.store.tombstones.get(key_id)
+        return tombstone is not None and (not scope or tombstone.scope in (0, scope))
+
+    def scope_of(self, key_id: int) -> int:
+        """Returns the data centre of a VM; 0 when the VM is unknown."""
+        row = self.store.row(key_id)
+        return 0 if row == MISSING else self.store.data_centre[row]
+
+    def read(self, key: str, text: bytes, relayed: bool) -> Result[Vm, list[Problem]]:
+        """Reads one entry of the VM list."""
+        kind = key.partition("/")[0]
+        if kind != "vm":
+            return Err([Problem(Code.RECORD_KIND_UNKNOWN, key, "", f"{kind} is not vm")])
+        return read_object(key, text, _SCHEMA)
+
+    def conflict(self, record: object) -> Problem | None:
+        """Returns None: VMs have no conflicts."""
+        return None
+
+    def is_kept(self, record: object) -> bool:
+        """Whether an entry is relayed: balancers and leaving agents are."""
+        return isinstance(record, Vm) and (record.role == "balancer" or record.state == "leaving")
+
+    def put(self, row: int, record: object, update: Update) -> None:
+        """Writes a VM into the columns of its row."""
+        assert isinstance(record, Vm)
+        self._forget(row)
+        store = self.store
+        address = split_host_port(record.address)
+        assert address is not None  # the reader has checked the field
+        store.address[row] = address
+        store.data_centre[row] = name_id("data_centre", record.data_centre)
+        store.is_balancer[row] = record.role == "balancer"
+        store.is_leaving[row] = record.state == "leaving"
+        if record.state == "leaving":
+            self._leaving[address] = store.key[row]
+        elif record.role == "balancer":
+            data_centre = self._balancers.setdefault(store.data_centre[row], {})
+            data_centre[store.key[row]] = address
+            self._addresses[address] = store.key[row]
+
+    def drop(self, row: int, revision: int, update: Update) -> None:
+        """Takes a VM out of the columns."""
+        self._forget(row)
+
+    def _forget(self, row: int) -> None:
+        store = self.store
+        self._balancers.get(store.data_centre[row], {}).pop(store.key[row], None)
+        for known in (self._addresses, self._leaving):
+            if known.get(store.address[row]) == store.key[row]:
+                del known[store.address[row]]
+
+    def prepare(self, update: Update) -> Iterator[None]:
+        """Does nothing: a VM list has no derived entries."""
+        return iter(())
+
+    def close(self, update: Update) -> None:
+        """Does nothing: each VM stands for itself."""
--- /dev/null
+++ b/shallotshore/peering.py
@@ -0,0 +1,147 @@
+"""What the systems of propagation share: settings, copies, and when peers were last heard."""
+
+__all__ = ["NEVER", "Peering", "PropagationConfig"]
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from random import Random
+
+from shallotshore.catalog import Catalog
+from shallotshore.hashing import name_id
+from shallotshore.membership import Membership
+from shallotshore.messages import Address, Message, Source
+from shallotshore.replica import Replica
+from shallotshore.systems import Core
+
+GRPC_PART_BYTES = 256 * 1024  # far below gRPC's limit of 4 MiB; encoding takes under 2 ms
+NEVER = -1_000_000
+HEARD_LIMIT = 1024
+HEARD_MS = 10_000  # entries older than this are dropped at the limit
+
+
+@dataclass(slots=True)
+class PropagationConfig:
+    """Settings of a process that its propagation needs.
+
+    Attributes:
+        address: Own address.
+        data_centre: Name of the own data centre.
+        peers: Balancers to ask before the VM list is known.
+        platform: Addresses of the configuration service and of the VM list.
+        service: Name of the service that the agent serves; empty in a balancer.
+        upstream: Name of the agent's upstream; empty in a balancer.
+        part_bytes: Greatest size of the entries in one `Delta`.
+    """
+
+    address: Address
+    data_centre: str
+    peers: tuple[Address, ...] = ()
+    platform: Mapping[Source, Address] = field(default_factory=dict)
+    service: str = ""
+    upstream: str = ""
+    part_bytes: int = GRPC_PART_BYTES
+
+
+class Peering:
+    """State that the systems of propagation share."""
+
+    __slots__ = (
+        "_core",
+        "_heard",
+        "catalog",
+        "config",
+        "counters",
+        "data_centre",
+        "inbox",
+        "is_validated",
+        "last_answer",
+        "last_state",
+        "membership",
+        "replicas",
+        "rng",
+        "scopes",
+        "upstream",
+    )
+
+    def __init__(
+        self,
+        config: PropagationConfig,
+        core: Core,
+        catalog: Catalog,
+        membership: Membership,
+        rng: Random,
+    ) -> None:
+        self._core = core
+        self._heard: dict[Address, int] = {}
+        self.inbox = core.inbox
+        self.counters = core.counters
+        self.config = config
+        self.rng = rng
+        self.catalog = catalog
+        self.membership = membership
+        self.replicas: dict[Source, Replica] = {
+            Source.CONFIGURATION: catalog,
+            Source.VM_LIST: membership,
+        }
+        self.data_centre = name_id("data_centre", config.data_centre)
+        self.upstream = name_id("upstream", config.upstream) if config.upstream else 0
+        service = name_id("service", config.service) if config.service else 0
+        # An agent holds its service's slice of the records and its data centre's slice of the VMs.
+        self.scopes: dict[Source, int] = {
+            Source.CONFIGURATION: service,
+            Source.VM_LIST: self.data_centre if service else 0,
+        }
+        self.is_validated = False
+        self.last_answer = NEVER
+        self.last_state = NEVER
+
+    @property
+    def is_agent(self) -> bool:
+        """Whether the process holds a slice only."""
+        return self.scopes[Source.CONFIGURATION] != 0
+
+    def send(self, destination: Address, message: Message) -> None:
+        """Queues a message."""
+        self._core.outbox.send(destination, message)
+
+    def hear(self, address: Address, now: int, has_state: bool = False) -> None:
+        """Notes a message of a balancer; those of other processes are passed over.
+
+        Args:
+            address: Sender of the message.
+            now: Monotonic time in milliseconds.
+            has_state: Whether the message shows that the sender holds a revision.
+        """
+        if self.membership.revision and not self._may_be_balancer(address):
+            return
+        self._heard[address] = now
+        self.last_answer = now
+        if has_state:
+            self.last_state = now
+        if len(self._heard) > HEARD_LIMIT:
+            self._heard = {other: at for other, at in self._heard.items() if now - at < HEARD_MS}
+
+    def _may_be_balancer(self, address: Address) -> bool:
+        return self.membership.is_balancer(address) or address in self.config.peers
+
+    def last_heard(self, address: Address) -> int:
+        """Returns when a balancer was last heard, or NEVER."""
+        return self._heard.get(address, NEVER)
+
+    def known_balancer(self, address: Address) -> Address | None:
+        """Returns the address if a balancer was heard from it, else None."""
+        return address if address in self._heard else None
+
+    def other_balancers(self) -> list[Address]:
+        """Returns the balancers of the VM list and of the settings, without this process."""
+        known = dict.fromkeys([*self.membership.all_balancers(), *self.config.peers])
+        known.pop(self.config.address, None)
+        return list(known)
+
+    def choose(self, count: int) -> list[Address]:
+        """Returns random balancers that can send what this process holds or should hold."""
+        candidates = self.other_balancers()
+        if self.is_agent:
+            parents = self.membership.parents(self.upstream, self.data_centre)
+            candidates = list(dict.fromkeys([*parents, *self.config.peers])) or candidates
+        return self.rng.sample(candidates, min(count, len(candidates)))
--- /dev/null
+++ b/shallotshore/propagation.py
@@ -0,0 +1,149 @@
+"""How revisions spread: the system that both cores run, in its two roles."""
+
+__all__ = ["Propagation", "PropagationConfig"]
+
+from random import Random
+from typing import Protocol
+
+from shallotshore.catalog import Catalog
+from shallotshore.following import Following
+from shallotshore.intake import Intake
+from shallotshore.membership import Membership
+from shallotshore.messages import Address, RevisionNotice, Source
+from shallotshore.peering import NEVER, Peering, PropagationConfig
+from shallotshore.platform_reader import PlatformReader
+from shallotshore.relay import Relay
+from shallotshore.replica import Applied
+from shallotshore.systems import Core
+
+START_MS = 2000  # without a peer's answer for so long, a new process goes on alone
+ASK_MS = 250  # between the questions of a process that has just started
+ASKED_AT_ONCE = 2
+NOTICE_MS = 200  # between notices to one process
+NOTICE_LIMIT = 1024
+
+
+class Role(Protocol):
+    """What a balancer and an agent do differently."""
+
+    def run(self, now: int) -> None:
+        """Answers messages and sends what is due."""
+
+    def ask(self, now: int) -> None:
+        """Asks some peers for their revision at once."""
+
+
+class Propagation:
+    """System that keeps catalog and VM list at the highest revision known.
+
+    It runs right after the wake-up guard. In a balancer it holds everything, reads the platform's
+    services when it is its turn and serves agents. In an agent it holds a slice.
+    """
+
+    __slots__ = ("_intake", "_next_ask", "_noticed", "_peering", "_role", "_started_at")
+
+    def __init__(self, peering: Peering, intake: Intake, role: Role) -> None:
+        self._peering = peering
+        self._intake = intake
+        self._role = role
+        self._noticed: dict[Address, int] = {}
+        self._next_ask = 0
+        self._started_at = NEVER
+
+    @classmethod
+    def from_config(
+        cls,
+        config: PropagationConfig,
+        core: Core,
+        catalog: Catalog,
+        membership: Membership,
+        rng: Random,
+    ) -> "Propagation":
+        """Builds the system for a balancer, or for an agent when the settings name a service.
+
+        Args:
+            config: Settings.
+            core: The core whose inbox, outbox and counters it uses.
+            catalog: Records, filled by this system.
+            membership: VM list, filled by this system.
+            rng: Seeded random numbers.
+        """
+        peering = Peering(config, core, catalog, membership, rng)
+        intake = Intake(peering)
+        if peering.is_agent:
+            return cls(peering, intake, Following(peering, intake))
+        reader = PlatformReader(peering, intake)
+        return cls(peering, intake, Relay(peering, intake, reader))
+
+    @property
+    def is_validated(self) -> bool:
+        """Whether the process may serve: a peer has sent its state, or none answered for 2 s."""
+        return self._peering.is_validated
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether an update waits to be worked off, so that the next tick should follow at once."""
+        return self._intake.is_busy
+
+    @property
+    def applied(self) -> list[tuple[Source, Applied]]:
+        """What the updates that were completed in this tick have changed."""
+        return self._intake.applied
+
+    @property
+    def last_answer(self) -> int:
+        """Time at which a balancer was last heard, in milliseconds."""
+        return self._peering.last_answer
+
+    def run(self, now: int) -> None:
+        """Takes messages, applies a slice of the updates and sends what is due.
+
+        Args:
+            now: Monotonic time in milliseconds.
+        """
+        if self._started_at == NEVER:
+            self._started_at = now
+        for address, notice in self._peering.inbox.take(RevisionNotice):
+            self._peering.hear(address, now)
+            self.note_revision(address, notice.revision, now)
+        self._intake.run(now)
+        self._role.run(now)
+        if not self._peering.is_validated:
+            self._start_up(now)
+
+    def note_revision(self, address: Address, revision: int, now: int) -> None:
+        """Compares the revision in a received message with the one held.
+
+        A process that is behind is told so; when this one is behind, it asks for the difference.
+
+        Args:
+            address: Sender of the message.
+            revision: Revision of the records that the sender holds.
+            now: Monotonic time in milliseconds.
+        """
+        held = self._peering.catalog.revision
+        if revision > held:
+            self._intake.want(Source.CONFIGURATION, revision, self._peering.known_balancer(address))
+        elif revision < held and now - self._noticed.get(address, NEVER) >= NOTICE_MS:
+            if len(self._noticed) >= NOTICE_LIMIT:
+                self._noticed.clear()
+            self._noticed[address] = now
+            self._peering.send(address, RevisionNotice(held))
+
+    def ask_peers(self, now: int) -> None:
+        """Asks some peers for their revision at once."""
+        self._role.ask(now)
+
+    def _start_up(self, now: int) -> None:
+        peering = self._peering
+        holds_state = peering.catalog.revision > 0 and peering.last_state != NEVER
+        is_alone = now - max(self._started_at, peering.last_state) >= START_MS
+        if holds_state or is_alone:
+            peering.is_validated = True
+            peering.counters.add(
+                "propagation.validated_alone" if is_alone else "propagation.validated"
+            )
+        elif now >= self._next_ask:
+            self._next_ask = now + ASK_MS
+            for source in Source:
+                self._intake.ask_for_all(source, ASKED_AT_ONCE)
--- a/shallotshore/record_reader.py
+++ b/shallotshore/record_reader.py
@@ -1,55 +1,116 @@
-"""Reads the JSON text of records."""
+"""Reads the JSON text of records of any known schema and lists every problem found."""
 
-__all__ = ["Problem", "read_record"]
+__all__ = ["Problem", "read_object", "read_record"]
 
-import json
-from typing import Any, NamedTuple
+from typing import Any
 
+import msgspec
 from result import Err, Ok, Result
 
 from shallotshore.codes import Code
-from shallotshore.records import Binding, Customer, DataCentre, Record, Service, Upstream
+from shallotshore.field_rules import Problem, Problems, read_field
+from shallotshore.records import SCHEMAS, Record, Schema, upgrade
+from shallotshore.texts import MAX_TEXT_BYTES
 
 
-class Problem(NamedTuple):
-    """Why a record was refused."""
+def read_record(key: str, text: bytes) -> Result[Record, list[Problem]]:
+    """Reads a published record and upgrades it to the newest schema of its kind.
 
-    code: Code
-    key: str
-    field: str
-    detail: str
+    Args:
+        key: The record's key, such as "service/spotdesk".
+        text: JSON text.
 
+    Returns:
+        The record, or every problem found in it.
+    """
+    problems = Problems(key)
+    plain = _decode(text, problems)
+    if plain is None:
+        return Err(problems.found)
+    schema = _find_schema(plain, problems)
+    if schema is None:
+        return Err(problems.found)
+    kind, _, name = key.partition("/")
+    if plain.pop("kind") != kind:
+        problems.add(Code.RECORD_FIELD_VALUE, "kind", f"differs from {kind!r} in the key")
+    del plain["schema"]
+    record = _build(plain, schema, name, problems)
+    if record is None:
+        return Err(problems.found)
+    return Ok(_newest(record))
 
-_CLASSES: dict[str, type] = {
-    "service": Service,
-    "upstream": Upstream,
-    "data_centre": DataCentre,
-    "customer": Customer,
-}
 
+def read_object(key: str, text: bytes, schema: Schema) -> Result[Any, list[Problem]]:
+    """Reads a JSON object that others define, such as an entry of the VM list.
 
-def read_record(key: str, text: bytes) -> Result[Record, list[Problem]]:
-    """Reads a record's text.
+    Fields that the schema does not name are passed over.
 
     Args:
-        key: The record's key.
+        key: The object's key; the part after the slash is its name.
         text: JSON text.
+        schema: Fields of the object.
 
     Returns:
-        The record, or every problem found in it.
+        An instance of the schema's class, or every problem found.
     """
+    problems = Problems(key)
+    plain = _decode(text, problems)
+    if plain is None:
+        return Err(problems.found)
+    known = {field: plain[field] for field in schema.rules if field in plain}
+    built = _build(known, schema, key.partition("/")[2], problems)
+    return Err(problems.found) if built is None else Ok(built)
+
+
+def _decode(text: bytes, problems: Problems) -> dict[str, Any] | None:
+    if len(text) > MAX_TEXT_BYTES:
+        problems.add(Code.RECORD_TOO_LARGE, "", f"{len(text)} bytes, limit {MAX_TEXT_BYTES}")
+        return None
     try:
-        plain: dict[str, Any] = json.loads(text)
-        record_class = _CLASSES[plain.pop("kind")]
-        plain.pop("schema")
-        if "host" in plain:
-            plain["address"] = (plain.pop("host"), plain.pop("port"))
-        if "bindings" in plain:
-            plain["bindings"] = tuple(
-                Binding(item["service"], (item["host"], item["port"])) for item in plain["bindings"]
-            )
-        if "customers" in plain:
-            plain["customers"] = tuple(plain["customers"])
-        return Ok(record_class(**plain))
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
-        return Err([Problem(Code.RECORD_NOT_JSON, key, "", str(error))])
+        plain = msgspec.json.decode(text)
+    except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as error:
+        problems.add(Code.RECORD_NOT_JSON, "", str(error))
+        return None
+    if not isinstance(plain, dict):
+        problems.add(Code.RECORD_NOT_OBJECT, "", "the text is no JSON object")
+        return None
+    return plain
+
+
+def _find_schema(plain: dict[str, Any], problems: Problems) -> Schema | None:
+    for name in ("kind", "schema"):
+        if name not in plain:
+            problems.add(Code.RECORD_FIELD_MISSING, name, "the field is required")
+    if problems.found:
+        return None
+    kind, number = plain["kind"], plain["schema"]
+    if not isinstance(kind, str) or kind not in SCHEMAS:
+        problems.add(Code.RECORD_KIND_UNKNOWN, "kind", f"none of {', '.join(SCHEMAS)}")
+        return None
+    if not isinstance(number, int) or isinstance(number, bool):
+        problems.wrong_type("schema", "a whole number", number)
+        return None
+    if number not in SCHEMAS[kind]:
+        detail = f"this program knows versions 1 to {max(SCHEMAS[kind])} of {kind}"
+        problems.add(Code.RECORD_VERSION_UNKNOWN, "schema", detail)
+        return None
+    return SCHEMAS[kind][number]
+
+
+def _build(plain: dict[str, Any], schema: Schema, name: str, problems: Problems) -> Any:
+    values = {}
+    for field, rule in schema.rules.items():
+        if field in plain:
+            values[field] = read_field(rule, field, plain[field], problems)
+        elif field not in schema.optional:
+            problems.add(Code.RECORD_FIELD_MISSING, field, "the field is required")
+    problems.unexpected("", plain.keys() - schema.rules.keys())
+    if "name" in plain and plain["name"] != name:
+        problems.add(Code.RECORD_FIELD_VALUE, "name", f"differs from {name!r} in the key")
+    return None if problems.found else schema.record_class(**values)
+
+
+def _newest(record: Record) -> Record:
+    while (upgraded := upgrade(record)) is not record:
+        record = upgraded
+    return record
--- a/shallotshore/records.py
+++ b/shallotshore/records.py
@@ -1,32 +1,72 @@
-"""Records that operators publish: newest schemas and their text."""
+"""Records that operators publish: classes of every schema version, and their upgrade.
+
+A record written under any schema is upgraded step by step to the newest class of its kind, so the
+rest of the program knows the newest classes only: `Service`, `Upstream`, `DataCentre`, `Customer`.
+"""
 
 __all__ = [
+    "SCHEMAS",
     "Binding",
     "Customer",
+    "CustomerV1",
+    "CustomerV2",
     "DataCentre",
+    "DataCentreV1",
+    "DataCentreV2",
     "Members",
     "Record",
+    "Schema",
     "Service",
+    "ServiceV1",
+    "ServiceV2",
     "Upstream",
+    "UpstreamV1",
+    "UpstreamV2",
     "key_of",
+    "schema_of",
     "to_text",
+    "upgrade",
 ]
 
-import json
-from dataclasses import dataclass, fields
+from dataclasses import MISSING, dataclass, fields
 from functools import singledispatch
-from typing import NamedTuple
-
+from typing import Annotated, Any, NamedTuple, get_type_hints
+
+import msgspec
+
+from shallotshore.field_rules import (
+    AddressRule,
+    Binding,
+    BindingList,
+    BindingMap,
+    Choice,
+    Flag,
+    HostPort,
+    NameList,
+    NameRule,
+    Number,
+    Rule,
+    Seconds,
+    split_host_port,
+)
 from shallotshore.messages import Address
 
 NEWEST_SCHEMA = 3
 
+_MAX_WARMUP_MS = 3_600_000
 
-class Binding(NamedTuple):
-    """A service that a customer reaches at an address (VIP)."""
-
-    service: str
-    address: Address
+Name = Annotated[str, NameRule()]
+Slots = Annotated[int, Number(1, 10_000)]
+Connections = Annotated[int, Number(0, 10_000_000)]
+ColdLimit = Annotated[int, Number(1, 10_000)]
+OptionalColdLimit = Annotated[int | None, Number(1, 10_000)]
+WarmupSeconds = Annotated[float, Seconds(_MAX_WARMUP_MS // 1000)]
+WarmupMs = Annotated[int, Number(0, _MAX_WARMUP_MS)]
+OptionalWarmupMs = Annotated[int | None, Number(0, _MAX_WARMUP_MS)]
+QueueFactor = Annotated[int, Number(0, 100)]
+Switch = Annotated[bool, Flag()]
+UpstreamState = Annotated[str, Choice(("active", "leaving"))]
+DataCentreState = Annotated[str, Choice(("in", "out"))]
 
 
 class Record:
@@ -35,6 +75,29 @@
     __slots__ = ()
 
 
+# Services.
+
+
+@dataclass(slots=True)
+class ServiceV1(Record):
+    """Of the first schema: `slow_start` in seconds, a queue that is on or off."""
+
+    name: Name
+    initial: ColdLimit = 1
+    slow_start: WarmupSeconds = 1.0
+    queue: Annotated[str, Choice(("on", "off"))] = "on"
+
+
+@dataclass(slots=True)
+class ServiceV2(Record):
+    """Of the second schema: warm-up in milliseconds, the queue as requests per slot."""
+
+    name: Name
+    initial: ColdLimit = 1
+    warmup_ms: WarmupMs = 1000
+    queue_factor: QueueFactor = 2
+
+
 @dataclass(slots=True)
 class Service(Record):
     """A service; its cold start settings hold for upstreams that name none.
@@ -46,10 +109,41 @@
         queue_factor: Greatest number of queued requests per slot.
     """
 
-    name: str
-    cold_limit: int = 1
-    warmup_ms: int = 1000
-    queue_factor: int = 2
+    name: Name
+    cold_limit: ColdLimit = 1
+    warmup_ms: WarmupMs = 1000
+    queue_factor: QueueFactor = 2
+
+
+# Upstreams.
+
+
+@dataclass(slots=True)
+class UpstreamV1(Record):
+    """Of the first schema: one string for the address, warm-up in seconds, a drain flag."""
+
+    name: Name
+    service: Name
+    zone: Name
+    address: Annotated[str, HostPort()]
+    slots: Slots = 1
+    drain: Switch = False
+    warmup: WarmupSeconds = 1.0
+
+
+@dataclass(slots=True)
+class UpstreamV2(Record):
+    """Of the second schema: host and port apart, flows bounded, still a drain flag."""
+
+    name: Name
+    service: Name
+    data_centre: Name
+    address: Annotated[Address, AddressRule()]
+    slots: Slots = 1
+    connections: Connections = 2000
+    cold_limit: OptionalColdLimit = None
+    warmup: WarmupSeconds = 1.0
+    drain: Switch = False
 
 
 @dataclass(slots=True)
@@ -69,34 +163,76 @@
         customers: Names of the customers it serves; empty stands for all.
     """
 
-    name: str
-    service: str
-    data_centre: str
-    address: Address
-    state: str = "active"
-    slots: int = 1
-    connections: int = 2000
-    cold_limit: int | None = None
-    warmup_ms: int | None = None
-    customers: tuple[str, ...] = ()
+    name: Name
+    service: Name
+    data_centre: Name
+    address: Annotated[Address, AddressRule()]
+    state: UpstreamState = "active"
+    slots: Slots = 1
+    connections: Connections = 2000
+    cold_limit: OptionalColdLimit = None
+    warmup_ms: OptionalWarmupMs = None
+    customers: Annotated[tuple[str, ...], NameList()] = ()
+
+
+# Data centres.
+
+
+@dataclass(slots=True)
+class DataCentreV1(Record):
+    """Of the first schema: region and area in one string, a flag."""
+
+    name: Name
+    location: Name
+    enabled: Switch = True
+
+
+@dataclass(slots=True)
+class DataCentreV2(Record):
+    """Of the second schema: the region in its own field, still a flag."""
+
+    name: Name
+    region: Name
+    enabled: Switch = True
 
 
 @dataclass(slots=True)
 class DataCentre(Record):
     """A data centre; `state` is "in" or "out"."""
 
-    name: str
-    region: str
-    state: str = "in"
+    name: Name
+    region: Name
+    state: DataCentreState = "in"
+
+
+# Customers.
+
+
+@dataclass(slots=True)
+class CustomerV1(Record):
+    """Of the first schema: a class of service, one address in a string for each service."""
+
+    name: Name
+    tier: Annotated[str, Choice(("low", "normal", "high"))] = "normal"
+    addresses: Annotated[tuple[tuple[str, str], ...], BindingMap()] = ()
+
+
+@dataclass(slots=True)
+class CustomerV2(Record):
+    """Of the second schema: a weight in percent, any number of addresses in strings."""
+
+    name: Name
+    weight_percent: Annotated[int, Number(1, 1_000_000)] = 100
+    bindings: Annotated[tuple[tuple[str, str], ...], BindingList(HostPort())] = ()
 
 
 @dataclass(slots=True)
 class Customer(Record):
     """A customer, its share of the slots and the addresses at which it reaches services."""
 
-    name: str
-    share: int = 1
-    bindings: tuple[Binding, ...] = ()
+    name: Name
+    share: Annotated[int, Number(1, 10_000)] = 1
+    bindings: Annotated[tuple[Binding, ...], BindingList()] = ()
 
 
 @dataclass(slots=True)
@@ -106,49 +242,154 @@
     name: str
 
 
-_KINDS: dict[type, str] = {
-    Service: "service",
-    Upstream: "upstream",
-    DataCentre: "data_centre",
-    Customer: "customer",
+@singledispatch
+def upgrade(record: Record) -> Record:
+    """Returns a record under the next schema of its kind, or the record itself if it is newest."""
+    return record
+
+
+@upgrade.register
+def _(record: ServiceV1) -> ServiceV2:
+    queue_factor = 2 if record.queue == "on" else 0
+    return ServiceV2(record.name, record.initial, _milliseconds(record.slow_start), queue_factor)
+
+
+@upgrade.register
+def _(record: ServiceV2) -> Service:
+    return Service(record.name, record.initial, record.warmup_ms, record.queue_factor)
+
+
+@upgrade.register
+def _(record: UpstreamV1) -> UpstreamV2:
+    return UpstreamV2(
+        record.name,
+        record.service,
+        record.zone,
+        _split(record.address),
+        slots=record.slots,
+        warmup=record.warmup,
+        drain=record.drain,
+    )
+
+
+@upgrade.register
+def _(record: UpstreamV2) -> Upstream:
+    return Upstream(
+        record.name,
+        record.service,
+        record.data_centre,
+        record.address,
+        "leaving" if record.drain else "active",
+        record.slots,
+        record.connections,
+        record.cold_limit,
+        _milliseconds(record.warmup),
+    )
+
+
+@upgrade.register
+def _(record: DataCentreV1) -> DataCentreV2:
+    # A location is the region, a dot and an area of the region, which no rule uses any more.
+    return DataCentreV2(record.name, record.location.partition(".")[0], record.enabled)
+
+
+@upgrade.register
+def _(record: DataCentreV2) -> DataCentre:
+    return DataCentre(record.name, record.region, "in" if record.enabled else "out")
+
+
+@upgrade.register
+def _(record: CustomerV1) -> CustomerV2:
+    weight_percent = {"low": 50, "normal": 100, "high": 400}[record.tier]
+    return CustomerV2(record.name, weight_percent, record.addresses)
+
+
+@upgrade.register
+def _(record: CustomerV2) -> Customer:
+    bindings = tuple(Binding(service, _split(address)) for service, address in record.bindings)
+    return Customer(record.name, max(1, record.weight_percent // 100), bindings)
+
+
+def _milliseconds(seconds: float) -> int:
+    return round(seconds * 1000)
+
+
+def _split(text: str) -> Address:
+    address = split_host_port(text)
+    assert address is not None  # the reader has checked the field
+    return address
+
+
+class Schema(NamedTuple):
+    """How a record class is read: a rule for each field, and the fields that may be absent."""
+
+    record_class: type
+    rules: dict[str, Rule]
+    optional: frozenset[str]
+
+
+def schema_of(record_class: type) -> Schema:
+    """Returns the schema that a record class's annotations and defaults state."""
+    hints = get_type_hints(record_class, include_extras=True)
+    rules = {field.name: hints[field.name].__metadata__[0] for field in fields(record_class)}
+    optional = {field.name for field in fields(record_class) if field.default is not MISSING}
+    return Schema(record_class, rules, frozenset(optional))
+
+
+_VERSIONS: dict[str, tuple[type, ...]] = {
+    "service": (ServiceV1, ServiceV2, Service),
+    "upstream": (UpstreamV1, UpstreamV2, Upstream),
+    "data_centre": (DataCentreV1, DataCentreV2, DataCentre),
+    "customer": (CustomerV1, CustomerV2, Customer),
 }
 
+SCHEMAS: dict[str, dict[int, Schema]] = {
+    kind: {number: schema_of(each) for number, each in enumerate(classes, start=1)}
+    for kind, classes in _VERSIONS.items()
+}
+
+_PUBLISHED_AS: dict[type, tuple[str, int]] = {
+    each: (kind, number)
+    for kind, classes in _VERSIONS.items()
+    for number, each in enumerate(classes, start=1)
+}
 
-def key_of(record: Record) -> str:
+
+def key_of(record: Any) -> str:
     """Returns the key of a record, such as "service/spotdesk"."""
-    return f"{_KINDS[type(record)]}/{record.name}"  # type: ignore[attr-defined]
+    return f"{_PUBLISHED_AS[type(record)][0]}/{record.name}"
 
 
-@singledispatch
-def _plain(value: object) -> object:
-    return value
+def to_text(record: Record) -> bytes:
+    """Returns the JSON text of a record in the schema of its class."""
+    kind, number = _PUBLISHED_AS[type(record)]
+    schema = SCHEMAS[kind][number]
+    plain: dict[str, object] = {"kind": kind, "schema": number}
+    for name, rule in schema.rules.items():
+        value = _to_json(rule, getattr(record, name))
+        if value is not None and value != ():
+            plain[name] = value
+    return msgspec.json.encode(plain)
 
 
-@_plain.register
-def _(value: Record) -> object:
-    plain: dict[str, object] = {"kind": _KINDS[type(value)], "schema": NEWEST_SCHEMA}
-    for field in fields(value):  # type: ignore[arg-type]
-        content = _plain(getattr(value, field.name))
-        if content not in (None, []):
-            plain[field.name] = content
-    return plain
+@singledispatch
+def _to_json(rule: Rule, value: Any) -> object:
+    return value
 
 
-@_plain.register
-def _(value: Binding) -> object:
-    return {"service": value.service, "host": value.address[0], "port": value.address[1]}
+@_to_json.register
+def _(rule: AddressRule, value: Address) -> object:
+    return {"host": value[0], "port": value[1]}
 
 
-@_plain.register
-def _(value: tuple) -> object:
-    return [_plain(item) for item in value]
+@_to_json.register
+def _(rule: BindingList, value: tuple[Any, ...]) -> object:
+    return [
+        {"service": service, "address": _to_json(rule.address, address)}
+        for service, address in value
+    ]
 
 
-def to_text(record: Record) -> bytes:
-    """Returns the JSON text of a record in its newest schema."""
-    plain = _plain(record)
-    assert isinstance(plain, dict)
-    address = plain.pop("address", None)
-    if address is not None:
-        plain["host"], plain["port"] = address
-    return json.dumps(plain, separators=(",", ":")).encode()
+@_to_json.register
+def _(rule: BindingMap, value: tuple[Any, ...]) -> object:
+    return dict(value)
--- a/shallotshore/replica.py
+++ b/shallotshore/replica.py
@@ -34,10 +34,13 @@
     is changed in `close`.
     """
 
-    __slots__ = ("store",)
+    __slots__ = ("changed_data_centres", "changed_services", "store")
 
     def __init__(self, store: RecordStore) -> None:
         self.store = store
+        # Kept here rather than in the update, so that an update given up half-way loses no change.
+        self.changed_services: set[int] = set()
+        self.changed_data_centres: set[int] = set()
 
     @property
     def revision(self) -> int:
@@ -125,6 +128,10 @@
         """Returns why a record cannot be in force beside the present ones."""
         raise NotImplementedError
 
+    def is_kept(self, record: object) -> bool:
+        """Whether a published record is held and relayed."""
+        return True
+
     def put(self, row: int, record: object, update: "Update") -> None:
         """Writes a record into the columns of its row, which still hold its old version."""
         raise NotImplementedError
@@ -150,8 +157,6 @@
     """
 
     __slots__ = (
-        "_changed_data_centres",
-        "_changed_services",
         "_deferred",
         "_ended",
         "_problems",
@@ -173,13 +178,23 @@
         self._deferred: list[tuple[Entry, object, Problem]] = []
         self._problems: list[Problem] = []
         self._seen: set[int] = set()
-        self._changed_services: set[int] = set()
-        self._changed_data_centres: set[int] = set()
         self._work = self._run()
         self.relayed = relayed
         self.revision = revision
         self.result: Applied | None = None
 
+    @property
+    def is_ended(self) -> bool:
+        """Whether all entries were fed."""
+        return self._ended
+
+    @property
+    def is_runnable(self) -> bool:
+        """Whether `step` has something to do."""
+        return self.result is None and (
+            self._ended or (self.relayed and self._replica.revision == 0 and bool(self._waiting))
+        )
+
     def feed(self, entries: Iterable[Entry]) -> None:
         """Adds entries; those already held are dropped."""
         for entry in entries:
@@ -206,22 +221,11 @@
             The number of records read; fewer than the limit when nothing is left to do.
         """
         count = 0
-        while count < limit and self.result is None and self._may_run():
+        while count < limit and self.is_runnable:
             next(self._work, None)
             count += 1
         return count
 
-    def note_service(self, service: int) -> None:
-        """Notes a changed service."""
-        self._changed_services.add(service)
-
-    def note_data_centre(self, data_centre: int) -> None:
-        """Notes a changed data centre."""
-        self._changed_data_centres.add(data_centre)
-
-    def _may_run(self) -> bool:
-        return self._ended or (self.relayed and self._replica.revision == 0 and bool(self._waiting))
-
     def _run(self) -> Iterator[None]:
         held = self._replica.revision
         if self.revision < held or (self.revision == held and not self.relayed):
@@ -274,7 +278,10 @@
         if isinstance(read, Err):
             self._refuse(entry, read.err_value)
             return
-        self._put(entry, read.ok_value)
+        if self.relayed or self._replica.is_kept(read.ok_value):
+            self._put(entry, read.ok_value)
+        elif key_id in store:
+            self._delete(entry, key_id)
 
     def _delete(self, entry: Entry, key_id: int) -> None:
         scope = self._replica.scope_of(key_id)
@@ -335,6 +342,8 @@
         self.result = Applied(
             True,
             tuple(self._problems),
-            frozenset(self._changed_services),
-            frozenset(self._changed_data_centres),
+            frozenset(self._replica.changed_services),
+            frozenset(self._replica.changed_data_centres),
         )
+        self._replica.changed_services.clear()
+        self._replica.changed_data_centres.clear()
--- /dev/null
+++ b/shallotshore/wakeup.py
@@ -0,0 +1,61 @@
+"""Guard against acting on old beliefs after a pause of the process."""
+
+__all__ = ["WakeupGuard"]
+
+from collections.abc import Callable
+
+from shallotshore.systems import Core
+
+PAUSE_MS = 1000  # a longer gap between ticks makes what is held and buffered doubtful
+ANSWER_MS = 1000  # a process whose peers are all gone goes on with what it holds
+
+
+class WakeupGuard:
+    """Drops what arrived during a pause and holds the process back until a peer has answered.
+
+    It is the first system of a core. Systems that forward or admit work ask `may_serve`.
+    """
+
+    __slots__ = ("_ask_peers", "_core", "_last_answer", "_last_tick", "_woken_at")
+
+    def __init__(
+        self,
+        core: Core,
+        ask_peers: Callable[[int], None],
+        last_answer: Callable[[], int],
+    ) -> None:
+        """Creates a guard that has seen no tick.
+
+        Args:
+            core: The core whose inbox is cleared.
+            ask_peers: Called with `now` to ask peers for their revision.
+            last_answer: Returns the time at which a peer's answer was last received.
+        """
+        self._core = core
+        self._ask_peers = ask_peers
+        self._last_answer = last_answer
+        self._last_tick = -1
+        self._woken_at = -1
+
+    @property
+    def may_serve(self) -> bool:
+        """Whether the process may act on what it holds."""
+        return self._woken_at < 0
+
+    def run(self, now: int) -> None:
+        """Detects a pause, or the end of the wait that follows it.
+
+        Args:
+            now: Monotonic time in milliseconds.
+        """
+        if self._last_tick >= 0 and now - self._last_tick > PAUSE_MS:
+            self._core.counters.add("wakeup.pauses")
+            self._core.counters.add("wakeup.dropped_messages", self._core.inbox.clear())
+            self._woken_at = now
+            self._ask_peers(now)
+        elif self._woken_at >= 0 and self._is_over(now):
+            self._woken_at = -1
+        self._last_tick = now
+
+    def _is_over(self, now: int) -> bool:
+        return self._last_answer() > self._woken_at or now - self._woken_at >= ANSWER_MS
