--- /dev/null
+++ b/shallotshore/check.py
@@ -0,0 +1,148 @@
+"""Checks a directory of records before it is published, and explains result codes."""
+
+__all__ = ["CheckReport", "check_directory", "explain"]
+
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+from functools import singledispatch
+from os import PathLike
+from pathlib import Path
+
+from shallotshore.codes import Code, describe, outcome_of
+from shallotshore.directories import FileProblem, read_directory
+from shallotshore.messages import Address
+from shallotshore.records import Customer, Record, Upstream
+from shallotshore.store import id_of
+
+_LAST_REQUEST_FAMILY = 3
+
+
+@dataclass(slots=True)
+class CheckReport:
+    """What is wrong with a directory of records.
+
+    Attributes:
+        records: Number of records that can be read.
+        problems: All problems, by file.
+    """
+
+    records: int
+    problems: list[FileProblem]
+
+    @property
+    def code(self) -> Code:
+        """OK, or the code of the first problem."""
+        return self.problems[0].code if self.problems else Code.OK
+
+    @property
+    def text(self) -> str:
+        """The report: one line a problem and a closing line."""
+        lines = [problem.line() for problem in self.problems]
+        count = len(self.problems)
+        lines.append(f"{self.records} records read, {count} problem{'' if count == 1 else 's'}")
+        return "\n".join(lines) + "\n"
+
+
+def check_directory(path: str | PathLike[str]) -> CheckReport:
+    """Finds every problem of a directory of records at once.
+
+    Args:
+        path: Directory of files `<kind>/<name>.json`.
+    """
+    directory = read_directory(Path(path))
+    problems = [
+        *directory.problems,
+        *_collisions(directory.records),
+        *_shared_addresses(directory.records),
+        *_unknown_references(directory.records),
+    ]
+    problems.sort(key=lambda problem: (problem.file, problem.field))
+    return CheckReport(len(directory.records), problems)
+
+
+def explain(code: int) -> str:
+    """Returns the meaning of a result code in words.
+
+    Args:
+        code: The number, known or not.
+    """
+    try:
+        known = Code(code)
+    except ValueError:
+        return f"{code} is not a result code of this version; see docs/result-codes.md\n"
+    lines = [f"{known.value} {known.name}: {describe(known)}"]
+    if known // 100 <= _LAST_REQUEST_FAMILY:
+        lines.append(f"A request that ends with it has the outcome {outcome_of(known).name}.")
+    return "\n".join(lines) + "\n"
+
+
+def _collisions(records: Mapping[str, Record]) -> Iterator[FileProblem]:
+    owners: dict[int, str] = {}
+    for key in records:
+        owner = owners.setdefault(id_of(key), key)
+        if owner != key:
+            detail = f"has the same id as {owner}"
+            yield FileProblem(Code.RECORD_ID_COLLISION, f"{key}.json", "name", detail)
+
+
+def _shared_addresses(records: Mapping[str, Record]) -> Iterator[FileProblem]:
+    owners: dict[tuple[str, Address], str] = {}
+    for key, record in records.items():
+        for field, use, address in _addresses(record):
+            owner = owners.setdefault((use, address), key)
+            if owner != key:
+                detail = f"{address[0]}:{address[1]} belongs to {owner}"
+                yield FileProblem(Code.RECORD_DUPLICATE, f"{key}.json", field, detail)
+
+
+def _unknown_references(records: Mapping[str, Record]) -> Iterator[FileProblem]:
+    for key, record in records.items():
+        for field, reference in _references(record):
+            if reference not in records:
+                detail = f"there is no valid record {reference}"
+                yield FileProblem(Code.RECORD_REFERENCE_UNKNOWN, f"{key}.json", field, detail)
+
+
+@singledispatch
+def _addresses(record: Record) -> list[tuple[str, str, Address]]:
+    """Returns the addresses that a record claims: field, use, address."""
+    return []
+
+
+@_addresses.register
+def _(record: Upstream) -> list[tuple[str, str, Address]]:
+    return [("address", "agent", record.address)]
+
+
+@_addresses.register
+def _(record: Customer) -> list[tuple[str, str, Address]]:
+    return [
+        (f"bindings[{index}].address", "VIP", binding.address)
+        for index, binding in enumerate(record.bindings)
+    ]
+
+
+@singledispatch
+def _references(record: Record) -> list[tuple[str, str]]:
+    """Returns the keys that a record names: field, key."""
+    return []
+
+
+@_references.register
+def _(record: Upstream) -> list[tuple[str, str]]:
+    customers = [
+        (f"customers[{index}]", f"customer/{name}") for index, name in enumerate(record.customers)
+    ]
+    places = [
+        ("service", f"service/{record.service}"),
+        ("data_centre", f"data_centre/{record.data_centre}"),
+    ]
+    return [*places, *customers]
+
+
+@_references.register
+def _(record: Customer) -> list[tuple[str, str]]:
+    return [
+        (f"bindings[{index}].service", f"service/{binding.service}")
+        for index, binding in enumerate(record.bindings)
+    ]
--- a/shallotshore/compact.py
+++ b/shallotshore/compact.py
@@ -117,6 +117,11 @@
         self._free_chunks: list[int] = []
         self._current = 0
 
+    @property
+    def size(self) -> int:
+        """Bytes in all chunks, free ones included."""
+        return sum(len(chunk) for chunk in self._chunks)
+
     def put(self, row: int, name: bytes, text: bytes) -> None:
         """Stores a record and writes its place to the owner's column.
 
--- /dev/null
+++ b/shallotshore/diff.py
@@ -0,0 +1,134 @@
+"""Says in words what publishing one directory of records over another would change."""
+
+__all__ = ["diff_directories"]
+
+from collections.abc import Iterator, Mapping
+from dataclasses import fields
+from functools import singledispatch
+from os import PathLike
+from pathlib import Path
+from typing import Any
+
+from shallotshore.catalog import Catalog
+from shallotshore.directories import FileProblem, read_directory
+from shallotshore.hashing import name_id
+from shallotshore.messages import Entry
+from shallotshore.placement import BUCKET_BITS, Placement
+from shallotshore.records import Binding, Record, Upstream, key_of, to_text
+
+_KIND_WORDS = {
+    "service": "Service",
+    "upstream": "Upstream",
+    "data_centre": "Data centre",
+    "customer": "Customer",
+}
+_BUCKETS = 1 << BUCKET_BITS
+_BUCKET_SHIFT = 64 - BUCKET_BITS
+
+
+def diff_directories(old: str | PathLike[str], new: str | PathLike[str]) -> str:
+    """Compares two directories of records.
+
+    Args:
+        old: Directory of the records in force.
+        new: Directory of the records to be published.
+
+    Returns:
+        One line for each change, then for each service the expected share of its flows whose first
+        candidate changes. Records with problems are named and left out.
+    """
+    before, after = read_directory(Path(old)), read_directory(Path(new))
+    lines = [
+        *_left_out("old", before.problems),
+        *_left_out("new", after.problems),
+        *_changes(before.records, after.records),
+        *_moved_flows(before.records, after.records),
+    ]
+    return "\n".join(lines or ["No changes."]) + "\n"
+
+
+def _left_out(side: str, problems: list[FileProblem]) -> Iterator[str]:
+    for file in sorted({problem.file for problem in problems}):
+        yield f"Left out of the {side} records because of problems: {file}"
+
+
+def _changes(before: Mapping[str, Record], after: Mapping[str, Record]) -> Iterator[str]:
+    for key in sorted(before.keys() | after.keys()):
+        kind, _, name = key.partition("/")
+        title = f"{_KIND_WORDS[kind]} {name}"
+        if key not in before:
+            yield f"{title} is added{_place(after[key])}."
+        elif key not in after:
+            yield f"{title} is removed{_place(before[key])}."
+        elif before[key] != after[key]:
+            parts = "; ".join(_field_changes(before[key], after[key]))
+            yield f"{title} changes{_place(after[key])}: {parts}."
+
+
+@singledispatch
+def _place(record: Record) -> str:
+    return ""
+
+
+@_place.register
+def _(record: Upstream) -> str:
+    return f" (service {record.service}, data centre {record.data_centre})"
+
+
+def _field_changes(old: Any, new: Any) -> Iterator[str]:
+    for field in fields(old):
+        before, after = getattr(old, field.name), getattr(new, field.name)
+        if before == after:
+            continue
+        if field.name in ("bindings", "customers"):
+            yield from _list_changes(field.name, before, after)
+        else:
+            yield f"{field.name} from {_words(before)} to {_words(after)}"
+
+
+def _list_changes(name: str, before: tuple[Any, ...], after: tuple[Any, ...]) -> Iterator[str]:
+    for verb, items in (
+        ("gain", [item for item in after if item not in before]),
+        ("lose", [item for item in before if item not in after]),
+    ):
+        if items:
+            yield f"{name} {verb} {', '.join(_words(item) for item in items)}"
+
+
+@singledispatch
+def _words(value: object) -> str:
+    return "the service's value" if value is None else str(value)
+
+
+@_words.register
+def _(value: Binding) -> str:
+    return f"{value.service} at {_words(value.address)}"
+
+
+@_words.register
+def _(value: tuple) -> str:
+    return ":".join(str(part) for part in value)
+
+
+def _moved_flows(before: Mapping[str, Record], after: Mapping[str, Record]) -> Iterator[str]:
+    old, new = Placement(_catalog(before)), Placement(_catalog(after))
+    for name in sorted(_services_of(before) | _services_of(after)):
+        service = name_id("service", name)
+        moved = sum(
+            old.order(service, bucket << _BUCKET_SHIFT, 1)
+            != new.order(service, bucket << _BUCKET_SHIFT, 1)
+            for bucket in range(_BUCKETS)
+        )
+        if moved:
+            share = 100 * moved / _BUCKETS
+            yield f"Service {name}: {share:.1f}% of flows get another first candidate."
+
+
+def _services_of(records: Mapping[str, Record]) -> set[str]:
+    return {record.service for record in records.values() if isinstance(record, Upstream)}
+
+
+def _catalog(records: Mapping[str, Record]) -> Catalog:
+    catalog = Catalog()
+    catalog.apply(1, [Entry(key_of(record), 1, to_text(record)) for record in records.values()])
+    return catalog
--- a/shallotshore/intake.py
+++ b/shallotshore/intake.py
@@ -69,6 +69,12 @@
         """Whether entries wait to be worked off, so that the next tick should follow at once."""
         return any(transfer.update.is_runnable for transfer in self._transfers.values())
 
+    @property
+    def is_behind(self) -> bool:
+        """Whether a higher revision of the records is known than the one in force."""
+        held = self._peering.replicas[Source.CONFIGURATION].revision
+        return self._wishes[Source.CONFIGURATION].revision > held
+
     def is_receiving(self, source: Source) -> bool:
         """Whether a delta is on its way in."""
         return source in self._transfers
--- a/shallotshore/propagation.py
+++ b/shallotshore/propagation.py
@@ -90,10 +90,9 @@
         """What the updates that were completed in this tick have changed."""
         return self._intake.applied
 
-    @property
-    def last_answer(self) -> int:
-        """Time at which a balancer was last heard, in milliseconds."""
-        return self._peering.last_answer
+    def confirmed_since(self, time: int) -> bool:
+        """Whether a balancer has answered after a time and no higher revision is known."""
+        return self._peering.last_answer > time and not self._intake.is_behind
 
     def run(self, now: int) -> None:
         """Takes messages, applies a slice of the updates and sends what is due.
--- a/shallotshore/wakeup.py
+++ b/shallotshore/wakeup.py
@@ -11,29 +11,30 @@
 
 
 class WakeupGuard:
-    """Drops what arrived during a pause and holds the process back until a peer has answered.
+    """Drops what arrived during a pause and holds the process back until it is up to date.
 
     It is the first system of a core. Systems that forward or admit work ask `may_serve`.
     """
 
-    __slots__ = ("_ask_peers", "_core", "_last_answer", "_last_tick", "_woken_at")
+    __slots__ = ("_ask_peers", "_confirmed_since", "_core", "_last_tick", "_woken_at")
 
     def __init__(
         self,
         core: Core,
         ask_peers: Callable[[int], None],
-        last_answer: Callable[[], int],
+        confirmed_since: Callable[[int], bool],
     ) -> None:
         """Creates a guard that has seen no tick.
 
         Args:
             core: The core whose inbox is cleared.
             ask_peers: Called with `now` to ask peers for their revision.
-            last_answer: Returns the time at which a peer's answer was last received.
+            confirmed_since: Whether a peer has answered after a time and the process holds the
+                highest revision it knows of.
         """
         self._core = core
         self._ask_peers = ask_peers
-        self._last_answer = last_answer
+        self._confirmed_since = confirmed_since
         self._last_tick = -1
         self._woken_at = -1
 
@@ -58,4 +59,4 @@
         self._last_tick = now
 
     def _is_over(self, now: int) -> bool:
-        return self._last_answer() > self._woken_at or now - self._woken_at >= ANSWER_MS
+        return self._confirmed_since(self._woken_at) or now - self._woken_at >= ANSWER_MS
--- /dev/null
+++ b/tests/record_files.py
@@ -0,0 +1,19 @@
+"""Directories of record files for tests."""
+
+from pathlib import Path
+
+from shallotshore.records import Record, key_of, to_text
+
+
+def write_records(root: Path, *records: Record) -> Path:
+    """Writes records as files and returns the directory."""
+    for record in records:
+        write_text(root, key_of(record), to_text(record))
+    return root
+
+
+def write_text(root: Path, key: str, text: bytes) -> None:
+    """Writes the text of one record."""
+    file = root / f"{key}.json"
+    file.parent.mkdir(parents=True, exist_ok=True)
+    file.write_bytes(text)
