--- a/shallotshore/wakeup.py
+++ b/shallotshore/wakeup.py
@@ -1,24 +1,62 @@
-"""Detects that the process slept, so that it does not act on old beliefs."""
+"""Guard against acting on old beliefs after a pause of the process."""
 
-__all__ = ["TickGapGuard"]
+__all__ = ["WakeupGuard"]
 
-LONGEST_GAP = 1_000  # ms; a running process ticks at least every 20 ms
+from collections.abc import Callable
 
+from shallotshore.systems import Core
 
-class TickGapGuard:
-    """Compares the times of successive ticks."""
+PAUSE_MS = 1000  # a longer gap between ticks makes what is held and buffered doubtful
+ANSWER_MS = 1000  # a process whose peers are all gone goes on with what it holds
 
-    __slots__ = ("_last",)
 
-    def __init__(self) -> None:
-        self._last: int | None = None
+class WakeupGuard:
+    """Drops what arrived during a pause and holds the process back until it is up to date.
 
-    def gap(self, now: int) -> int:
-        """Returns the length of the pause before this tick, or 0 when there was none.
+    It is the first system of a core. Systems that forward or admit work ask `may_serve`.
+    """
+
+    __slots__ = ("_ask_peers", "_confirmed_since", "_core", "_last_tick", "_woken_at")
+
+    def __init__(
+        self,
+        core: Core,
+        ask_peers: Callable[[int], None],
+        confirmed_since: Callable[[int], bool],
+    ) -> None:
+        """Creates a guard that has seen no tick.
+
+        Args:
+            core: The core whose inbox is cleared.
+            ask_peers: Called with `now` to ask peers for their revision.
+            confirmed_since: Whether a peer has answered after a time and the process holds the
+                highest revision it knows of.
+        """
+        self._core = core
+        self._ask_peers = ask_peers
+        self._confirmed_since = confirmed_since
+        self._last_tick = -1
+        self._woken_at = -1
+
+    @property
+    def may_serve(self) -> bool:
+        """Whether the process may act on what it holds."""
+        return self._woken_at < 0
+
+    def run(self, now: int) -> None:
+        """Detects a pause, or the end of the wait that follows it.
 
         Args:
             now: Monotonic time in milliseconds.
         """
-        passed = 0 if self._last is None else now - self._last
-        self._last = now
-        return passed if passed > LONGEST_GAP else 0
+        if self._last_tick >= 0 and now - self._last_tick > PAUSE_MS:
+            self._core.counters.add("wakeup.pauses")
+            self._core.counters.add("wakeup.dropped_messages", self._core.inbox.clear())
+            self._woken_at = now
+            self._ask_peers(now)
+        elif self._woken_at >= 0 and self._is_over(now):
+            self._woken_at = -1
+        self._last_tick = now
+
+    def _is_over(self, now: int) -> bool:
+        return self._confirmed_since(self._woken_at) or now - self._woken_at >= ANSWER_MS
