--- a/shallotshore/claims.py
+++ b/shallotshore/claims.py
@@ -17,7 +17,7 @@
 
 from functools import singledispatch
 
-from shallotshore.agent_state import AgentState
+from shallotshore.agent_state import ROUND_BITS, AgentState
 from shallotshore.agent_tables import ClaimState, ClaimTable, FlowState
 from shallotshore.codes import Code
 from shallotshore.messages import (
@@ -133,6 +133,9 @@
         return
     if claims.holder[row] != release.holder or release.attempt < claims.round[row]:
         return
+    if release.attempt >> ROUND_BITS != claims.round[row] >> ROUND_BITS:
+        # A restarted holder does not know what its predecessor started under the claim.
+        return
     _forget(state, release.key)
     row = claims.add(release.key)
     _bury(claims, row, release, now)
