Keep packets from removed data centres and name lost holders

Cause: a witness passed packets to holders whose data centre is out, and for 30 s to holders that had died. Change: passes skip removed data centres; a holder silent for 10 s while most peers are heard counts as lost; state changes send a heartbeat at once; the queue bound comes from the service's record; tests of flows.

--- a/shallotshore/admission.py
+++ b/shallotshore/admission.py
@@ -8,8 +8,6 @@
 from shallotshore.messages import Attempt, Forward, HealthState
 from shallotshore.upstream_link import restart_ramp
 
-QUEUE_PER_SLOT = 2  # a longer queue only adds waiting: its requests would do better elsewhere
-
 
 class AdmissionSystem:
     """Advances the ramp and publishes the present limit."""
@@ -84,9 +82,9 @@
         return None
     record = state.record
     is_cold = record is not None and state.limit < record.slots
-    if not is_last or state.work.accepted >= state.limit * (1 + QUEUE_PER_SLOT):
+    bound = state.limit * state.catalog.queue_factor(state.service)
+    if not is_last or state.work.accepted >= state.limit + bound:
         return Code.UPSTREAM_COLD if is_cold else Code.OVERLOADED
-    bound = state.limit * QUEUE_PER_SLOT
     return Code.FAIR_SHARE if is_over_share(state, customer, bound) else None
 
 
--- a/shallotshore/agent_state.py
+++ b/shallotshore/agent_state.py
@@ -35,6 +35,8 @@
 MAX_PEERS = 4_096
 MAX_CUSTOMERS = 4_096
 STALLED_AFTER = 1_000  # ms of silence; ten probes, so that a late scheduler is no stall
+HOLDER_SILENCE = 10_000  # ms, ten heartbeats; a shorter pause of a process must not end its flows
+HEARD_LATELY = 3_000  # ms
 ROUND_BITS = 22  # claims per millisecond of incarnation: rounds rise across restarts
 _MASK = (1 << 64) - 1
 
@@ -195,6 +197,23 @@
         row = self.peers.row(peer)
         return None if row == MISSING else self.peers.address[row]
 
+    def is_reachable(self, upstream: int) -> bool:
+        """Returns whether callers' packets may go to an upstream: not when its data centre is out.
+
+        An upstream without record may still own flows.
+        """
+        record = self.catalog.upstream(upstream)
+        return record is None or self.catalog.data_centre_in(record.data_centre)
+
+    def is_lost(self, peer: int, now: int) -> bool:
+        """Returns whether a peer is silent for long while most others are heard at `now` (ms)."""
+        row = self.peers.row(peer)
+        if row == MISSING or now - self.peers.heard[row] < HOLDER_SILENCE:
+            return False
+        others = [self.peers.row(other) for other in self.peer_ids() if other != peer]
+        heard = [o for o in others if o != MISSING and now - self.peers.heard[o] < HEARD_LATELY]
+        return 2 * len(heard) > len(others)
+
     def live_balancer(self, balancer: Address) -> Address:
         """Returns the address to answer to: the balancer, or a parent when it is gone."""
         return balancer
--- a/shallotshore/flows.py
+++ b/shallotshore/flows.py
@@ -113,10 +113,11 @@
 def _redirect(state: AgentState, packet: Forward, now: int) -> None:
     """Passes a packet of a flow that is not owned here to its holder or the next candidate."""
     kept = live_holder(state, packet.key, now)
-    if kept is not None and kept[0] == ClaimState.LOST and packet.kind != PacketKind.OPEN:
-        _reset(state, packet, Code.FLOW_LOST)
+    loss = _loss(state, kept, now)
+    if loss is not None and packet.kind != PacketKind.OPEN:
+        _reset(state, packet, loss)
         return
-    if kept is not None and kept[0] == ClaimState.HELD and pass_to(state, packet, kept[1]):
+    if loss is None and kept is not None and pass_to(state, packet, kept[1]):
         return
     refusal: Code | None = Code.NO_SUCH_FLOW
     if packet.kind == PacketKind.OPEN:
@@ -129,6 +130,17 @@
     _refuse(state, packet, refusal or Code.TABLE_FULL)
 
 
+def _loss(state: AgentState, kept: tuple[ClaimState, int] | None, now: int) -> Code | None:
+    """Returns why a flow claimed here has ended with its holder, or None."""
+    if kept is None:
+        return None
+    if not state.is_reachable(kept[1]):
+        return Code.DATA_CENTRE_OUT
+    if kept[0] == ClaimState.LOST or state.is_lost(kept[1], now):
+        return Code.FLOW_LOST
+    return None
+
+
 def _refuse(state: AgentState, packet: Forward, code: Code) -> None:
     """Answers a packet that no candidate takes.
 
--- a/shallotshore/passing.py
+++ b/shallotshore/passing.py
@@ -20,16 +20,17 @@
         after = candidates[candidates.index(state.own) + 1 :]
     else:
         after = candidates if message.hops == 0 else ()
-    return after[0] if after else None
+    return next((upstream for upstream in after if state.is_reachable(upstream)), None)
 
 
 def pass_to(state: AgentState, message: Forward | Attempt, upstream: int) -> bool:
     """Sends a message on to another upstream's agent.
 
     Returns:
-        False when the message may take no further hop or the upstream is unknown.
+        False when the message may take no further hop, the upstream is unknown or its data
+        centre is out.
     """
-    if upstream == state.own or message.hops >= MAX_HOPS:
+    if upstream == state.own or message.hops >= MAX_HOPS or not state.is_reachable(upstream):
         state.counters.add("passes_refused")
         return False
     sent = state.send_to_peer(upstream, replace(message, hops=message.hops + 1))
--- a/shallotshore/peers.py
+++ b/shallotshore/peers.py
@@ -23,6 +23,7 @@
     ClaimQuery,
     ClaimReply,
     ClaimSync,
+    HealthState,
     Heartbeat,
     Message,
 )
@@ -42,7 +43,7 @@
 class PeersSystem:
     """Exchanges heartbeats and claim lists with the service's other agents."""
 
-    __slots__ = ("_next_parents", "_next_peers", "_next_query", "_sequence", "_state")
+    __slots__ = ("_next_parents", "_next_peers", "_next_query", "_sequence", "_state", "_told")
 
     def __init__(self, state: AgentState) -> None:
         self._state = state
@@ -50,6 +51,7 @@
         self._next_parents = 0
         self._next_peers = 0
         self._next_query = 0
+        self._told = HealthState.DOWN
 
     def run(self, now: int) -> None:
         """Runs the step at `now` (ms)."""
@@ -60,13 +62,16 @@
             for source, message in state.inbox.take(message_type):
                 _handle(message, state, source, now)
         self._recover(now)
-        if now >= self._next_parents:
+        health = state.health(now)
+        if now >= self._next_parents or health != self._told:
             self._next_parents = now + PARENT_INTERVAL
+            self._told = health
             for parent in state.parents:
                 state.outbox.send(parent, self._heartbeat(MISSING, now))
         if now >= self._next_peers:
             self._next_peers = now + PEER_INTERVAL
             _renew_own_lease(state, now)
+            _forget_strangers(state, now)
             for peer in state.peer_ids():
                 state.send_to_peer(peer, self._heartbeat(state.peers.add(peer), now))
 
@@ -142,6 +147,17 @@
             _keep_own_claim(state, key, now)
 
 
+def _forget_strangers(state: AgentState, now: int) -> None:
+    """Removes peers that have no record, hold no claims here and are no longer heard."""
+    known = set(state.peer_ids())
+    known.add(state.own)
+    for row in state.peers.rows():
+        peer = state.peers.key[row]
+        is_silent = now - state.peers.heard[row] >= FLOW_LEASE
+        if peer not in known and is_silent and not state.peers.held[row]:
+            state.peers.remove(peer)
+
+
 def extend_leases(state: AgentState, gap: int) -> None:
     """Prolongs the claims kept for peers by a pause in which their heartbeats went unheard."""
     for row in state.peers.rows():
--- a/tests/agents.py
+++ b/tests/agents.py
@@ -29,6 +29,7 @@
 from shallotshore.messages import (
     Address,
     Attempt,
+    Entry,
     Forward,
     Message,
     PacketKind,
@@ -39,7 +40,16 @@
     UpstreamProbe,
     UpstreamRequest,
 )
-from shallotshore.records import Binding, Customer, DataCentre, Record, Service, Upstream
+from shallotshore.records import (
+    Binding,
+    Customer,
+    DataCentre,
+    Record,
+    Service,
+    Upstream,
+    key_of,
+    to_text,
+)
 
 VIP: Address = ("10.9.0.1", 443)
 OTHER_VIP: Address = ("10.9.0.2", 443)
@@ -121,7 +131,7 @@
 
 
 class Fleet:
-    """Agents of one service; messages to balancers are kept in `heard`."""
+    """Agents of one service; `heard` keeps messages to balancers, `flown` those between agents."""
 
     def __init__(self, count: int, seed: int = 1, **fields: object) -> None:
         self.rng = random.Random(seed)
@@ -130,6 +140,7 @@
         self.loss = 0.0
         self.duplication = 0.0
         self.heard: list[Message] = []
+        self.flown: list[tuple[Address, Message]] = []
         self.cut: set[Address] = set()
         self.records = records(count, **fields)
         self.agents: dict[Address, AgentCore] = {}
@@ -152,6 +163,16 @@
         self.upstreams.setdefault(local, FakeUpstream(local))
         return core
 
+    def publish(self, revision: int, changed: list[Record]) -> None:
+        """Puts other records in force at all agents."""
+        old = {key_of(record): to_text(record) for record in self.records}
+        new = {key_of(record): to_text(record) for record in changed}
+        entries = [Entry(key, revision, b"") for key in old if key not in new]
+        entries += [Entry(k, revision, t) for k, t in new.items() if old.get(k) != t]
+        self.records = changed
+        for core in self.agents.values():
+            core.state.catalog.apply(revision, entries)
+
     def restart(self, upstream: int, incarnation: int) -> AgentCore:
         """Restarts the agent of an upstream id; what it held is gone."""
         name = self.agent(upstream).state.config.upstream
@@ -217,6 +238,7 @@
     def _fly(self, source: Address, destination: Address, message: Message) -> None:
         if source in self.cut or destination in self.cut:
             return
+        self.flown.append((destination, message))
         copies = 2 if self.rng.random() < self.duplication else 1
         for _ in range(copies):
             if self.rng.random() >= self.loss:
@@ -228,7 +250,8 @@
         ready = sorted(entry[:4] + (entry[4],) for entry in self._flying if entry[0] <= self.now)
         self._flying = [entry for entry in self._flying if entry[0] > self.now]
         for _, _, source, destination, message in ready:
-            self.agents[destination].receive(source, message)
+            if destination in self.agents:
+                self.agents[destination].receive(source, message)
         for address, core in self.agents.items():
             local = core.state.config.local
             answers = self.upstreams[local].due(self.now)
--- /dev/null
+++ b/tests/test_flows.py
@@ -0,0 +1,181 @@
+"""Tests of flows at agents: ownership, redirects, resets, isolation and table changes."""
+
+import unittest
+from dataclasses import replace
+
+from shallotshore.agent_tables import FlowState
+from shallotshore.codes import Code
+from shallotshore.hashing import flow_key, name_id
+from shallotshore.messages import (
+    FlowReply,
+    FlowReset,
+    Forward,
+    PacketKind,
+    UpstreamClose,
+    UpstreamData,
+)
+from shallotshore.records import DataCentre, Upstream
+from tests.agents import ACME, CALLER, GROVE, OTHER_VIP, VIP, Fleet, packet
+
+
+class FlowsTest(unittest.TestCase):
+    """Each test runs on a fleet of seven upstreams in three data centres."""
+
+    def setUp(self) -> None:
+        self.fleet = Fleet(7)
+        self.fleet.grow_up()
+        self.key = flow_key(CALLER, VIP, 7)
+        self.order = self.fleet.order(self.key)
+
+    def open(self, owner: int = 0) -> None:
+        self.fleet.send(self.order[owner], packet(PacketKind.OPEN, self.order[owner:]))
+        self.fleet.run(50)
+
+    def resets(self) -> list[int]:
+        return [reset.code for reset in self.fleet.answers(FlowReset)]
+
+    def owners(self) -> list[int]:
+        cores = self.fleet.agents.values()
+        return [core.state.own for core in cores if self.key in core.state.flows]
+
+    def echoes(self, target: int, **changes: object) -> int:
+        """Returns how many answers a data packet sent to an agent gets."""
+        before = len(self.fleet.answers(FlowReply))
+        self.fleet.send(target, replace(packet(PacketKind.DATA, [target]), **changes))
+        self.fleet.run(50)
+        return len(self.fleet.answers(FlowReply)) - before
+
+    def test_any_witness_leads_to_the_owner(self) -> None:
+        self.open()
+        witnesses = self.fleet.agent(self.order[0]).state.witnesses(self.key)
+        self.assertEqual([self.echoes(witness) for witness in witnesses], [1] * 5)
+
+    def test_close_frees_the_key_everywhere(self) -> None:
+        self.open()
+        self.fleet.send(self.order[0], packet(PacketKind.CLOSE, self.order))
+        self.fleet.run(50)
+        self.open(owner=1)
+        self.assertEqual(self.owners(), [self.order[1]])
+
+    def test_upstream_may_close(self) -> None:
+        self.open()
+        core = self.fleet.agent(self.order[0])
+        core.receive(core.state.config.local, UpstreamClose(self.key, Code.OK))
+        self.fleet.run(50)
+        self.assertEqual((self.resets(), self.owners()), ([Code.FLOW_CLOSED], []))
+
+    def test_restarted_upstream_loses_its_flows_and_witnesses_know(self) -> None:
+        self.open()
+        self.fleet.upstream(self.order[0]).incarnation = 2
+        self.fleet.run(1_500)
+        self.assertEqual(self.resets(), [Code.FLOW_LOST])
+        self.assertEqual(self.echoes(self.order[1]), 0)
+        self.assertEqual(len(self.resets()), 2)
+
+    def test_packets_of_others_are_refused(self) -> None:
+        """Whatever the balancer believes, no packet reaches another customer's flow."""
+        self.open()
+        seen = len(self.fleet.upstream(self.order[0]).seen)
+        for changes in (
+            {"service": name_id("service", "docvault")},
+            {"customer": GROVE},
+            {"vip": OTHER_VIP, "customer": GROVE},
+            {"flow": 8},
+        ):
+            self.assertEqual(self.echoes(self.order[0], **changes), 0)
+        self.assertEqual(len(self.fleet.upstream(self.order[0]).seen), seen)
+
+    def test_crossed_data_of_the_upstream_is_dropped(self) -> None:
+        self.open()
+        core = self.fleet.agent(self.order[0])
+        before = len(self.fleet.answers(FlowReply))
+        for data in (UpstreamData(self.key, GROVE, b"x"), UpstreamData(5, ACME, b"x")):
+            core.receive(core.state.config.local, data)
+        self.fleet.run(50)
+        self.assertEqual(len(self.fleet.answers(FlowReply)), before)
+
+    def test_cold_upstream_passes_openings_over_its_bound(self) -> None:
+        self.fleet = Fleet(7, slots=3, cold_limit=1)
+        self.fleet.grow_up()
+        for flow in range(30):
+            self.fleet.send(self.order[0], packet(PacketKind.OPEN, self.order[:2], flow))
+        self.fleet.run(100)
+        counts = [len(self.fleet.upstream(u).seen) for u in self.order[:2]]
+        self.assertEqual(counts, [10, 10])
+
+    def test_table_change_gives_new_witnesses_the_claims(self) -> None:
+        """A flow must be found by the first candidate of a table that has changed."""
+        self.open()
+        other = next(u for u in self.order[1:] if u != self.order[0])
+        gone = self.fleet.agent(other).state.config.upstream
+        self.fleet.publish(2, [r for r in self.fleet.records if getattr(r, "name", "") != gone])
+        self.fleet.run(200)
+        witnesses = self.fleet.agent(self.order[0]).state.witnesses(self.key)
+        self.assertNotIn(other, witnesses)
+        self.assertEqual([self.echoes(witness) for witness in witnesses], [1] * 5)
+
+    def test_data_centre_taken_out_resets_its_flows_and_gets_no_packets(self) -> None:
+        self.open()
+        centre = self.fleet.agent(self.order[0]).state.config.data_centre
+        kept = [r for r in self.fleet.records if getattr(r, "name", "") != centre]
+        outside = [
+            core.state.own
+            for core in self.fleet.agents.values()
+            if core.state.config.data_centre != centre
+        ]
+        self.fleet.publish(2, [*kept, DataCentre(centre, "suva", "out")])
+        self.fleet.run(50)
+        self.assertEqual(self.resets(), [Code.DATA_CENTRE_OUT])
+        self.fleet.flown.clear()
+        for target in outside:
+            self.echoes(target, candidates=(target, self.order[0]))
+        removed = self.fleet.agent(self.order[0]).state.config.address
+        passed = [to for to, message in self.fleet.flown if isinstance(message, Forward)]
+        self.assertNotIn(removed, passed)
+
+    def test_leaving_upstream_takes_no_flow_but_keeps_its_own(self) -> None:
+        self.open()
+        name = self.fleet.agent(self.order[0]).state.config.upstream
+        changed = [
+            replace(r, state="leaving") if isinstance(r, Upstream) and r.name == name else r
+            for r in self.fleet.records
+        ]
+        self.fleet.publish(2, changed)
+        self.fleet.run(50)
+        self.assertEqual(self.echoes(self.order[0]), 1)
+        self.fleet.send(self.order[0], packet(PacketKind.OPEN, self.order[:1], 8))
+        self.fleet.run(50)
+        self.assertEqual(self.resets(), [Code.FLOW_REFUSED])
+
+    def test_owner_that_slept_beyond_its_leases_gives_way(self) -> None:
+        """Two owners after a pause would split the flow's packets between upstreams."""
+        self.open()
+        sleeper = self.fleet.agents.pop(self.fleet.agent(self.order[0]).state.config.address)
+        self.fleet.run(45_000)
+        self.open(owner=1)
+        self.assertEqual(self.owners(), [self.order[1]])
+        self.fleet.agents[sleeper.state.config.address] = sleeper
+        self.fleet.run(10_000)
+        self.assertEqual(self.owners(), [self.order[1]])
+
+    def test_stopping_agent_leaves_its_claims_to_the_next_witness(self) -> None:
+        self.open()
+        core = self.fleet.agent(self.order[1])
+        heir = core.state.placement.order(core.state.service, self.key, 6)[-1]
+        core.stop(self.fleet.now)
+        self.fleet.run(1_500)
+        self.assertTrue(core.stopped)
+        self.assertEqual(self.echoes(heir), 1)
+
+    def test_restarted_agent_recovers_its_flows(self) -> None:
+        self.open()
+        core = self.fleet.restart(self.order[0], incarnation=2)
+        self.fleet.run(300)
+        self.assertEqual(
+            core.state.flows.state[core.state.flows.row(self.key)], FlowState.RECOVERED
+        )
+        self.assertEqual(self.echoes(self.order[2]), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
