Walk over large tables in slices and test the fair queue

Change: cursors look at a few rows a tick, flow claims are indexed by holder, table changes move 200 flows a tick.

--- a/shallotshore/agent.py
+++ b/shallotshore/agent.py
@@ -65,6 +65,7 @@
             counters=self.counters,
             own=name_id("upstream", config.upstream),
             service=service,
+            data_centre=name_id("data_centre", config.data_centre),
             parents=config.peers[:2],
         )
         self._systems = [
--- a/shallotshore/agent_state.py
+++ b/shallotshore/agent_state.py
@@ -20,7 +20,6 @@
     RequestTable,
 )
 from shallotshore.catalog import Catalog, UpstreamView
-from shallotshore.hashing import name_id
 from shallotshore.messages import Address, HealthState, Load, Message
 from shallotshore.placement import Placement
 from shallotshore.ramp import Ramp
@@ -91,7 +90,21 @@
 
 @dataclass(slots=True)
 class AgentState:
-    """Everything that the systems of one agent read and write."""
+    """Everything that the systems of one agent read and write.
+
+    Attributes:
+        record: Record of the own upstream as of this tick, or None while it is unknown.
+        data_centre_in: Whether the own data centre is in service as of this tick.
+        table: Membership of the service as of this tick.
+        table_changed: Whether it is another one than at the tick before.
+        limit: Requests that may run at once.
+        ring: Customers whose requests wait, in the order of their turns.
+        kept: Keys of the flow claims kept here, by holder.
+        disputed: Keys of own flows that a witness has another holder for.
+        stored_bytes: Size of all stored answers.
+        active: Keys of the requests that have not ended, in order of arrival.
+        last_finished: When a request ended last (ms).
+    """
 
     config: AgentConfig
     catalog: Catalog
@@ -103,10 +116,14 @@
     own: int
     service: int
     limit: int = 0
+    record: UpstreamView | None = None
+    data_centre: int = 0
+    data_centre_in: bool = False
     table: int = -1
     table_changed: bool = False
     ramp: Ramp = field(default_factory=Ramp)
     ring: deque[int] = field(default_factory=deque)
+    kept: dict[int, set[int]] = field(default_factory=dict)
     disputed: set[int] = field(default_factory=set)
     stored_bytes: int = 0
     last_finished: int = 0
@@ -124,21 +141,11 @@
     passed: PassedTable = field(default_factory=lambda: PassedTable(MAX_PASSED))
     peers: PeerTable = field(default_factory=lambda: PeerTable(MAX_PEERS))
 
-    @property
-    def record(self) -> UpstreamView | None:
-        """The record of the own upstream, or None while it is unknown."""
-        return self.catalog.upstream(self.own)
-
     @property
     def membership(self) -> int:
         """Revision at which the own service's set of upstreams last changed."""
         return self.catalog.membership(self.service)
 
-    @property
-    def data_centre_in(self) -> bool:
-        """Whether the own data centre is in service."""
-        return self.catalog.data_centre_in(name_id("data_centre", self.config.data_centre))
-
     @property
     def leaving(self) -> bool:
         """Whether the upstream leaves or the agent stops."""
@@ -151,7 +158,9 @@
         return upstream.ready and now - upstream.heard <= STALLED_AFTER
 
     def follow_table(self, now: int) -> None:
-        """Takes over a changed set of upstreams; `table_changed` holds for this tick."""
+        """Takes over what the catalog says of the service, for the tick at `now` (ms)."""
+        self.record = self.catalog.upstream(self.own)
+        self.data_centre_in = self.catalog.data_centre_in(self.data_centre)
         self.placement.refresh(now)
         self.table_changed = self.membership != self.table
         self.table = self.membership
--- a/shallotshore/claims.py
+++ b/shallotshore/claims.py
@@ -20,6 +20,7 @@
 from shallotshore.agent_state import AgentState
 from shallotshore.agent_tables import ClaimState, ClaimTable, FlowState
 from shallotshore.codes import Code
+from shallotshore.cursor import Cursor
 from shallotshore.messages import (
     Address,
     Claim,
@@ -37,26 +38,26 @@
 FLOW_LEASE = 30_000  # ms; renewed by the holder's heartbeats
 TOMBSTONE_LEASE = 2 * PACKET_DELAY  # a released claim stays known until late copies are gone
 MAX_HOLDERS = 8  # holders of one repeatable key; each stands for one attempt of a balancer
-SWEEP_INTERVAL = 1_000  # ms between removals of lapsed rows
+SWEPT_ROWS = 64  # rows looked at for lapsed claims in one tick
 
 
 class ClaimsSystem:
     """Answers claims, releases and voids, and removes what has lapsed."""
 
-    __slots__ = ("_next_sweep", "_state")
+    __slots__ = ("_cursor", "_state")
 
     def __init__(self, state: AgentState) -> None:
         self._state = state
-        self._next_sweep = 0
+        self._cursor = Cursor()
 
     def run(self, now: int) -> None:
         """Runs the step at `now` (ms)."""
         for message_type in (Claim, Void, Release):
             for source, message in self._state.inbox.take(message_type):
                 _handle(message, self._state, source, now)
-        if now >= self._next_sweep:
-            self._next_sweep = now + SWEEP_INTERVAL
-            _sweep(self._state, now)
+        claims = self._state.claims
+        for row in self._cursor.take(claims, SWEPT_ROWS):
+            _drop_if_lapsed(self._state, claims.key[row], now)
 
 
 @singledispatch
@@ -156,14 +157,7 @@
 
 def flow_claims_of(state: AgentState, holder: int) -> list[int]:
     """Returns the keys of the flow claims kept here for a holder."""
-    claims = state.claims
-    return [
-        claims.key[row]
-        for row in claims.rows()
-        if claims.state[row] == ClaimState.HELD
-        and claims.kind[row] == ClaimKind.FLOW
-        and claims.holder[row] == holder
-    ]
+    return list(state.kept.get(holder, ()))
 
 
 def lose_claims(state: AgentState, holder: int, incarnation: int, now: int) -> None:
@@ -197,6 +191,7 @@
         row = claims.row(claim.key)
         _count_held(state, row, -1)
         claims.spare[row] = 1
+        _count_held(state, row, 1)
     return code
 
 
@@ -327,15 +322,23 @@
 
 
 def _count_held(state: AgentState, row: int, change: int) -> None:
-    """Keeps the count and digest that the holder's heartbeat is compared with."""
-    if state.claims.kind[row] != ClaimKind.FLOW or state.claims.spare[row]:
+    """Keeps the holder's keys, and the count and digest that its heartbeat is compared with."""
+    claims = state.claims
+    if claims.kind[row] != ClaimKind.FLOW:
+        return
+    holder, key = claims.holder[row], claims.key[row]
+    if change > 0:
+        state.kept.setdefault(holder, set()).add(key)
+    else:
+        state.kept[holder].discard(key)
+    if claims.spare[row]:
         return
-    peer = state.peers.add(state.claims.holder[row])
+    peer = state.peers.add(holder)
     if peer == MISSING:
         state.counters.add("peers_full")
         return
     state.peers.held[peer] += change
-    state.peers.held_digest[peer] ^= state.claims.key[row]
+    state.peers.held_digest[peer] ^= key
 
 
 def _lapses_at(state: AgentState, row: int) -> int:
@@ -352,8 +355,3 @@
     if row != MISSING and now >= _lapses_at(state, row):
         _forget(state, key)
         state.counters.add("claims_lapsed")
-
-
-def _sweep(state: AgentState, now: int) -> None:
-    for row in state.claims.rows():
-        _drop_if_lapsed(state, state.claims.key[row], now)
--- a/shallotshore/flows.py
+++ b/shallotshore/flows.py
@@ -8,6 +8,7 @@
 from shallotshore.claiming import begin_claim, end_claim, give_back
 from shallotshore.claims import live_holder
 from shallotshore.codes import Code
+from shallotshore.cursor import Cursor
 from shallotshore.hashing import flow_key
 from shallotshore.messages import (
     Address,
@@ -31,7 +32,7 @@
 HINT_LEASE = 30_000  # ms; the life of a flow claim
 MAX_WAITING = 8  # packets kept while a flow is claimed
 IDLE_LIMIT = 3_600_000  # ms without a packet in either direction after which a flow is given up
-SWEEP_INTERVAL = 1_000  # ms
+SWEPT_ROWS = 16  # rows looked at for idle flows in one tick
 
 
 class FlowIntakeSystem:
@@ -56,12 +57,12 @@
 class FlowSystem:
     """Acts on decided claims and on what the upstream sends."""
 
-    __slots__ = ("_incarnation", "_next_sweep", "_state")
+    __slots__ = ("_cursor", "_incarnation", "_state")
 
     def __init__(self, state: AgentState) -> None:
         self._state = state
         self._incarnation = 0
-        self._next_sweep = 0
+        self._cursor = Cursor()
 
     def run(self, now: int) -> None:
         """Runs the step at `now` (ms)."""
@@ -80,9 +81,8 @@
             _reply(state, data, now)
         for _, close in state.inbox.take(UpstreamClose):
             _close_by_upstream(state, close, now)
-        if now >= self._next_sweep:
-            self._next_sweep = now + SWEEP_INTERVAL
-            _give_up_idle(state, now)
+        for row in self._cursor.take(state.flows, SWEPT_ROWS):
+            _give_up_idle(state, row, now)
 
 
 def _mismatch(state: AgentState, packet: Forward) -> Code | None:
@@ -315,13 +315,12 @@
     give_back(state, key, state.claiming.round[state.claiming.row(key)], now)
 
 
-def _give_up_idle(state: AgentState, now: int) -> None:
-    for row in state.flows.rows():
-        key = state.flows.key[row]
-        if now - state.flows.touched[row] >= IDLE_LIMIT:
-            state.outbox.send(state.config.local, UpstreamClose(key, Code.FLOW_CLOSED))
-            _tell_caller(state, row, Code.FLOW_CLOSED)
-            _end(state, key, now)
+def _give_up_idle(state: AgentState, row: int, now: int) -> None:
+    key = state.flows.key[row]
+    if now - state.flows.touched[row] >= IDLE_LIMIT:
+        state.outbox.send(state.config.local, UpstreamClose(key, Code.FLOW_CLOSED))
+        _tell_caller(state, row, Code.FLOW_CLOSED)
+        _end(state, key, now)
 
 
 def _judge_dispute(state: AgentState, key: int, now: int) -> None:
--- a/shallotshore/peers.py
+++ b/shallotshore/peers.py
@@ -36,6 +36,7 @@
 RECOVERY_TIME = 2_000  # ms after which a restarted agent stops asking
 MISMATCHES_BEFORE_QUERY = 2  # a claim or release in flight makes one heartbeat differ
 QUERY_INTERVAL = 3_000  # ms between list syncs of one peer
+MOVED_FLOWS = 200  # flows whose witnesses are computed anew in one tick
 KEYS_PER_SYNC = 120  # keeps a datagram below 1,200 bytes
 SETTLED_AFTER = 2 * PACKET_DELAY  # ms; a sync says nothing about claims granted since it was sent
 
@@ -43,7 +44,16 @@
 class PeersSystem:
     """Exchanges heartbeats and claim lists with the service's other agents."""
 
-    __slots__ = ("_next_parents", "_next_peers", "_next_query", "_sequence", "_state", "_told")
+    __slots__ = (
+        "_gained",
+        "_moving",
+        "_next_parents",
+        "_next_peers",
+        "_next_query",
+        "_sequence",
+        "_state",
+        "_told",
+    )
 
     def __init__(self, state: AgentState) -> None:
         self._state = state
@@ -52,12 +62,16 @@
         self._next_peers = 0
         self._next_query = 0
         self._told = HealthState.DOWN
+        self._moving: list[int] = []
+        self._gained: set[int] = set()
 
     def run(self, now: int) -> None:
         """Runs the step at `now` (ms)."""
         state = self._state
         if state.table_changed:
-            _relend(state, now)
+            self._moving = [state.flows.key[row] for row in state.flows.rows()]
+        if self._moving:
+            self._relend(now)
         for message_type in (Heartbeat, ClaimQuery, ClaimSync):
             for source, message in state.inbox.take(message_type):
                 _handle(message, state, source, now)
@@ -75,6 +89,21 @@
             for peer in state.peer_ids():
                 state.send_to_peer(peer, self._heartbeat(state.peers.add(peer), now))
 
+    def _relend(self, now: int) -> None:
+        """Computes the witnesses of some own flows anew; syncs with those that gained keys."""
+        state = self._state
+        chunk, self._moving = self._moving[:MOVED_FLOWS], self._moving[MOVED_FLOWS:]
+        for key in chunk:
+            self._gained.update(_relend_flow(state, key))
+        if self._moving:
+            return
+        for peer in self._gained:
+            _send_sync(state, peer, state.own)
+        if state.own in self._gained:
+            for key in _keys_lent_to(state, state.own):
+                _keep_own_claim(state, key, now)
+        self._gained.clear()
+
     def _heartbeat(self, row: int, now: int) -> Heartbeat:
         state = self._state
         self._sequence += 1
@@ -130,21 +159,15 @@
             state.peers.lent_digest[peer] ^= state.flows.key[row]
 
 
-def _relend(state: AgentState, now: int) -> None:
-    """Computes the witnesses of all own flows anew and syncs with those that gained keys."""
-    gained: set[int] = set()
-    for row in state.flows.rows():
-        if state.flows.state[row] == FlowState.CLAIMING:
-            continue
-        former = state.flows.witnesses[row]
-        _count_lent(state, row, -1)
-        lend(state, state.flows.key[row])
-        gained.update(set(state.flows.witnesses[row]).difference(former))
-    for peer in gained:
-        _send_sync(state, peer, state.own)
-    if state.own in gained:
-        for key in _keys_lent_to(state, state.own):
-            _keep_own_claim(state, key, now)
+def _relend_flow(state: AgentState, key: int) -> set[int]:
+    """Computes the witnesses of an own flow anew; returns those that it did not have."""
+    row = state.flows.row(key)
+    if row == MISSING or state.flows.state[row] == FlowState.CLAIMING:
+        return set()
+    former = state.flows.witnesses[row]
+    _count_lent(state, row, -1)
+    lend(state, key)
+    return set(state.flows.witnesses[row]).difference(former)
 
 
 def _forget_strangers(state: AgentState, now: int) -> None:
--- a/shallotshore/requests.py
+++ b/shallotshore/requests.py
@@ -8,6 +8,7 @@
 from shallotshore.claiming import begin_claim, end_claim
 from shallotshore.claims import REQUEST_LEASE, is_voided, live_holder
 from shallotshore.codes import Code
+from shallotshore.cursor import Cursor
 from shallotshore.fair_queue import enqueue, next_queued
 from shallotshore.messages import Attempt, ClaimKind, UpstreamCancel, UpstreamRequest
 from shallotshore.outcomes import (
@@ -28,7 +29,7 @@
 MAX_STORED = 16 << 20  # bytes of stored answers
 CANCEL_INTERVAL = 250  # ms between cancellations of a request that ran past its deadline
 CANCEL_GRACE = 3_000  # ms after the deadline for which a silent request keeps its slot
-SWEEP_INTERVAL = 1_000  # ms between removals of stored answers
+SWEPT_ROWS = 64  # rows looked at for lapsed answers in one tick
 
 
 class RequestIntakeSystem:
@@ -48,12 +49,13 @@
 class RequestSystem:
     """Acts on decided claims, starts queued requests and ends expired ones."""
 
-    __slots__ = ("_incarnation", "_next_sweep", "_state")
+    __slots__ = ("_incarnation", "_passed", "_state", "_stored")
 
     def __init__(self, state: AgentState) -> None:
         self._state = state
         self._incarnation = 0
-        self._next_sweep = 0
+        self._stored = Cursor()
+        self._passed = Cursor()
 
     def run(self, now: int) -> None:
         """Runs the step at `now` (ms)."""
@@ -64,9 +66,16 @@
         for key in list(state.active):
             _step(state, key, now)
         _start_queued(state, now)
-        if now >= self._next_sweep:
-            self._next_sweep = now + SWEEP_INTERVAL
-            _sweep(state, now)
+        self._sweep(now)
+
+    def _sweep(self, now: int) -> None:
+        requests, passed = self._state.requests, self._state.passed
+        for row in self._stored.take(requests, SWEPT_ROWS):
+            if requests.state[row] == RequestState.DONE and now >= requests.keep_until[row]:
+                forget(self._state, row)
+        for row in self._passed.take(passed, SWEPT_ROWS):
+            if now >= passed.expires[row]:
+                passed.remove(passed.key[row])
 
 
 def _accept(state: AgentState, attempt: Attempt, now: int) -> None:
@@ -259,13 +268,3 @@
         row = state.requests.row(key)
         if state.requests.state[row] == RequestState.RUNNING:
             finish(state, row, Code.UPSTREAM_LOST, now)
-
-
-def _sweep(state: AgentState, now: int) -> None:
-    requests = state.requests
-    for row in requests.rows():
-        if requests.state[row] == RequestState.DONE and now >= requests.keep_until[row]:
-            forget(state, row)
-    for row in state.passed.rows():
-        if now >= state.passed.expires[row]:
-            state.passed.remove(state.passed.key[row])
--- /dev/null
+++ b/tests/test_fair_queue.py
@@ -0,0 +1,57 @@
+"""Tests of the fair queue over customers."""
+
+import unittest
+from collections import Counter
+
+from shallotshore.agent_tables import RequestState
+from shallotshore.fair_queue import enqueue, is_over_share, next_queued
+from tests.agents import ACME, GROVE, Fleet
+
+
+class FairQueueTest(unittest.TestCase):
+    """Guards each customer's share against a customer that floods; acme has 1, grove 3."""
+
+    def setUp(self) -> None:
+        self.state = next(iter(Fleet(1).agents.values())).state
+
+    def wait(self, customer: int, keys: range) -> None:
+        for key in keys:
+            row = self.state.requests.add(key)
+            self.state.requests.state[row] = RequestState.QUEUED
+            self.state.requests.customer[row] = customer
+            enqueue(self.state, customer, key)
+
+    def serve(self, count: int) -> list[int]:
+        served = []
+        for _ in range(count):
+            key = next_queued(self.state)
+            assert key is not None
+            served.append(self.state.requests.customer[self.state.requests.row(key)])
+        return served
+
+    def test_serves_in_proportion_to_shares(self) -> None:
+        self.wait(ACME, range(1, 101))
+        self.wait(GROVE, range(101, 201))
+        self.assertEqual(Counter(self.serve(80)), {ACME: 20, GROVE: 60})
+
+    def test_single_customer_gets_everything_in_order(self) -> None:
+        self.wait(ACME, range(1, 6))
+        self.assertEqual([next_queued(self.state) for _ in range(6)], [1, 2, 3, 4, 5, None])
+
+    def test_cancelled_requests_are_skipped_and_cost_nothing(self) -> None:
+        self.wait(ACME, range(1, 4))
+        self.state.requests.remove(1)
+        self.state.requests.state[self.state.requests.row(2)] = RequestState.DONE
+        self.assertEqual([next_queued(self.state), next_queued(self.state)], [3, None])
+        self.assertEqual((len(self.state.queues), len(self.state.ring)), (0, 0))
+
+    def test_flooding_customer_is_held_to_its_share_while_others_wait(self) -> None:
+        self.wait(ACME, range(1, 9))
+        self.assertFalse(is_over_share(self.state, ACME, 8))
+        self.wait(GROVE, range(11, 12))
+        self.assertTrue(is_over_share(self.state, ACME, 8))
+        self.assertFalse(is_over_share(self.state, GROVE, 8))
+
+
+if __name__ == "__main__":
+    unittest.main()
