--- a/shallotshore/agent.py
+++ b/shallotshore/agent.py
@@ -26,8 +26,8 @@
 from shallotshore.placement import Placement
 from shallotshore.requests import RequestIntakeSystem, RequestSystem
 from shallotshore.systems import Core
-from shallotshore.upstream_link import UpstreamLinkSystem
 from shallotshore.tick_gap import TickGapGuard
+from shallotshore.upstream_link import UpstreamLinkSystem
 
 SETTLE_TIME = 1_000  # ms after a pause without new work, unless a peer is heard before
 STOP_QUIET = 1_000  # ms; a balancer asks again for a lost answer well within it
