--- a/shallotshore/main.py
+++ b/shallotshore/main.py
@@ -17,22 +17,18 @@
 from shallotshore import __version__
 from shallotshore.application import Application, ApplicationConfig, RunnableCore
 from shallotshore.codes import Code
-from shallotshore.control import ControlClient, PeerRefusedError
-from shallotshore.messages import StatusRequest
-from shallotshore.security import MacKeys, MaterialError, TlsFiles, TlsMaterial
-from shallotshore.settings import Problem, Settings, read_settings
-from shallotshore.status import render_text
-from shallotshore.systems import Counters
-
-EXIT_FAILED = 1
+from shallotshore.security import MacKeys, MaterialError, TlsMaterial
+from shallotshore.settings import Problem, Settings, read_settings, report_problems
+
 EXIT_USAGE = 2
 
 USAGE = """usage: shallotshore COMMAND [ARGUMENTS]
 
   balancer --SETTING=VALUE ...   run a balancer
   agent --SETTING=VALUE ...      run the agent beside an upstream
-  check FILE ...                 list every problem in records
-  diff OLD NEW                   show what a change of records does
+  check DIRECTORY                list every problem in a directory of records
+  check --explain CODE           explain a result code
+  diff OLD NEW                   show what publishing NEW over OLD changes
   status --address=IP:PORT       show the status report of a process
   demo                           run both users' deployments on loopback
   version                        show the version
@@ -70,11 +66,11 @@
     return _serve("agent", arguments, _agent_core)
 
 
-def _tool(module: str) -> Callable[[Sequence[str]], int]:
+def _tool(module: str, name: str) -> Callable[[Sequence[str]], int]:
     """Returns a command that loads its module only when run, to keep servers small."""
 
     def start(arguments: Sequence[str]) -> int:
-        return import_module(module).main(list(arguments))
+        return getattr(import_module(module), name)(list(arguments))
 
     return start
 
@@ -84,27 +80,6 @@
     return 0
 
 
-def _status(arguments: Sequence[str]) -> int:
-    settings = read_settings("status", arguments, os.environ)
-    if isinstance(settings, Err):
-        return _report_problems(settings.err_value)
-    try:
-        return asyncio.run(_show_status(settings.ok_value))
-    except (PeerRefusedError, MaterialError) as error:
-        print(error, file=sys.stderr)
-        return EXIT_FAILED
-
-
-async def _show_status(settings: Settings) -> int:
-    client = ControlClient(("0.0.0.0", 0), _tls(settings), Counters())
-    try:
-        reply = await client.status(settings.address, StatusRequest(settings.detail))
-    finally:
-        await client.close()
-    print(reply.text.decode() if settings.format == "json" else render_text(reply))
-    return 0
-
-
 def _balancer_core(settings: Settings) -> RunnableCore:
     module = import_module("shallotshore.balancer")
     config = module.BalancerConfig(
@@ -139,18 +114,18 @@
     """Runs a core until a signal ends it."""
     read = read_settings(command, arguments, os.environ)
     if isinstance(read, Err):
-        return _report_problems(read.err_value)
+        return report_problems(read.err_value)
     settings = read.ok_value
     _set_up_logs(settings)
     try:
         config = _application_config(command, settings)
     except MaterialError as error:
-        return _report_problems([Problem(Code.SETTING_VALUE, "mac_keys or tls", str(error))])
+        return report_problems([Problem(Code.SETTING_VALUE, "mac_keys or tls", str(error))])
     application = Application(make_core(settings), config)
     try:
         return asyncio.run(application.run())
     except (OSError, RuntimeError) as error:
-        return _report_problems([Problem(Code.SETTING_VALUE, "address", str(error))])
+        return report_problems([Problem(Code.SETTING_VALUE, "address", str(error))])
 
 
 def _application_config(command: str, settings: Settings) -> ApplicationConfig:
@@ -158,25 +133,12 @@
         settings.address,
         keys=MacKeys.from_file(settings.mac_keys) if settings.mac_keys else MacKeys.without_key(),
         plain_from=settings.upstream_address,
-        tls=_tls(settings),
+        tls=TlsMaterial.from_settings(settings),
         statsd=settings.statsd,
         prefix=f"shallotshore.{command}",
     )
 
 
-def _tls(settings: Settings) -> TlsMaterial | None:
-    authority, certificate = settings.tls_authority, settings.tls_certificate
-    if authority is None or certificate is None or settings.tls_key is None:
-        return None
-    return TlsMaterial(TlsFiles(authority, certificate, settings.tls_key, settings.tls_name))
-
-
-def _report_problems(problems: list[Problem]) -> int:
-    for problem in problems:
-        print(problem, file=sys.stderr)
-    return EXIT_USAGE
-
-
 def _set_up_logs(settings: Settings) -> None:
     level = getattr(logging, settings.log_level.upper())
     structlog.configure(
@@ -194,9 +156,9 @@
 _COMMANDS: dict[str, Callable[[Sequence[str]], int]] = {
     "balancer": _balancer,
     "agent": _agent,
-    "check": _tool("shallotshore.check"),
-    "diff": _tool("shallotshore.diff"),
-    "status": _status,
-    "demo": _tool("standins.demo"),
+    "check": _tool("shallotshore.operator_commands", "run_check"),
+    "diff": _tool("shallotshore.operator_commands", "run_diff"),
+    "status": _tool("shallotshore.operator_commands", "run_status"),
+    "demo": _tool("standins.demo", "main"),
     "version": _version,
 }
--- /dev/null
+++ b/shallotshore/operator_commands.py
@@ -0,0 +1,98 @@
+"""The subcommands that operators run by hand: check, diff and status."""
+
+__all__ = ["EXIT_FAILED", "EXIT_USAGE", "run_check", "run_diff", "run_status"]
+
+import asyncio
+import os
+import sys
+from collections.abc import Sequence
+from pathlib import Path
+
+from result import Err
+
+from shallotshore.check import check_directory, explain
+from shallotshore.control import ControlClient, PeerRefusedError
+from shallotshore.diff import diff_directories
+from shallotshore.messages import StatusRequest
+from shallotshore.security import MaterialError, TlsMaterial
+from shallotshore.settings import Settings, read_settings, report_problems
+from shallotshore.status import render_text
+from shallotshore.systems import Counters
+
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+_EXPLAIN = "--explain"
+
+
+def run_check(arguments: Sequence[str]) -> int:
+    """Checks a directory of records, or explains a code.
+
+    Args:
+        arguments: `DIRECTORY` or `--explain CODE`.
+
+    Returns:
+        The exit status: 0 without problems, 1 with problems, 2 on wrong usage.
+    """
+    words = [word for argument in arguments for word in argument.split("=", 1)]
+    if len(words) == 2 and words[0] == _EXPLAIN and words[1].isdigit():
+        print(explain(int(words[1])), end="")
+        return 0
+    if len(arguments) != 1 or not _are_directories(arguments):
+        return _wrong_usage("check DIRECTORY, or check --explain CODE")
+    report = check_directory(arguments[0])
+    print(report.text, end="")
+    return EXIT_FAILED if report.problems else 0
+
+
+def run_diff(arguments: Sequence[str]) -> int:
+    """Shows what publishing one directory of records over another changes.
+
+    Args:
+        arguments: `OLD NEW`.
+
+    Returns:
+        The exit status: 0, or 2 on wrong usage.
+    """
+    if len(arguments) != 2 or not _are_directories(arguments):
+        return _wrong_usage("diff OLD NEW, both directories of records")
+    print(diff_directories(*arguments), end="")
+    return 0
+
+
+def run_status(arguments: Sequence[str]) -> int:
+    """Shows the status report of a process.
+
+    Args:
+        arguments: Settings; `--address` names the process.
+
+    Returns:
+        The exit status: 0, 1 when the process does not answer, 2 for wrong settings.
+    """
+    settings = read_settings("status", arguments, os.environ)
+    if isinstance(settings, Err):
+        return report_problems(settings.err_value)
+    try:
+        return asyncio.run(_show_status(settings.ok_value))
+    except (PeerRefusedError, MaterialError) as error:
+        print(error, file=sys.stderr)
+        return EXIT_FAILED
+
+
+async def _show_status(settings: Settings) -> int:
+    tls = TlsMaterial.from_settings(settings)
+    client = ControlClient(("0.0.0.0", 0), tls, Counters())
+    try:
+        reply = await client.status(settings.address, StatusRequest(settings.detail))
+    finally:
+        await client.close()
+    print(reply.text.decode() if settings.format == "json" else render_text(reply))
+    return 0
+
+
+def _are_directories(paths: Sequence[str]) -> bool:
+    return all(Path(path).is_dir() for path in paths)
+
+
+def _wrong_usage(text: str) -> int:
+    print(f"usage: shallotshore {text}", file=sys.stderr)
+    return EXIT_USAGE
--- a/shallotshore/security.py
+++ b/shallotshore/security.py
@@ -7,7 +7,7 @@
 import ssl
 from hashlib import blake2b
 from pathlib import Path
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 import grpc
 
@@ -101,6 +101,15 @@
     peer_name: str
 
 
+class TlsSettings(Protocol):
+    """The settings that name the files."""
+
+    tls_authority: Path | None
+    tls_certificate: Path | None
+    tls_key: Path | None
+    tls_name: str
+
+
 class TlsMaterial:
     """Certificates for mutual TLS between the system's processes."""
 
@@ -116,6 +125,19 @@
         self._stamp = self._stamps()
         self._read()
 
+    @classmethod
+    def from_settings(cls, settings: TlsSettings) -> "TlsMaterial | None":
+        """Reads the files that the settings name, or returns None when they name none.
+
+        Raises:
+            MaterialError: The files cannot be used.
+        """
+        files = (settings.tls_authority, settings.tls_certificate, settings.tls_key)
+        authority, certificate, key = files
+        if authority is None or certificate is None or key is None:
+            return None
+        return cls(TlsFiles(authority, certificate, key, settings.tls_name))
+
     @property
     def peer_name(self) -> str:
         """Name that the certificate of every peer must carry."""
--- a/shallotshore/settings.py
+++ b/shallotshore/settings.py
@@ -1,8 +1,16 @@
 """Settings of a process: absl flags, each also an environment variable SHALLOTSHORE_<FLAG>."""
 
-__all__ = ["ENVIRONMENT_PREFIX", "Problem", "Settings", "parse_address", "read_settings"]
+__all__ = [
+    "ENVIRONMENT_PREFIX",
+    "Problem",
+    "Settings",
+    "parse_address",
+    "read_settings",
+    "report_problems",
+]
 
 import ipaddress
+import sys
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from pathlib import Path
@@ -171,6 +179,13 @@
     return Err(problems) if problems else Ok(Settings(**values))
 
 
+def report_problems(problems: Sequence[Problem]) -> int:
+    """Writes problems to the standard error and returns the exit status for wrong settings."""
+    for problem in problems:
+        print(problem, file=sys.stderr)
+    return 2
+
+
 def _given(
     arguments: Sequence[str], environment: Mapping[str, str]
 ) -> tuple[dict[str, str], list[Problem]]:
--- /dev/null
+++ b/tests/test_main.py
@@ -0,0 +1,56 @@
+"""Tests of the command line."""
+
+import contextlib
+import io
+import tempfile
+import unittest
+from pathlib import Path
+
+from shallotshore import __version__
+from shallotshore.main import main
+
+
+class MainTest(unittest.TestCase):
+    """Guards exit statuses, which scripts of operators rely on."""
+
+    def run_main(self, *arguments: str) -> tuple[int, str]:
+        output = io.StringIO()
+        with contextlib.redirect_stdout(output), contextlib.redirect_stderr(output):
+            status = main(arguments)
+        return status, output.getvalue()
+
+    def test_version(self) -> None:
+        self.assertEqual(self.run_main("version"), (0, f"shallotshore {__version__}\n"))
+
+    def test_wrong_usage_shows_the_subcommands(self) -> None:
+        for arguments in ((), ("balance",)):
+            status, output = self.run_main(*arguments)
+            self.assertEqual(status, 2)
+            self.assertIn("balancer", output)
+
+    def test_wrong_settings_are_all_reported(self) -> None:
+        status, output = self.run_main("balancer", "--address=x")
+        self.assertEqual(status, 2)
+        self.assertIn("701 SETTING_TYPE: --address", output)
+        self.assertIn("700 SETTING_MISSING: --data_centre", output)
+
+    def test_check_fails_on_problems_and_explains_codes(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            self.assertEqual(self.run_main("check", folder)[0], 0)
+            (Path(folder) / "service").mkdir()
+            (Path(folder) / "service" / "a.json").write_text("{")
+            status, output = self.run_main("check", folder)
+        self.assertEqual(status, 1)
+        self.assertIn("500", output)
+        self.assertIn("HELD", self.run_main("check", "--explain", "300")[1])
+        self.assertEqual(self.run_main("check", "--explain")[0], 2)
+
+    def test_diff_needs_two_directories(self) -> None:
+        self.assertEqual(self.run_main("diff", "/missing", "/missing")[0], 2)
+        with tempfile.TemporaryDirectory() as folder:
+            self.assertEqual(self.run_main("diff", folder, folder)[0], 0)
+
+    def test_status_of_a_silent_process_fails(self) -> None:
+        status, output = self.run_main("status", "--address=127.0.0.1:9")
+        self.assertEqual(status, 1)
+        self.assertIn("800 PEER_UNREACHABLE", output)
