--- a/shallotshore/agent.py
+++ b/shallotshore/agent.py
@@ -14,6 +14,8 @@
 from shallotshore.flows import FlowIntakeSystem, FlowSystem
 from shallotshore.hashing import name_id
 from shallotshore.messages import (
+    Attempt,
+    Forward,
     Message,
     StatusReply,
     UpstreamAnswer,
@@ -104,12 +106,19 @@
         gap = self._guard.gap(now)
         if gap:
             self._wake(gap, now)
+        if state.catalog.revision <= 0:
+            self._drop_work()
         state.follow_table(now)
         super().tick(now)
         # Types that no system takes must not pile up.
         self.counters.add("messages_unexpected", self.inbox.clear())
         self._finish_stop(now)
 
+    def _drop_work(self) -> None:
+        """Drops callers' work: without a configuration every VIP would look unknown."""
+        for message_type in (Forward, Attempt):
+            self.counters.add("work_dropped_unconfigured", len(self.inbox.take(message_type)))
+
     def stop(self, now: int) -> None:
         """Starts a graceful stop: accepted requests end, new work goes to other agents."""
         if self.state.phase.stopping_since == 0:
--- a/standins/events.py
+++ b/standins/events.py
@@ -17,6 +17,7 @@
 
 Event: TypeAlias = Callable[[World, list[str]], None]
 VERBS: dict[str, Event] = {}
+RESTART_TIME = 200  # ms until a crashed server's process runs again
 LIGHT = 5  # usual over light rate of requests
 
 
@@ -179,9 +180,9 @@
 
 @verb
 def restart_upstream(world: World, words: list[str]) -> None:
-    """Ends servers and starts them again at once, cold and without warning."""
+    """Ends servers and starts them again a moment later, cold and without warning."""
     kill_upstream(world, words)
-    start_upstream(world, words)
+    world.pump.call_at(world.now + RESTART_TIME, partial(start_upstream, world, words))
 
 
 @verb
--- a/standins/planned.py
+++ b/standins/planned.py
@@ -8,6 +8,7 @@
 from standins.world import FABRIC_LAG, World, agent_name
 
 POLL = 100  # ms between looks at a process that is stopping
+UPGRADE_SPACING = 4000  # ms; a rolling upgrade waits until the last agent vouches for requests
 STOP_LIMIT = 30_000  # ms after which a stopping process is ended in any case
 
 
@@ -145,8 +146,13 @@
 
 
 def _upgrade(world: World) -> None:
-    names = sorted(world.plan.servers)
-    upgrade_agent(world, world.rng.choice(names))
+    """Upgrades one agent of a service, at least `UPGRADE_SPACING` after the one before it."""
+    service = world.rng.choice(world.plan.services)
+    names = [n for n, s in sorted(world.plan.servers.items()) if s.settings.service == service]
+    last = max(world.agents_started[name] for name in names)
+    is_one_stopping = any(world.pump.process(agent_name(name)) is None for name in names)
+    if not is_one_stopping and world.now - last >= UPGRADE_SPACING:
+        upgrade_agent(world, world.rng.choice(names))
 
 
 _CHANGES = (_change_share, _drain_or_undrain, _swap_balancer, _grow, _upgrade)
