Connect propagation, membership and the wake-up guard to the balancer

Cause: the balancer held a fixed catalog and its own copy of the guard. Change: BalancerCore.from_config builds catalog, VM list, propagation and guard; ListedPeers answers who hears health events and who is a parent; agents' revisions are passed to propagation; a status report; voids of a service whose earlier tables are unknown need every witness. Membership gains data_centres(), which ListedPeers needs.

--- a/shallotshore/balancer.py
+++ b/shallotshore/balancer.py
@@ -5,19 +5,24 @@
 import random
 from dataclasses import dataclass
 
+import msgspec
+
 from shallotshore.balancer_state import BalancerState, CatalogView, Peers
 from shallotshore.candidates import Candidates
+from shallotshore.catalog import Catalog
 from shallotshore.dispatch import Dispatch
 from shallotshore.forwarding import Forwarding
 from shallotshore.ingress import Ingress
-from shallotshore.messages import Address
-from shallotshore.systems import Core
+from shallotshore.listed_peers import ListedPeers
+from shallotshore.membership import Membership
+from shallotshore.messages import Address, Source, StatusReply
+from shallotshore.propagation import Propagation, PropagationConfig
+from shallotshore.systems import Core, System
 from shallotshore.tables import MISSING
 from shallotshore.verdicts import Verdicts
+from shallotshore.wakeup import WakeupGuard
 from shallotshore.watching import Watching
 
-_TICK_GAP_MS = 1_000  # a timer tick comes every 20 ms: a longer gap was a pause of the process
-_GUARD_MS = 1_000
 _QUIET_MS = 1_000
 _STOP_LIMIT_MS = 30_000
 
@@ -41,51 +46,84 @@
     vm_list: tuple[Address, ...] = ()
 
 
-class _Tables:
-    """System that brings what is derived from the catalog up to its revision."""
+class _Gate:
+    """System that follows the catalog and holds the data path back while it may be out of date."""
 
-    __slots__ = ("_state",)
+    __slots__ = ("_guard", "_propagation", "_state", "_watching")
 
-    def __init__(self, state: BalancerState) -> None:
+    def __init__(
+        self,
+        state: BalancerState,
+        guard: WakeupGuard,
+        watching: Watching,
+        propagation: Propagation | None,
+    ) -> None:
         self._state = state
+        self._guard = guard
+        self._watching = watching
+        self._propagation = propagation
 
     def run(self, now: int) -> None:
-        """Follows the catalog."""
-        self._state.placement.refresh(now)
+        """Decides whether callers are served in this tick."""
+        state = self._state
+        state.placement.refresh(now)
+        is_validated = self._propagation is None or self._propagation.is_validated
+        may_serve = self._guard.may_serve
+        if not may_serve:
+            self._watching.forgive(now)
+        state.is_held = not (may_serve and is_validated and state.catalog.revision > 0)
 
 
 class BalancerCore(Core):
-    """A balancer without sockets, wall time or encodings."""
-
-    __slots__ = (
-        "_dispatch",
-        "_guarded_until",
-        "_stopped",
-        "_stopping_since",
-        "_ticked_at",
-        "_watching",
-        "state",
-    )
+    """A balancer without sockets, wall time or encodings.
+
+    The order of the systems matters: after a pause the guard drops what is old before anything
+    acts on it; the configuration is in force before packets are routed; health is judged before
+    candidates are chosen; proofs are complete before requests are ended.
+    """
+
+    __slots__ = ("_config", "_dispatch", "_stopped", "_stopping_since", "_watching", "state")
 
     def __init__(
-        self, config: BalancerConfig, rng: random.Random, catalog: CatalogView, peers: Peers
+        self,
+        config: BalancerConfig,
+        rng: random.Random,
+        catalog: CatalogView,
+        peers: Peers,
+        membership: Membership | None = None,
     ) -> None:
+        """Creates a balancer.
+
+        Args:
+            config: Settings.
+            rng: Source of random numbers; a seed makes the balancer's choices repeatable.
+            catalog: Records in force.
+            peers: What is known of other balancers and VMs.
+            membership: VM list for propagation to fill; without it the catalog stays as it is.
+        """
         super().__init__()
         state = BalancerState(
             config.address, catalog, peers, rng, self.inbox, self.outbox, self.counters
         )
+        self.state = state
+        self._config = config
+        self._stopped = False
+        self._stopping_since = MISSING
         ingress = Ingress(state)
         candidates = Candidates(state)
         verdicts = Verdicts(state)
-        self.state = state
         self._watching = Watching(state)
         self._dispatch = Dispatch(state, ingress, candidates, verdicts)
-        self._guarded_until = 0
-        self._stopped = False
-        self._stopping_since = MISSING
-        self._ticked_at = MISSING
+        propagation = self._propagation_of(config, rng, membership)
+        guard = WakeupGuard(self, _nothing, _never)
+        if propagation is not None:
+            guard = WakeupGuard(self, propagation.ask_peers, propagation.confirmed_since)
+            state.note_revision = propagation.note_revision
+        systems: list[System] = [guard]
+        systems += [] if propagation is None else [propagation]
         self._systems = [
-            _Tables(state),
+            *systems,
+            _Gate(state, guard, self._watching, propagation),
             self._watching,
             ingress,
             Forwarding(state, ingress, candidates),
@@ -93,21 +131,30 @@
             self._dispatch,
         ]
 
+    @classmethod
+    def from_config(cls, config: BalancerConfig, rng: random.Random) -> "BalancerCore":
+        """Builds a balancer that holds no configuration yet.
+
+        Args:
+            config: Settings of the process.
+            rng: Source of random numbers; a seed makes the balancer's choices repeatable.
+        """
+        membership = Membership()
+        peers = ListedPeers(config.address, config.data_centre, membership)
+        return cls(config, rng, Catalog(), peers, membership)
+
     @property
     def stopped(self) -> bool:
         """Whether a graceful stop is complete."""
         return self._stopped
 
     def tick(self, now: int) -> None:
-        """Runs every system in order, guarded after a pause of the process.
+        """Runs every system in order.
 
         Args:
             now: Monotonic time in milliseconds.
         """
-        self._guard(now)
-        self.state.is_held = now < self._guarded_until or self.state.catalog.revision <= 0
         super().tick(now)
-        self._ticked_at = now
         # Types that no system takes must not pile up.
         self.counters.add("messages.unexpected", self.inbox.clear())
         if self._stopping_since != MISSING:
@@ -119,17 +166,54 @@
             self._stopping_since = now
             self.state.last_packet_at = max(self.state.last_packet_at, now)
 
-    def _guard(self, now: int) -> None:
-        """Drops what arrived during a pause: the beliefs to act on it by are old."""
-        if self._ticked_at == MISSING or now - self._ticked_at <= _TICK_GAP_MS:
-            return
-        self.counters.add("guard.pauses")
-        self.counters.add("guard.dropped", self.inbox.clear())
-        self._guarded_until = now + _GUARD_MS
-        self._watching.forgive(now)
+    def status(self, now: int) -> StatusReply:
+        """Returns what the balancer knows at `now` (ms), as JSON text."""
+        state = self.state
+        report = {
+            "role": "balancer",
+            "data_centre": self._config.data_centre,
+            "revision": state.catalog.revision,
+            "serving": not state.is_held,
+            "stopping": self._stopping_since != MISSING,
+            "doubts_itself": self._watching.doubts_itself,
+            "watched": self._watching.watched,
+            "requests_open": self._dispatch.open_requests,
+            "requests_kept": len(self._dispatch.pending),
+            "upstreams_with_load": len(state.loads),
+            "upstreams_tracked": len(state.health),
+            "upstreams_bad": state.health.bad_count,
+            "packet_age_ms": now - state.last_packet_at,
+        }
+        return StatusReply(msgspec.json.encode(report))
+
+    def _propagation_of(
+        self, config: BalancerConfig, rng: random.Random, membership: Membership | None
+    ) -> Propagation | None:
+        catalog = self.state.catalog
+        if membership is None or not isinstance(catalog, Catalog):
+            return None
+        platform = {
+            source: addresses[0]
+            for source, addresses in (
+                (Source.CONFIGURATION, config.configuration),
+                (Source.VM_LIST, config.vm_list),
+            )
+            if addresses
+        }
+        settings = PropagationConfig(config.address, config.data_centre, config.peers, platform)
+        return Propagation.from_config(settings, self, catalog, membership, rng)
 
     def _may_stop(self, now: int) -> bool:
         if now - self._stopping_since >= _STOP_LIMIT_MS:
             return True
         is_quiet = now - self.state.last_packet_at >= _QUIET_MS
         return is_quiet and not self._dispatch.open_requests
+
+
+def _nothing(now: int) -> None:
+    """Asks nobody."""
+
+
+def _never(time: int) -> bool:
+    """Has heard nobody."""
+    return False
--- a/shallotshore/balancer_state.py
+++ b/shallotshore/balancer_state.py
@@ -3,7 +3,7 @@
 __all__ = ["BalancerState", "CatalogView", "Peers", "RouteView", "UpstreamView"]
 
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Protocol
 
 from shallotshore.health import AnswerWindow, Exclusions, HealthTable
@@ -100,6 +100,10 @@
         """Whether the VM list says that the VM at an address is leaving."""
 
 
+def _ignore_revision(source: Address, revision: int, now: int) -> None:
+    """Does nothing: the catalog is not spread to this balancer."""
+
+
 class BalancerState:
     """Tables and links shared by the systems of one balancer.
 
@@ -108,6 +112,7 @@
         agents_heard_at: When any agent was last heard from (ms).
         fabric: Where answers to callers go; the fabric that sent the last packet.
         is_held: Whether packets of callers are refused and nothing is forwarded for now.
+        note_revision: Told the sender, its revision and the time when a message carries one.
         last_packet_at: When the fabric last delivered a packet (ms).
     """
 
@@ -124,6 +129,7 @@
         "is_held",
         "last_packet_at",
         "loads",
+        "note_revision",
         "outbox",
         "peers",
         "placement",
@@ -158,6 +164,7 @@
         self.fabric: Address | None = None
         self.is_held = True
         self.last_packet_at = 0
+        self.note_revision: Callable[[Address, int, int], None] = _ignore_revision
 
     def answer(self, caller: Address, vip: Address, payload: Message) -> None:
         """Sends a message to a caller through the fabric."""
--- a/shallotshore/dispatch.py
+++ b/shallotshore/dispatch.py
@@ -82,7 +82,8 @@
         inbox = self._state.inbox
         for _, answer in inbox.take(AttemptAnswer):
             self._take_answer(answer, now)
-        for _, declined in inbox.take(Declined):
+        for source, declined in inbox.take(Declined):
+            self._state.note_revision(source, declined.revision, now)
             self._take_declined(declined, now)
         for _, cancelled in inbox.take(Cancelled):
             self._take_cancelled(cancelled, now)
--- a/shallotshore/forwarding.py
+++ b/shallotshore/forwarding.py
@@ -73,7 +73,8 @@
             self._handle(packet.message, packet, now)
         for _, reply in inbox.take(FlowReply):
             self._take_reply(reply, now)
-        for _, reset in inbox.take(FlowReset):
+        for source, reset in inbox.take(FlowReset):
+            self._state.note_revision(source, reset.revision, now)
             self._take_reset(reset, now)
 
     @singledispatchmethod
@@ -263,9 +264,10 @@
         slot = reset.key & _RECENT_MASK
         forward = self._recent[slot]
         if forward is None or forward.key != reset.key:
-            # Later packets pushed it out; the caller's next packet starts a new search.
+            # Later packets pushed it out; the caller's next packet starts a new search. An owner
+            # whose data centre is out speaks without being asked.
             state.counters.add("flows.search_without_packet")
-            return True
+            return reset.code == Code.NO_SUCH_FLOW
         if self._exhausted[slot] == reset.key and now - self._exhausted_at[slot] < _SEARCH_PAUSE_MS:
             return False
         untried = self._candidates.after(service, reset.key, reset.upstream, _SEARCH_DEPTH)
--- a/shallotshore/health.py
+++ b/shallotshore/health.py
@@ -120,6 +120,11 @@
         """Creates an empty table; upstreams beyond the limit count as well."""
         super().__init__(limit)
 
+    @property
+    def bad_count(self) -> int:
+        """Number of upstreams that are down or suspected."""
+        return sum(self.is_bad[row] for row in self.rows())
+
     def track(self, upstream: int, service: int) -> int:
         """Returns the row of an upstream, added when it has none, or MISSING at the bound."""
         row = self.add(upstream)
--- /dev/null
+++ b/shallotshore/listed_peers.py
@@ -0,0 +1,78 @@
+"""Other balancers and VMs as the VM list tells them."""
+
+__all__ = ["ListedPeers"]
+
+from collections.abc import Sequence
+
+from shallotshore.hashing import name_id
+from shallotshore.membership import Membership
+from shallotshore.messages import Address
+
+_FEW_BALANCERS = 32  # so many are told directly, which saves the delay of a relay
+
+
+class ListedPeers:
+    """Who hears of health events from here, and whose heartbeats come here.
+
+    An event goes from its origin to the readers of the own data centre, from these to the readers
+    of all others, and down the relay tree of each data centre.
+    """
+
+    __slots__ = ("_address", "_data_centre", "_membership", "_parents", "_revision", "_targets")
+
+    def __init__(self, address: Address, data_centre: str, membership: Membership) -> None:
+        """Creates an empty cache of answers.
+
+        Args:
+            address: Address of this balancer.
+            data_centre: Name of its data centre.
+            membership: The VM list.
+        """
+        self._address = address
+        self._data_centre = name_id("data_centre", data_centre)
+        self._membership = membership
+        self._revision = -1
+        self._targets: dict[bool, tuple[Address, ...]] = {}
+        self._parents: dict[int, bool] = {}
+
+    def event_targets(self, is_origin: bool) -> Sequence[Address]:
+        """Returns the balancers that a health event goes to from here."""
+        self._follow()
+        if is_origin not in self._targets:
+            found = dict.fromkeys(self._find_targets(is_origin))
+            found.pop(self._address, None)
+            self._targets[is_origin] = tuple(found)
+        return self._targets[is_origin]
+
+    def is_parent(self, upstream: int, data_centre: int) -> bool:
+        """Whether this balancer watches the upstream's heartbeats."""
+        self._follow()
+        if upstream not in self._parents:
+            parents = self._membership.parents(upstream, data_centre)
+            self._parents[upstream] = not parents or self._address in parents
+        return self._parents[upstream]
+
+    def is_leaving(self, address: Address) -> bool:
+        """Whether the VM list says that the VM at an address is leaving."""
+        return self._membership.is_leaving(address)
+
+    def _follow(self) -> None:
+        """Forgets the answers when the VM list has changed."""
+        if self._revision != self._membership.revision:
+            self._revision = self._membership.revision
+            self._targets.clear()
+            self._parents.clear()
+
+    def _find_targets(self, is_origin: bool) -> list[Address]:
+        membership = self._membership
+        everyone = membership.all_balancers()
+        if len(everyone) <= _FEW_BALANCERS:
+            return everyone if is_origin else []
+        readers = membership.readers(self._data_centre)
+        targets = list(membership.children(self._address, self._data_centre))
+        if is_origin:
+            targets += readers
+        if self._address in readers:
+            for data_centre in membership.data_centres():
+                targets += membership.readers(data_centre)
+        return targets
--- a/shallotshore/membership.py
+++ b/shallotshore/membership.py
@@ -83,6 +83,10 @@
         """Returns the addresses of the live balancers of a data centre, by its id."""
         return tuple(self._balancers.get(data_centre, {}).values())
 
+    def data_centres(self) -> tuple[int, ...]:
+        """Returns the ids of the data centres that balancers are or were listed in."""
+        return tuple(self._balancers)
+
     def is_balancer(self, address: Address) -> bool:
         """Whether a live balancer has the address."""
         return address in self._addresses
--- a/shallotshore/verdicts.py
+++ b/shallotshore/verdicts.py
@@ -159,7 +159,9 @@
         voids = self._voids
         count = len(voids.witnesses[row])
         granted = (voids.granted[row] & ((1 << count) - 1)).bit_count()
-        if granted < quorum(count) or not self._state.placement.knows_former(voids.service[row]):
+        # All present witnesses together meet every quorum of a table that has two of them.
+        knows_former = self._state.placement.knows_former(voids.service[row])
+        if granted < (quorum(count) if knows_former else max(count, 1)):
             return False
         if not voids.former[row]:
             return True
--- a/shallotshore/watching.py
+++ b/shallotshore/watching.py
@@ -64,10 +64,16 @@
         """Whether most of what is watched has fallen silent, so that nothing is published."""
         return self._doubt_since != MISSING
 
+    @property
+    def watched(self) -> int:
+        """Number of upstreams whose heartbeats come here."""
+        return len(self._watch)
+
     def run(self, now: int) -> None:
         """Takes heartbeats and events; ten times a second looks for silence."""
         inbox = self._state.inbox
-        for _, heartbeat in inbox.take(Heartbeat):
+        for source, heartbeat in inbox.take(Heartbeat):
+            self._state.note_revision(source, heartbeat.revision, now)
             self._take_heartbeat(heartbeat, now)
         for _, event in inbox.take(HealthEvent):
             self._take_event(event, now)
