Get the slice, the parents and the guard after a pause from propagation

Cause: agents had no way to their configuration, and a restarted one reset flows of customers not yet known. Change: AgentCore runs Propagation, Membership and WakeupGuard; packets that are ahead of the own revision are dropped instead of reset; STALE_TABLE asks peers for their revision.

--- a/shallotshore/admission.py
+++ b/shallotshore/admission.py
@@ -59,7 +59,7 @@
         return Code.STOPPING
     if state.leaving:
         return Code.UPSTREAM_LEAVING
-    if now < state.phase.settling_until or state.phase.recovering or state.record is None:
+    if not state.may_serve or state.phase.recovering or state.record is None:
         return Code.NOT_READY
     if state.health(now) not in (HealthState.UP, HealthState.COLD):
         return Code.NOT_READY
--- a/shallotshore/agent.py
+++ b/shallotshore/agent.py
@@ -13,6 +13,7 @@
 from shallotshore.claims import ClaimsSystem
 from shallotshore.flows import FlowIntakeSystem, FlowSystem
 from shallotshore.hashing import name_id
+from shallotshore.membership import Membership
 from shallotshore.messages import (
     Message,
     StatusReply,
@@ -22,14 +23,17 @@
     UpstreamHealth,
 )
 from shallotshore.outcomes import AnswerSystem
+from shallotshore.peering import PropagationConfig
 from shallotshore.peers import PeersSystem, extend_leases, hand_over
 from shallotshore.placement import Placement
+from shallotshore.propagation import Propagation
 from shallotshore.requests import RequestIntakeSystem, RequestSystem
 from shallotshore.systems import Core
 from shallotshore.upstream_link import UpstreamLinkSystem
-from shallotshore.tick_gap import TickGapGuard
+from shallotshore.wakeup import PAUSE_MS, WakeupGuard
 
-SETTLE_TIME = 1_000  # ms after a pause without new work, unless a peer is heard before
+SLICE_LIMIT = 1 << 14  # records of one service, or VMs of one data centre
+ASK_INTERVAL = 200  # ms between questions after a witness has refused an old table
 STOP_QUIET = 1_000  # ms; a balancer asks again for a lost answer well within it
 STOP_LIMIT = 30_000  # ms
 _LOCAL_TYPES: tuple[type[Message], ...] = (
@@ -43,30 +47,47 @@
 class AgentCore(Core):
     """Tables and systems of one agent.
 
-    The order of the systems matters: the state of the upstream and the verdicts of witnesses are
+    The order of the systems matters: catalog, state of the upstream and verdicts of witnesses are
     current before packets and attempts are taken in, and claims are decided after intake, so that
     a claim that needs no other agent starts its work within the tick.
     """
 
-    __slots__ = ("_guard", "_stopped", "state")
+    __slots__ = ("_guard", "_last_tick", "_propagation", "_stopped", "state")
 
-    def __init__(self, config: AgentConfig, rng: random.Random, catalog: Catalog) -> None:
+    def __init__(
+        self, config: AgentConfig, rng: random.Random, catalog: Catalog, membership: Membership
+    ) -> None:
         super().__init__()
-        self._guard = TickGapGuard()
+        self._last_tick: int | None = None
         self._stopped = False
-        service = name_id("service", config.service)
         self.state = AgentState(
             config=config,
             catalog=catalog,
+            membership=membership,
             placement=Placement(catalog),
             rng=rng,
             inbox=self.inbox,
             outbox=self.outbox,
             counters=self.counters,
             own=name_id("upstream", config.upstream),
-            service=service,
+            service=name_id("service", config.service),
             data_centre=name_id("data_centre", config.data_centre),
-            parents=config.peers[:2],
+        )
+        self._propagation = Propagation.from_config(
+            PropagationConfig(
+                config.address,
+                config.data_centre,
+                config.peers,
+                service=config.service,
+                upstream=config.upstream,
+            ),
+            self,
+            catalog,
+            membership,
+            rng,
+        )
+        self._guard = WakeupGuard(
+            self, self._propagation.ask_peers, self._propagation.confirmed_since
         )
         self._systems = [
             UpstreamLinkSystem(self.state),
@@ -89,23 +110,29 @@
             config: Settings of the process.
             rng: Source of random numbers; a seed makes the agent's choices repeatable.
         """
-        return cls(config, rng, Catalog())
+        return cls(config, rng, Catalog(SLICE_LIMIT), Membership(SLICE_LIMIT))
 
     @property
     def stopped(self) -> bool:
         """Whether a graceful stop is complete."""
         return self._stopped
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether an update waits to be worked off, so that the next tick should follow at once."""
+        return self._propagation.is_busy
+
     def tick(self, now: int) -> None:
         """Runs every system in order at `now` (ms)."""
         state = self.state
         if state.phase.started == 0:
             state.phase.started = now
-        gap = self._guard.gap(now)
-        if gap:
-            self._wake(gap, now)
+        self._watch_for_pause(now)
+        self._propagation.run(now)
+        state.may_serve = self._guard.may_serve and self._propagation.is_validated
         state.follow_table(now)
         super().tick(now)
+        self._compare_revisions(now)
         # Types that no system takes must not pile up.
         self.counters.add("messages_unexpected", self.inbox.clear())
         self._finish_stop(now)
@@ -124,7 +151,7 @@
             "service": state.config.service,
             "data_centre": state.config.data_centre,
             "revision": state.catalog.revision,
-            "membership": state.membership,
+            "membership": state.table,
             "health": state.health(now).name,
             "incarnation": state.upstream.incarnation,
             "load": state.load()._asdict(),
@@ -133,25 +160,36 @@
             "claims": len(state.claims),
             "peers": len(state.peers),
             "stored_bytes": state.stored_bytes,
+            "may_serve": state.may_serve,
             "up_ms": now - state.phase.started,
             "stopping": state.phase.stopping_since > 0,
         }
         return StatusReply(msgspec.json.encode(report))
 
-    def _wake(self, gap: int, now: int) -> None:
-        """Drops what arrived during a pause, and takes no new work until a peer is heard.
+    def _watch_for_pause(self, now: int) -> None:
+        """Drops what arrived during a pause, but for the words of the local upstream.
 
-        What the local upstream sent stays true, however late it is read.
+        These stay true however late they are read. Heartbeats of peers went unheard meanwhile, so
+        that the claims kept for them are prolonged.
         """
+        kept = [entry for kind in _LOCAL_TYPES for entry in self.inbox.take(kind)]
+        self._guard.run(now)
+        for source, message in kept:
+            self.inbox.put(source, message)
+        if self._last_tick is not None and now - self._last_tick > PAUSE_MS:
+            extend_leases(self.state, now - self._last_tick)
+        self._last_tick = now
+
+    def _compare_revisions(self, now: int) -> None:
+        """Asks for what others hold above the own revision, and tells those that are behind."""
         state = self.state
-        kept = [(kind, self.inbox.take(kind)) for kind in _LOCAL_TYPES]
-        self.counters.add("messages_dropped_after_pause", self.inbox.clear())
-        for _, messages in kept:
-            for source, message in messages:
-                self.inbox.put(source, message)
-        self.counters.add("pauses")
-        state.phase.settling_until = now + SETTLE_TIME
-        extend_leases(state, gap)
+        for address, revision in state.revisions.items():
+            self._propagation.note_revision(address, revision, now)
+        state.revisions.clear()
+        if state.is_stale and now - state.asked_at >= ASK_INTERVAL:
+            state.asked_at = now
+            self._propagation.ask_peers(now)
+        state.is_stale = False
 
     def _finish_stop(self, now: int) -> None:
         """Ends a stop once no request is open and answers had time to be asked for again."""
--- a/shallotshore/agent_state.py
+++ b/shallotshore/agent_state.py
@@ -20,6 +20,7 @@
     RequestTable,
 )
 from shallotshore.catalog import Catalog, UpstreamView
+from shallotshore.membership import Membership
 from shallotshore.messages import Address, HealthState, Load, Message
 from shallotshore.placement import Placement
 from shallotshore.ramp import Ramp
@@ -31,6 +32,7 @@
 MAX_FLOWS = 8_192
 MAX_REQUESTS = 8_192
 MAX_PASSED = 8_192
+MAX_BALANCERS = 4_096
 MAX_PEERS = 4_096
 MAX_CUSTOMERS = 4_096
 STALLED_AFTER = 1_000  # ms of silence; ten probes, so that a late scheduler is no stall
@@ -83,7 +85,6 @@
     """Times that bound what the process may do; 0 means not reached."""
 
     started: int = 0
-    settling_until: int = 0
     stopping_since: int = 0
     recovering: bool = True
 
@@ -97,6 +98,12 @@
         data_centre_in: Whether the own data centre is in service as of this tick.
         table: Membership of the service as of this tick.
         table_changed: Whether it is another one than at the tick before.
+        parents: Balancers that heartbeats go to.
+        known_balancers: Balancers that the VM list has named since the start.
+        may_serve: Whether the process may act on what it holds for callers.
+        revisions: Revisions named in messages of this tick, by sender.
+        is_stale: Whether a witness has refused a claim under the table of this process.
+        asked_at: When peers were asked because of that (ms).
         limit: Requests that may run at once.
         ring: Customers whose requests wait, in the order of their turns.
         kept: Keys of the flow claims kept here, by holder.
@@ -108,6 +115,7 @@
 
     config: AgentConfig
     catalog: Catalog
+    membership: Membership
     placement: Placement
     rng: random.Random
     inbox: Inbox
@@ -130,6 +138,12 @@
     active: dict[int, None] = field(default_factory=dict)
     rounds: int = 0
     parents: tuple[Address, ...] = ()
+    vm_revision: int = -1
+    known_balancers: set[Address] = field(default_factory=set)
+    may_serve: bool = False
+    revisions: dict[Address, int] = field(default_factory=dict)
+    is_stale: bool = False
+    asked_at: int = 0
     phase: Phase = field(default_factory=Phase)
     work: WorkCount = field(default_factory=WorkCount)
     upstream: UpstreamStatus = field(default_factory=UpstreamStatus)
@@ -141,11 +155,6 @@
     passed: PassedTable = field(default_factory=lambda: PassedTable(MAX_PASSED))
     peers: PeerTable = field(default_factory=lambda: PeerTable(MAX_PEERS))
 
-    @property
-    def membership(self) -> int:
-        """Revision at which the own service's set of upstreams last changed."""
-        return self.catalog.membership(self.service)
-
     @property
     def leaving(self) -> bool:
         """Whether the upstream leaves or the agent stops."""
@@ -162,8 +171,10 @@
         self.record = self.catalog.upstream(self.own)
         self.data_centre_in = self.catalog.data_centre_in(self.data_centre)
         self.placement.refresh(now)
-        self.table_changed = self.membership != self.table
-        self.table = self.membership
+        table = self.catalog.membership(self.service)
+        self.table_changed = table != self.table
+        self.table = table
+        self._follow_balancers()
 
     def load(self) -> Load:
         """Returns the load that rides on answers and heartbeats."""
@@ -224,8 +235,27 @@
         return 2 * len(heard) > len(others)
 
     def live_balancer(self, balancer: Address) -> Address:
-        """Returns the address to answer to: the balancer, or a parent when it is gone."""
-        return balancer
+        """Returns the address to answer to: the balancer, or a parent when it is gone.
+
+        Only balancers that the VM list has named before can be known to be gone.
+        """
+        is_gone = balancer in self.known_balancers and not self.membership.is_balancer(balancer)
+        return self.parents[0] if is_gone and self.parents else balancer
+
+    def _follow_balancers(self) -> None:
+        """Takes over the parents and the known balancers of a changed VM list."""
+        if self.membership.revision == self.vm_revision:
+            return
+        self.vm_revision = self.membership.revision
+        listed = self.membership.parents(self.own, self.data_centre)
+        self.parents = tuple(listed) or self.config.peers[:2]
+        if len(self.known_balancers) >= MAX_BALANCERS:
+            self.known_balancers.clear()
+        self.known_balancers.update(self.membership.all_balancers())
+
+    def note_revision(self, address: Address, revision: int) -> None:
+        """Notes the revision in a received message, to be compared at the end of the tick."""
+        self.revisions[address] = max(revision, self.revisions.get(address, 0))
 
     def health(self, now: int) -> HealthState:
         """Returns the state to publish about the upstream at `now` (ms)."""
--- a/shallotshore/claiming.py
+++ b/shallotshore/claiming.py
@@ -106,7 +106,7 @@
     claiming.witnesses[row] = present + former
     claiming.present[row] = len(present)
     claiming.needed[row] = _needed(state, len(present))
-    claiming.membership[row] = state.membership
+    claiming.membership[row] = state.table
     claiming.granted[row] = 0
     claiming.refused[row] = 0
     claiming.code[row] = Code.NO_QUORUM
@@ -137,6 +137,8 @@
     if reply.code == Code.OK:
         claiming.granted[row] |= bit
         return
+    if reply.code == Code.STALE_TABLE:
+        state.is_stale = True
     if claiming.granted[row] & bit or _may_change(claiming.kind[row], reply.code):
         return
     claiming.refused[row] |= bit
@@ -172,7 +174,7 @@
     if now >= claiming.deadline[row]:
         _refuse(state, row, now, retry=False)
         return
-    if claiming.membership[row] != state.membership:
+    if claiming.membership[row] != state.table:
         _aim(state, row, now)
     if now >= claiming.next_send[row]:
         claiming.next_send[row] = now + RESEND_INTERVAL
--- a/shallotshore/claims.py
+++ b/shallotshore/claims.py
@@ -206,7 +206,7 @@
 
 
 def _fresh_verdict(state: AgentState, claim: Claim, now: int) -> Code:
-    if claim.membership < state.membership:
+    if claim.membership < state.table:
         return Code.STALE_TABLE
     if now - state.phase.started < claim.age + PACKET_DELAY:
         return Code.TOO_YOUNG
@@ -290,7 +290,7 @@
         return Code.OK
     if row != MISSING and state.claims.state[row] != ClaimState.RELEASED:
         return Code.HELD
-    if void.membership < state.membership:
+    if void.membership < state.table:
         return Code.STALE_TABLE
     if now - state.phase.started < void.age + PACKET_DELAY:
         return Code.TOO_YOUNG
--- a/shallotshore/flows.py
+++ b/shallotshore/flows.py
@@ -46,12 +46,7 @@
     def run(self, now: int) -> None:
         """Runs the step at `now` (ms)."""
         for _, packet in self._state.inbox.take(Forward):
-            refusal = _mismatch(self._state, packet)
-            if refusal is None:
-                _accept_packet(self._state, packet, now)
-            else:
-                self._state.counters.add("packets_refused")
-                _reset(self._state, packet, refusal)
+            _take(self._state, packet, now)
 
 
 class FlowSystem:
@@ -85,6 +80,19 @@
             _give_up_idle(state, row, now)
 
 
+def _take(state: AgentState, packet: Forward, now: int) -> None:
+    state.note_revision(packet.balancer, packet.revision)
+    refusal = _mismatch(state, packet)
+    if refusal is None and (state.may_serve or packet.key in state.flows):
+        _accept_packet(state, packet, now)
+    elif refusal is None or packet.revision > state.catalog.revision:
+        # What is believed here may be older than the packet; the caller sends it again.
+        state.counters.add("packets_dropped_while_behind")
+    else:
+        state.counters.add("packets_refused")
+        _reset(state, packet, refusal)
+
+
 def _mismatch(state: AgentState, packet: Forward) -> Code | None:
     if packet.key != flow_key(packet.caller, packet.vip, packet.flow):
         return Code.WRONG_CUSTOMER
--- a/shallotshore/peers.py
+++ b/shallotshore/peers.py
@@ -233,7 +233,7 @@
     peers.agent_incarnation[row], peers.sequence[row] = order
     peers.heard[row] = now
     peers.address[row] = source
-    state.phase.settling_until = min(state.phase.settling_until, now)
+    state.note_revision(source, message.revision)
     peers.state[row] = message.state
     if has_restarted and peers.lent[row]:
         _send_sync(state, message.upstream, state.own)
@@ -369,7 +369,7 @@
         attempt=0,
         age=0,
         lease=FLOW_LEASE,
-        membership=state.membership,
+        membership=state.table,
     )
 
 
--- a/shallotshore/requests.py
+++ b/shallotshore/requests.py
@@ -79,7 +79,10 @@
 
 
 def _accept(state: AgentState, attempt: Attempt, now: int) -> None:
+    state.note_revision(attempt.balancer, attempt.revision)
     refusal = mismatch(state, attempt)
+    if refusal is not None and attempt.revision > state.catalog.revision:
+        refusal = Code.NOT_READY  # what is believed here may be older than the attempt
     if refusal is not None:
         state.counters.add("attempts_refused")
         decline_attempt(state, attempt, refusal)
--- a/tests/agents.py
+++ b/tests/agents.py
@@ -26,6 +26,7 @@
 from shallotshore.catalog import Catalog
 from shallotshore.codes import Code
 from shallotshore.hashing import flow_key, name_id, request_key
+from shallotshore.membership import Membership
 from shallotshore.messages import (
     Address,
     Attempt,
@@ -158,7 +159,7 @@
             record.address, record.data_centre, record.name, record.service, local, incarnation
         )
         catalog = Catalog.from_records(1, self.records)
-        core = AgentCore(config, random.Random(self.rng.random()), catalog)
+        core = AgentCore(config, random.Random(self.rng.random()), catalog, Membership())
         self.agents[record.address] = core
         self.upstreams.setdefault(local, FakeUpstream(local))
         return core
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -1,11 +1,29 @@
 """End-to-end tests of the agent core: several agents, scripted upstreams, a virtual clock."""
 
+import random
 import unittest
 
+from shallotshore.agent import AgentConfig, AgentCore
+from shallotshore.catalog import Catalog
 from shallotshore.codes import Code
 from shallotshore.hashing import flow_key, request_key
-from shallotshore.messages import AttemptAnswer, FlowHint, FlowReply, FlowReset, PacketKind
-from tests.agents import CALLER, VIP, Fleet, attempt, packet
+from shallotshore.messages import (
+    AttemptAnswer,
+    Delta,
+    DeltaRequest,
+    Entry,
+    FlowHint,
+    FlowReply,
+    FlowReset,
+    Heartbeat,
+    Message,
+    PacketKind,
+    RevisionNotice,
+    RevisionOffer,
+    Source,
+)
+from shallotshore.records import Customer, to_text
+from tests.agents import BALANCER, CALLER, VIP, Fleet, attempt, packet, records
 
 
 class AgentTest(unittest.TestCase):
@@ -54,5 +72,65 @@
         self.assertEqual(sum(len(requests) for requests in started), 1)
 
 
+class SliceTest(unittest.TestCase):
+    """Guards the way in which an agent without configuration gets its service's records."""
+
+    def setUp(self) -> None:
+        self.source = Catalog.from_records(3, records(2))
+        config = AgentConfig(
+            ("10.2.0.0", 4000), "dc-0", "desk-0", "spotdesk", ("127.0.0.1", 0), 1, (BALANCER,)
+        )
+        self.core = AgentCore.from_config(config, random.Random(1))
+        self.now = 1_000
+
+    def run_parent(self, duration: int, deaf: bool = False) -> list[Message]:
+        """Lets time pass beside a parent balancer; returns what the agent sent to it."""
+        sent: list[Message] = []
+        end = self.now + duration
+        while self.now < end:
+            self.now += 20
+            self.core.tick(self.now)
+            for destination, message in self.core.outbox.drain():
+                if destination == BALANCER:
+                    sent.append(message)
+                    if not deaf:
+                        self.answer(message)
+        return sent
+
+    def answer(self, message: Message) -> None:
+        if not isinstance(message, RevisionOffer | DeltaRequest):
+            return
+        if message.source != Source.CONFIGURATION:
+            return
+        after = message.after if isinstance(message, DeltaRequest) else message.revision
+        if after < self.source.revision:
+            base, entries = self.source.select(after, message.service)
+            delta = Delta(
+                message.source, base, self.source.revision, message.service, 0, 1, tuple(entries)
+            )
+            self.core.receive(BALANCER, delta)
+
+    def test_slice_arrives_and_later_revisions_follow(self) -> None:
+        self.run_parent(500)
+        self.assertEqual(self.core.state.catalog.revision, 3)
+        self.assertIsNotNone(self.core.state.record)
+        text = to_text(Customer("late", 1, ()))
+        self.source.apply(4, [Entry("customer/late", 4, text)])
+        self.core.receive(BALANCER, RevisionNotice(4))
+        self.run_parent(500)
+        self.assertEqual(self.core.state.catalog.revision, 4)
+
+    def test_packet_that_is_ahead_is_neither_reset_nor_refused(self) -> None:
+        """A restarted agent without records must not reset a live flow."""
+        self.core.tick(self.now)
+        self.core.receive(BALANCER, packet(PacketKind.DATA, (self.core.state.own,)))
+        sent = self.run_parent(200, deaf=True)
+        self.assertFalse([message for message in sent if isinstance(message, FlowReset)])
+
+    def test_heartbeats_go_to_the_parents(self) -> None:
+        beats = [m for m in self.run_parent(2_000) if isinstance(m, Heartbeat)]
+        self.assertGreaterEqual(len(beats), 3)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -8,6 +8,7 @@
 from shallotshore.catalog import Catalog
 from shallotshore.claims import REQUEST_LEASE, TOMBSTONE_LEASE, judge_claim, live_holder, take_back
 from shallotshore.codes import Code
+from shallotshore.membership import Membership
 from shallotshore.messages import Claim, ClaimKind, Heartbeat, Release, Void, VoidReply
 from tests.agents import SERVICE, records
 
@@ -19,7 +20,8 @@
     config = AgentConfig(
         ("10.2.0.0", 4000), "dc-0", "desk-0", "spotdesk", ("127.0.0.1", 0), incarnation=1
     )
-    core = AgentCore(config, random.Random(1), Catalog.from_records(revision, records(5)))
+    catalog = Catalog.from_records(revision, records(5))
+    core = AgentCore(config, random.Random(1), catalog, Membership())
     core.tick(1)
     return core
 
