Let a restarted holder release the flows of its predecessor, but no request

Cause: the rule for releases across restarts kept closed flows claimed until the next list sync. Change: the rule holds for request claims only. Measured: tests of both cases pass.

--- a/shallotshore/claims.py
+++ b/shallotshore/claims.py
@@ -134,8 +134,10 @@
         return
     if claims.holder[row] != release.holder or release.attempt < claims.round[row]:
         return
-    if release.attempt >> ROUND_BITS != claims.round[row] >> ROUND_BITS:
-        # A restarted holder does not know what its predecessor started under the claim.
+    is_request = claims.kind[row] != ClaimKind.FLOW
+    if is_request and release.attempt >> ROUND_BITS != claims.round[row] >> ROUND_BITS:
+        # A restarted holder does not know what its predecessor started under the claim. Of flows
+        # it does: it recovers them.
         return
     _forget(state, release.key)
     row = claims.add(release.key)
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 
 from shallotshore.agent import AgentConfig, AgentCore
+from shallotshore.agent_state import ROUND_BITS
 from shallotshore.catalog import Catalog
 from shallotshore.claims import REQUEST_LEASE, TOMBSTONE_LEASE, judge_claim, live_holder, take_back
 from shallotshore.codes import Code
@@ -86,6 +87,20 @@
         self.assertEqual(self.judge(replace(claim(11, 5), incarnation=2)), Code.HELD)
         self.assertEqual(self.judge(claim(11, 6)), Code.OK)
 
+    def test_restarted_holder_frees_no_request_of_its_predecessor(self) -> None:
+        """Releasing its own refused round must not let another agent run the request again."""
+        first, second = (incarnation << ROUND_BITS for incarnation in (1, 2))
+        self.judge(claim(11, first))
+        self.judge(replace(claim(11, second), incarnation=2))
+        take_back(self.state, Release(9, 11, second), OLD)
+        self.assertEqual(self.judge(claim(12, 1)), Code.HELD)
+
+    def test_restarted_holder_frees_flows_of_its_predecessor(self) -> None:
+        first, second = (incarnation << ROUND_BITS for incarnation in (1, 2))
+        self.judge(claim(11, first, ClaimKind.FLOW))
+        take_back(self.state, Release(9, 11, second), OLD)
+        self.assertEqual(self.judge(claim(12, 1, ClaimKind.FLOW)), Code.OK)
+
     def test_repeatable_key_has_several_holders_and_frees_one_by_one(self) -> None:
         kind = ClaimKind.REPEATABLE_REQUEST
         self.assertEqual(self.judge(claim(11, 1, kind)), Code.OK)
