--- a/shallotshore/peers.py
+++ b/shallotshore/peers.py
@@ -23,6 +23,7 @@
     ClaimQuery,
     ClaimReply,
     ClaimSync,
+    HealthState,
     Heartbeat,
     Message,
 )
@@ -35,6 +36,7 @@
 RECOVERY_TIME = 2_000  # ms after which a restarted agent stops asking
 MISMATCHES_BEFORE_QUERY = 2  # a claim or release in flight makes one heartbeat differ
 QUERY_INTERVAL = 3_000  # ms between list syncs of one peer
+MOVED_FLOWS = 200  # flows whose witnesses are computed anew in one tick
 KEYS_PER_SYNC = 120  # keeps a datagram below 1,200 bytes
 SETTLED_AFTER = 2 * PACKET_DELAY  # ms; a sync says nothing about claims granted since it was sent
 
@@ -42,7 +44,16 @@
 class PeersSystem:
     """Exchanges heartbeats and claim lists with the service's other agents."""
 
-    __slots__ = ("_next_parents", "_next_peers", "_next_query", "_sequence", "_state")
+    __slots__ = (
+        "_gained",
+        "_moving",
+        "_next_parents",
+        "_next_peers",
+        "_next_query",
+        "_sequence",
+        "_state",
+        "_told",
+    )
 
     def __init__(self, state: AgentState) -> None:
         self._state = state
@@ -50,26 +61,49 @@
         self._next_parents = 0
         self._next_peers = 0
         self._next_query = 0
+        self._told = HealthState.DOWN
+        self._moving: list[int] = []
+        self._gained: set[int] = set()
 
     def run(self, now: int) -> None:
         """Runs the step at `now` (ms)."""
         state = self._state
         if state.table_changed:
-            _relend(state, now)
+            self._moving = [state.flows.key[row] for row in state.flows.rows()]
+        if self._moving:
+            self._relend(now)
         for message_type in (Heartbeat, ClaimQuery, ClaimSync):
             for source, message in state.inbox.take(message_type):
                 _handle(message, state, source, now)
         self._recover(now)
-        if now >= self._next_parents:
+        health = state.health(now)
+        if now >= self._next_parents or health != self._told:
             self._next_parents = now + PARENT_INTERVAL
+            self._told = health
             for parent in state.parents:
                 state.outbox.send(parent, self._heartbeat(MISSING, now))
         if now >= self._next_peers:
             self._next_peers = now + PEER_INTERVAL
             _renew_own_lease(state, now)
+            _forget_strangers(state, now)
             for peer in state.peer_ids():
                 state.send_to_peer(peer, self._heartbeat(state.peers.add(peer), now))
 
+    def _relend(self, now: int) -> None:
+        """Computes the witnesses of some own flows anew; syncs with those that gained keys."""
+        state = self._state
+        chunk, self._moving = self._moving[:MOVED_FLOWS], self._moving[MOVED_FLOWS:]
+        for key in chunk:
+            self._gained.update(_relend_flow(state, key))
+        if self._moving:
+            return
+        for peer in self._gained:
+            _send_sync(state, peer, state.own)
+        if state.own in self._gained:
+            for key in _keys_lent_to(state, state.own):
+                _keep_own_claim(state, key, now)
+        self._gained.clear()
+
     def _heartbeat(self, row: int, now: int) -> Heartbeat:
         state = self._state
         self._sequence += 1
@@ -125,21 +159,26 @@
             state.peers.lent_digest[peer] ^= state.flows.key[row]
 
 
-def _relend(state: AgentState, now: int) -> None:
-    """Computes the witnesses of all own flows anew and syncs with those that gained keys."""
-    gained: set[int] = set()
-    for row in state.flows.rows():
-        if state.flows.state[row] == FlowState.CLAIMING:
-            continue
-        former = state.flows.witnesses[row]
-        _count_lent(state, row, -1)
-        lend(state, state.flows.key[row])
-        gained.update(set(state.flows.witnesses[row]).difference(former))
-    for peer in gained:
-        _send_sync(state, peer, state.own)
-    if state.own in gained:
-        for key in _keys_lent_to(state, state.own):
-            _keep_own_claim(state, key, now)
+def _relend_flow(state: AgentState, key: int) -> set[int]:
+    """Computes the witnesses of an own flow anew; returns those that it did not have."""
+    row = state.flows.row(key)
+    if row == MISSING or state.flows.state[row] == FlowState.CLAIMING:
+        return set()
+    former = state.flows.witnesses[row]
+    _count_lent(state, row, -1)
+    lend(state, key)
+    return set(state.flows.witnesses[row]).difference(former)
+
+
+def _forget_strangers(state: AgentState, now: int) -> None:
+    """Removes peers that have no record, hold no claims here and are no longer heard."""
+    known = set(state.peer_ids())
+    known.add(state.own)
+    for row in state.peers.rows():
+        peer = state.peers.key[row]
+        is_silent = now - state.peers.heard[row] >= FLOW_LEASE
+        if peer not in known and is_silent and not state.peers.held[row]:
+            state.peers.remove(peer)
 
 
 def extend_leases(state: AgentState, gap: int) -> None:
@@ -194,7 +233,7 @@
     peers.agent_incarnation[row], peers.sequence[row] = order
     peers.heard[row] = now
     peers.address[row] = source
-    state.phase.settling_until = min(state.phase.settling_until, now)
+    state.note_revision(source, message.revision)
     peers.state[row] = message.state
     if has_restarted and peers.lent[row]:
         _send_sync(state, message.upstream, state.own)
@@ -330,7 +369,7 @@
         attempt=0,
         age=0,
         lease=FLOW_LEASE,
-        membership=state.membership,
+        membership=state.table,
     )
 
 
