--- a/shallotshore/claims.py
+++ b/shallotshore/claims.py
@@ -134,8 +134,10 @@
         return
     if claims.holder[row] != release.holder or release.attempt < claims.round[row]:
         return
-    if release.attempt >> ROUND_BITS != claims.round[row] >> ROUND_BITS:
-        # A restarted holder does not know what its predecessor started under the claim.
+    is_request = claims.kind[row] != ClaimKind.FLOW
+    if is_request and release.attempt >> ROUND_BITS != claims.round[row] >> ROUND_BITS:
+        # A restarted holder does not know what its predecessor started under the claim. Of flows
+        # it does: it recovers them.
         return
     _forget(state, release.key)
     row = claims.add(release.key)
@@ -209,7 +211,7 @@
 
 
 def _fresh_verdict(state: AgentState, claim: Claim, now: int) -> Code:
-    if claim.membership < state.membership:
+    if claim.membership < state.table:
         return Code.STALE_TABLE
     if now - state.phase.started < claim.age + PACKET_DELAY:
         return Code.TOO_YOUNG
@@ -293,7 +295,7 @@
         return Code.OK
     if row != MISSING and state.claims.state[row] != ClaimState.RELEASED:
         return Code.HELD
-    if void.membership < state.membership:
+    if void.membership < state.table:
         return Code.STALE_TABLE
     if now - state.phase.started < void.age + PACKET_DELAY:
         return Code.TOO_YOUNG
