Let every candidate queue a request once none has a free slot

Cause: only the last candidate queued, so that services of few slots declined requests at 70% load. Change: an attempt that found no free slot goes round once more and may wait anywhere; a wait beyond the budget is refused; customers without waiting requests no longer count in the share.

--- a/shallotshore/admission.py
+++ b/shallotshore/admission.py
@@ -66,13 +66,13 @@
     return None
 
 
-def may_accept(state: AgentState, customer: int, is_last: bool, now: int) -> Code | None:
+def may_accept(state: AgentState, attempt: Attempt, may_queue: bool, now: int) -> Code | None:
     """Returns why a request is not accepted here, or None when it is.
 
     Args:
         state: State of the agent.
-        customer: Id of the customer.
-        is_last: Whether no further candidate could take the request; only then may it queue.
+        attempt: An attempt to run it.
+        may_queue: Whether it may wait here, since no candidate has a free slot.
         now: Monotonic time in milliseconds.
     """
     refusal = refusal_of_new_work(state, now)
@@ -83,9 +83,18 @@
     record = state.record
     is_cold = record is not None and state.limit < record.slots
     bound = state.limit * state.catalog.queue_factor(state.service)
-    if not is_last or state.work.accepted >= state.limit + bound:
+    is_full = state.work.accepted >= state.limit + bound
+    if not may_queue or is_full or _expected_wait(state) >= attempt.budget:
         return Code.UPSTREAM_COLD if is_cold else Code.OVERLOADED
-    return Code.FAIR_SHARE if is_over_share(state, customer, bound) else None
+    return Code.FAIR_SHARE if is_over_share(state, attempt.customer, bound) else None
+
+
+def _expected_wait(state: AgentState) -> float:
+    """Returns how long (ms) a request accepted now waits for a slot."""
+    if state.limit == 0:
+        return 0.0
+    ahead = state.work.accepted - state.limit + 1
+    return ahead * state.ramp.usual_time() / state.limit
 
 
 def can_open(state: AgentState, now: int) -> Code | None:
--- a/shallotshore/fair_queue.py
+++ b/shallotshore/fair_queue.py
@@ -63,11 +63,12 @@
     """
     queues = state.queues
     row = queues.row(customer)
-    if row == MISSING or len(queues) < 2:
+    waiting = () if row == MISSING else queues.waiting[row] or ()
+    others = [one for one in state.ring if one != customer and queues.waiting[queues.row(one)]]
+    if not waiting or not others:
         return False
-    shares = sum(max(1, state.catalog.share(other)) for other in state.ring)
     share = max(1, state.catalog.share(customer))
-    waiting = queues.waiting[row] or ()
+    shares = share + sum(max(1, state.catalog.share(other)) for other in others)
     return len(waiting) * shares >= max(shares, bound * share)
 
 
--- a/shallotshore/ramp.py
+++ b/shallotshore/ramp.py
@@ -92,6 +92,10 @@
         self._failed_at = now
         return self._has_turned_cold(now)
 
+    def usual_time(self) -> float:
+        """Returns the moving median of the service time in ms; 0 while too little is known."""
+        return median(self._times) if len(self._times) >= TIMES_NEEDED else 0.0
+
     def can_open(self, record: UpstreamView, now: int) -> bool:
         """Returns whether one more flow may be opened within the second."""
         while self._opens and now - self._opens[0] >= OPEN_WINDOW:
--- a/shallotshore/requests.py
+++ b/shallotshore/requests.py
@@ -2,6 +2,8 @@
 
 __all__ = ["RequestIntakeSystem", "RequestSystem"]
 
+from dataclasses import replace
+
 from shallotshore.admission import may_accept, mismatch
 from shallotshore.agent_state import AgentState
 from shallotshore.agent_tables import ClaimingState, ClaimState, RequestState
@@ -141,13 +143,29 @@
         if holder != state.own and pass_attempt(state, attempt, holder, now):
             return
     follower = next_candidate(state, attempt)
-    refusal = _no_room(state) or may_accept(state, attempt.customer, follower is None, now)
+    may_queue = follower is None or attempt.hops >= len(attempt.candidates)
+    refusal = _no_room(state) or may_accept(state, attempt, may_queue, now)
     if refusal is None and _begin(state, attempt, now):
         return
+    if follower is None:
+        follower, attempt = _second_lap(state, attempt)
     if follower is None or not pass_attempt(state, attempt, follower, now):
         decline_attempt(state, attempt, refusal or Code.TABLE_FULL)
 
 
+def _second_lap(state: AgentState, attempt: Attempt) -> tuple[int | None, Attempt]:
+    """Returns the first candidate when all have been asked once for a free slot.
+
+    In the second lap each may queue the request: with the queue of the last one alone, services
+    of few slots declined requests at 70% load.
+    """
+    count = len(attempt.candidates)
+    others = [u for u in attempt.candidates if u != state.own and state.is_reachable(u)]
+    if attempt.hops >= count or not others:
+        return None, attempt
+    return others[0], replace(attempt, hops=count - 1)
+
+
 def _no_room(state: AgentState) -> Code | None:
     is_full = state.requests.is_full or state.stored_bytes >= MAX_STORED
     return Code.TABLE_FULL if is_full else None
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -51,6 +51,16 @@
         self.assertEqual(len(self.fleet.answers(AttemptAnswer)), 3)
         self.assertEqual(len(self.codes()), 1)
 
+    def test_full_queue_passes_on_to_queues_of_other_candidates(self) -> None:
+        """One queue for all would decline bursts that the others can hold."""
+        order = self.order(b"a")
+        for number in range(10):
+            self.fleet.send(order[0], attempt(b"%d" % number, order, number))
+            self.fleet.run(1)
+        self.fleet.run(1_000)
+        self.assertEqual(len(self.fleet.answers(AttemptAnswer)), 9)
+        self.assertEqual(self.codes(), [Code.OVERLOADED])
+
     def test_expired_request_is_never_started(self) -> None:
         """Queueing counts against the budget."""
         last = self.order(b"a")[:1]
