--- a/tests/test_propagation.py
+++ b/tests/test_propagation.py
@@ -226,6 +226,16 @@
         self.sent(20, Delta(Source.CONFIGURATION, base, 5, 0, 0, 1, tuple(entries)))
         self.assertEqual(self.core.catalog.digest(0), other.catalog.digest(0))
 
+    def test_woken_process_waits_for_the_revision_that_a_peer_tells_of(self) -> None:
+        self.sent(0)
+        self.sent(2000)
+        self.sent(2020, RevisionOffer(Source.CONFIGURATION, 9, 1, 0))
+        self.sent(2040)
+        self.assertFalse(self.core.guard.may_serve)
+        self.sent(2060, Delta(Source.CONFIGURATION, 5, 9, 0, 0, 1, ()))
+        self.sent(2080)
+        self.assertTrue(self.core.guard.may_serve)
+
     def test_damaged_text_is_counted_and_the_rest_applied(self) -> None:
         entries = (Entry("service/a", 8, b"\xff\xff"), Entry("data_centre/b", 8, b""))
         self.sent(0, Delta(Source.CONFIGURATION, 5, 8, 0, 0, 1, entries))
