--- a/standins/events.py
+++ b/standins/events.py
@@ -11,6 +11,7 @@
 from standins.caller_state import CallerLoad
 from standins.configuration_service import Mode
 from standins.deployments import data_centre_record, upstream_record
+from standins.journal import Span
 from standins.network import Link
 from standins.upstream_state import Health
 from standins.world import FABRIC_LAG, PLATFORM, World, agent_name
@@ -368,6 +369,7 @@
 def partition(world: World, words: list[str]) -> None:
     """Cuts places or processes off from all others."""
     _fault(world, "partition " + " ".join(words))
+    world.journal.splits.append((Span(world.now), tuple(words)))
     world.pump.network.partition(words)
 
 
@@ -375,6 +377,8 @@
 def heal(world: World, words: list[str]) -> None:
     """Ends all partitions."""
     _fault(world, "heal")
+    for span, _ in world.journal.splits:
+        span.end = min(span.end, world.now)
     world.pump.network.heal()
 
 
--- a/standins/journal.py
+++ b/standins/journal.py
@@ -31,6 +31,7 @@
         without_customer: Spans in which a customer's record was withdrawn.
         customer_since: Times at which a customer's record was published.
         stops: Times at which a planned stop began, by process.
+        splits: (span, names) of partitions with the places and processes that were cut off.
         measured_from: Time from which figures count.
         faults: (time, what) of everything that no operator plans.
     """
@@ -41,6 +42,7 @@
     turned_cold: dict[str, list[int]] = field(default_factory=dict)
     without_customer: dict[str, list[Span]] = field(default_factory=dict)
     customer_since: dict[str, int] = field(default_factory=dict)
+    splits: list[tuple[Span, tuple[str, ...]]] = field(default_factory=list)
     measured_from: int = 0
     stops: list[tuple[int, str]] = field(default_factory=list)
     faults: list[tuple[int, str]] = field(default_factory=list)
--- a/standins/pump.py
+++ b/standins/pump.py
@@ -211,6 +211,8 @@
             if wanted is None:
                 return
             due = max(self.now + 1, wanted)
+        if getattr(process.core, "is_busy", False):
+            due = self.now + 1
         if process.next_timer <= self.now or due < process.next_timer:
             process.next_timer = due
             self._push(due, _TIMER, (process,))
--- a/standins/sightings.py
+++ b/standins/sightings.py
@@ -12,7 +12,7 @@
     """Counts deliveries of callers' work to agents.
 
     Attributes:
-        work: (time, place, sender's address) of each packet of a caller delivered to an agent.
+        work: (time, place, sender) of each packet of a caller that an agent received.
         first_hops: (time) of each flow packet that came to an agent from a balancer.
         extra_hops: (time) of each flow packet that one agent passed to another.
     """
@@ -21,17 +21,19 @@
 
     def __init__(self, pump: Pump) -> None:
         self._pump = pump
-        self.work: list[tuple[int, str, Address]] = []
+        self.work: list[tuple[int, str, Process]] = []
         self.first_hops: list[int] = []
         self.extra_hops: list[int] = []
         pump.taps.setdefault(Forward, []).append(self._forward)
         pump.taps.setdefault(Attempt, []).append(self._attempt)
 
     def _forward(self, now: int, source: Address, process: Process, message: Message) -> None:
-        self.work.append((now, process.place, source))
+        self._attempt(now, source, process, message)
         sender = self._pump.at_address(source)
         passed = sender is not None and sender.name.endswith(AGENT_SUFFIX)
         (self.extra_hops if passed else self.first_hops).append(now)
 
     def _attempt(self, now: int, source: Address, process: Process, message: Message) -> None:
-        self.work.append((now, process.place, source))
+        sender = self._pump.at_address(source)
+        if sender is not None:
+            self.work.append((now, process.place, sender))
