Keep a cold upstream within its bound when work crosses its restart

Change: work sent within three probe intervals of the first sign keeps its slot; openings a second follow the limit of requests. Measured: the new test fails without the change.

--- a/shallotshore/agent_state.py
+++ b/shallotshore/agent_state.py
@@ -57,12 +57,23 @@
 
 @dataclass(slots=True)
 class UpstreamStatus:
-    """What the agent knows about its upstream; incarnation 0 means not heard yet."""
+    """What the agent knows about its upstream; incarnation 0 means not heard yet.
+
+    Attributes:
+        incarnation: The present process of the upstream.
+        ready: Whether that process says that it can work.
+        heard: Time (ms) of its last sign of life.
+        confirmed: Time (ms) of the last message that named its incarnation.
+        doubted_from: Work sent from this time (ms) on may have reached the present process, not
+            the one before.
+        sequence: Number of the last probe.
+    """
 
     incarnation: int = 0
     ready: bool = False
     heard: int = 0
-    probed: int = 0
+    confirmed: int = 0
+    doubted_from: int = 0
     sequence: int = 0
 
 
--- a/shallotshore/flows.py
+++ b/shallotshore/flows.py
@@ -26,7 +26,7 @@
 from shallotshore.peers import lend, take_home
 from shallotshore.placement import quorum
 from shallotshore.tables import MISSING
-from shallotshore.upstream_link import note_upstream
+from shallotshore.upstream_link import note_data
 
 CLAIM_TIME = 1_000  # ms; a caller resends its opening packet well within it
 HINT_LEASE = 30_000  # ms; the life of a flow claim
@@ -286,7 +286,7 @@
 
 
 def _note_first_data(state: AgentState, row: int, now: int) -> None:
-    note_upstream(state, state.upstream.incarnation, now)
+    note_data(state, now)
     if not state.flows.answered[row]:
         state.flows.answered[row] = 1
         state.ramp.note_flow()
@@ -310,8 +310,8 @@
             _drop_opening(state, row, code, now)
             continue
         _tell_caller(state, row, code)
-        if code == Code.DATA_CENTRE_OUT:
-            state.outbox.send(state.config.local, UpstreamClose(key, code))
+        # Also a new process may have the flow, when it was opened just before its first sign.
+        state.outbox.send(state.config.local, UpstreamClose(key, code))
         _end(state, key, now)
 
 
--- a/shallotshore/ramp.py
+++ b/shallotshore/ramp.py
@@ -13,7 +13,7 @@
 COLD_EVIDENCE_WINDOW = 1_000  # ms within which slow and failed answers count as one sign
 FAILURES_IN_A_ROW = 3  # refusals alone that show a limit above what the upstream bears
 OPEN_WINDOW = 1_000  # ms
-OPENS_PER_SLOT = 10  # flows a second; an opening costs a server far less than a request
+OPENS_PER_SLOT = 1  # flows a second, as many as requests at once
 
 
 class Ramp:
--- a/shallotshore/requests.py
+++ b/shallotshore/requests.py
@@ -284,8 +284,14 @@
 
 
 def _lose_running(state: AgentState, now: int) -> None:
-    """Ends what ran in an upstream incarnation that has ended: its outcome is unknown."""
+    """Ends what ran in an upstream incarnation that has ended: its outcome is unknown.
+
+    What was sent just before the first sign of the new one may have reached it: it keeps its slot
+    until an answer or its deadline, so that a cold upstream has no more in hand than it bears.
+    """
+    requests = state.requests
     for key in list(state.active):
-        row = state.requests.row(key)
-        if state.requests.state[row] == RequestState.RUNNING:
+        row = requests.row(key)
+        is_lost = requests.started[row] < state.upstream.doubted_from
+        if requests.state[row] == RequestState.RUNNING and is_lost:
             finish(state, row, Code.UPSTREAM_LOST, now)
--- a/shallotshore/upstream_link.py
+++ b/shallotshore/upstream_link.py
@@ -1,11 +1,12 @@
 """Health of the local upstream and detection of its restarts."""
 
-__all__ = ["UpstreamLinkSystem", "note_upstream", "restart_ramp"]
+__all__ = ["UpstreamLinkSystem", "note_data", "note_upstream", "restart_ramp"]
 
 from shallotshore.agent_state import AgentState
 from shallotshore.messages import UpstreamHealth, UpstreamProbe
 
 PROBE_INTERVAL = 100  # ms
+DOUBTED_TIME = 3 * PROBE_INTERVAL  # a process that answers was not there two lost probes before
 
 
 class UpstreamLinkSystem:
@@ -47,11 +48,17 @@
     if incarnation > upstream.incarnation:
         upstream.incarnation = incarnation
         upstream.ready = False  # until this incarnation says so itself
+        upstream.doubted_from = max(upstream.confirmed, now - DOUBTED_TIME)
         restart_ramp(state, now)
-    upstream.heard = now
+    upstream.heard = upstream.confirmed = now
     return True
 
 
+def note_data(state: AgentState, now: int) -> None:
+    """Notes a sign of life of the upstream that does not tell its incarnation."""
+    state.upstream.heard = now
+
+
 def restart_ramp(state: AgentState, now: int) -> None:
     """Starts the ramp from the cold limit; no work starts above it from here on."""
     state.ramp.restart(now)
--- a/tests/test_flows.py
+++ b/tests/test_flows.py
@@ -95,13 +95,13 @@
         self.assertEqual(len(self.fleet.answers(FlowReply)), before)
 
     def test_cold_upstream_passes_openings_over_its_bound(self) -> None:
-        self.fleet = Fleet(7, slots=3, cold_limit=1)
+        self.fleet = Fleet(7, slots=3, cold_limit=2)
         self.fleet.grow_up()
         for flow in range(30):
             self.fleet.send(self.order[0], packet(PacketKind.OPEN, self.order[:2], flow))
         self.fleet.run(100)
         counts = [len(self.fleet.upstream(u).seen) for u in self.order[:2]]
-        self.assertEqual(counts, [10, 10])
+        self.assertEqual(counts, [2, 2])
 
     def test_table_change_gives_new_witnesses_the_claims(self) -> None:
         """A flow must be found by the first candidate of a table that has changed."""
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -144,6 +144,20 @@
         self.fleet.run(300)
         self.assertEqual([a.code for a in self.fleet.answers(AttemptAnswer)], [Code.UPSTREAM_LOST])
 
+    def test_request_that_reached_the_new_process_keeps_its_slot(self) -> None:
+        """A cold upstream must not get a second request because the first counts as lost."""
+        last = self.order(b"a")[:1]
+        upstream = self.fleet.upstream(last[0])
+        upstream.service_time = 400
+        upstream.incarnation = 2
+        self.fleet.send(last[0], attempt(b"a", last, 1))
+        self.fleet.run(150)
+        self.fleet.send(last[0], attempt(b"b", last, 2))
+        self.fleet.run(150)
+        self.assertEqual(len(upstream.started()), 1)
+        self.fleet.run(800)
+        self.assertEqual([a.code for a in self.fleet.answers(AttemptAnswer)], [Code.OK, Code.OK])
+
     def test_restarted_agent_does_not_run_its_request_again(self) -> None:
         order = self.order(b"a")
         self.fleet.send(order[0], attempt(b"a", order, 1))
