Let requests wait for room, the retry budget and their witnesses

Cause: at 70% load 0.7% of requests ended as not run within 200 ms of their birth: four attempts met full queues, the retry budget was spent, or few requests of a customer were allowed to wait. In the first 14 s of a process, claims and voids needed every witness. Change: requests wait while fresh reports say that all candidates are full, asking for more free places with each refusal; without a retry token they wait for one; a request of an age needs the tables of that age plus 5 s only (claiming.py passes it). Endings is split off dispatch.

--- a/shallotshore/claiming.py
+++ b/shallotshore/claiming.py
@@ -7,7 +7,7 @@
 from shallotshore.claims import FLOW_LEASE, REQUEST_LEASE, judge_claim, take_back
 from shallotshore.codes import Code
 from shallotshore.messages import Claim, ClaimKind, ClaimReply, Release
-from shallotshore.placement import quorum
+from shallotshore.placement import REQUEST_LIFETIME_MS, quorum
 from shallotshore.tables import MISSING
 
 RESEND_INTERVAL = 30  # ms; several round trips between data centres fit into a request's budget
@@ -105,7 +105,7 @@
     former = state.placement.former_witnesses(state.service, key)[:MAX_FORMER]
     claiming.witnesses[row] = present + former
     claiming.present[row] = len(present)
-    claiming.needed[row] = _needed(state, len(present))
+    claiming.needed[row] = _needed(state, row, len(present), now)
     claiming.membership[row] = state.table
     claiming.granted[row] = 0
     claiming.refused[row] = 0
@@ -114,13 +114,16 @@
     claiming.next_send[row] = now
 
 
-def _needed(state: AgentState, count: int) -> int:
+def _needed(state: AgentState, row: int, count: int, now: int) -> int:
     """Returns how many witnesses of the present table must grant.
 
-    An agent that has not known the table for the life of a claim cannot ask former witnesses. All
-    present ones together meet every earlier quorum while two witnesses are common to both tables.
+    An agent that does not know the tables by which the key may have been claimed cannot ask former
+    witnesses. All present ones together meet every earlier quorum while two witnesses are common to
+    both tables.
     """
-    return quorum(count) if state.placement.knows_former(state.service) else count
+    is_flow = state.claiming.kind[row] == ClaimKind.FLOW
+    age = REQUEST_LIFETIME_MS if is_flow else max(0, now - state.claiming.born[row])
+    return quorum(count) if state.placement.knows_former(state.service, age) else count
 
 
 def _note_reply(state: AgentState, reply: ClaimReply) -> None:
--- a/shallotshore/dispatch.py
+++ b/shallotshore/dispatch.py
@@ -4,10 +4,10 @@
 
 from functools import singledispatchmethod
 
-from shallotshore.answers import AnswerParts
 from shallotshore.balancer_state import BalancerState
 from shallotshore.candidates import Candidates
 from shallotshore.codes import Code, Outcome
+from shallotshore.endings import Endings
 from shallotshore.hashing import request_key
 from shallotshore.ingress import CallerPacket, Ingress
 from shallotshore.messages import (
@@ -16,41 +16,40 @@
     CallerAnswer,
     CallerCancel,
     CallerRequest,
-    CancelAttempt,
     Cancelled,
     Declined,
     Message,
 )
-from shallotshore.pending import REQUEST_LIFETIME_MS, PendingState, PendingTable
+from shallotshore.pending import PendingState
+from shallotshore.placement import REQUEST_LIFETIME_MS
 from shallotshore.retries import MAX_ATTEMPTS, RetryBudget, backoff
-from shallotshore.shares import FairShare
 from shallotshore.tables import MISSING
 from shallotshore.verdicts import Verdicts
 
 _HOP_MS = 5  # taken off the budget at each hop: the one-way delay between data centres
-_SILENCE_MS = 300  # far above a round trip; doubles with each resend
+_SILENCE_MS = 400  # far above a round trip; doubles with each resend
 _SILENCES_BEFORE_MOVE = 3
-_CANCEL_RESEND_MS = 100
 _FAIR_SHARE_RETRY_MS = 20
+_ROOM_RETRY_MS = (10, 30)
+_WITNESS_RETRY_MS = 100
+_ROOM_CODES = (Code.OVERLOADED, Code.UPSTREAM_COLD)
+# Refusals by the witnesses of the key: they are the same for every upstream, so that an attempt
+# elsewhere at once would meet them again.
+_WITNESS_CODES = (Code.NO_QUORUM, Code.TOO_YOUNG)
 _HELD_RETRY_MS = 50
-_FINISHED_MS = 2_000  # how long a caller's resend still gets the same answer from here
-_MAX_VOID_MARGIN_MS = 200
-_HELD_BYTES = 8 << 20  # answers kept for resends
-_OPEN_STATES = (PendingState.WAITING, PendingState.RUNNING, PendingState.VOIDING)
+_REFUSED_MS = 200  # for the proof that a request refused at its arrival was not run
+_BUDGET_RETRY_MS = 100  # a third of the time in which the least rate earns a retry
 
 
 class Dispatch:
     """System that runs callers' requests at upstreams, at most once where they say so."""
 
     __slots__ = (
-        "_answers",
         "_budget",
         "_candidates",
-        "_final_bytes",
+        "_endings",
         "_handle",
         "_ingress",
-        "_open",
-        "_shares",
         "_state",
         "_verdicts",
         "pending",
@@ -63,19 +62,16 @@
         self._ingress = ingress
         self._candidates = candidates
         self._verdicts = verdicts
-        self._answers = AnswerParts()
         self._budget = RetryBudget()
-        self._shares = FairShare(state.catalog)
-        self._final_bytes = 0
-        self._open = 0
-        self.pending = PendingTable()
+        self._endings = Endings(state, verdicts)
+        self.pending = self._endings.pending
         # Bound once: a singledispatchmethod builds a new function at each access.
         self._handle = self._take
 
     @property
     def open_requests(self) -> int:
         """Number of requests whose callers wait for an answer."""
-        return self._open
+        return self._endings.open_requests
 
     def run(self, now: int) -> None:
         """Handles answers first, then proofs, callers' messages and times that have come."""
@@ -104,7 +100,7 @@
         key = request_key(packet.vip, message.request)
         row = self.pending.row(key)
         if row != MISSING:
-            self._attach(row, packet)
+            self._endings.attach(row, packet.caller)
             return
         self._state.counters.add("requests.fresh")
         row = self.pending.add(key)
@@ -115,12 +111,12 @@
         self._fill(row, message, packet, now)
         self._budget.fresh(packet.customer, packet.service, now)
         if message.age + message.budget > REQUEST_LIFETIME_MS:
-            self.pending.deadline[row] = now + _MAX_VOID_MARGIN_MS
-            self._give_up(row, Code.DEADLINE_TOO_LONG, now)
-        elif not self._may_start(row) and not self._shares.may_wait(
+            self.pending.deadline[row] = now + _REFUSED_MS
+            self._endings.give_up(row, Code.DEADLINE_TOO_LONG, now)
+        elif not self._may_start(row) and not self._endings.shares.may_wait(
             packet.customer, packet.service
         ):
-            self._give_up(row, Code.FAIR_SHARE, now)
+            self._endings.give_up(row, Code.FAIR_SHARE, now)
         else:
             self._start(row, now)
 
@@ -134,7 +130,7 @@
             return
         self._state.counters.add("requests.cancelled")
         self.pending.cancelled[row] = 1
-        self._give_up(row, Code.CANCELLED, now)
+        self._endings.give_up(row, Code.CANCELLED, now)
 
     def _fill(self, row: int, message: CallerRequest, packet: CallerPacket, now: int) -> None:
         pending = self.pending
@@ -148,14 +144,7 @@
         pending.payload[row] = message.payload
         pending.caller[row] = packet.caller
         pending.vip[row] = packet.vip
-        self._open += 1
-        self._enter(row, PendingState.WAITING)
-
-    def _attach(self, row: int, packet: CallerPacket) -> None:
-        self._state.counters.add("requests.attached")
-        self.pending.caller[row] = packet.caller
-        for answer in self.pending.final[row]:
-            self._state.answer(packet.caller, packet.vip, answer)
+        self._endings.begin(row)
 
     def _tell(self, packet: CallerPacket, request: bytes, outcome: Outcome, code: Code) -> None:
         answer = CallerAnswer(request, outcome, code, 0, 1, 0, b"")
@@ -164,23 +153,30 @@
     # Attempts.
 
     def _may_start(self, row: int) -> bool:
-        return self._shares.may_start(self.pending.customer[row], self.pending.service[row])
+        return self._endings.shares.may_start(self.pending.customer[row], self.pending.service[row])
 
     def _start(self, row: int, now: int) -> None:
         """Sends an attempt, or lets the request wait while its customer is over its share."""
         pending = self.pending
-        if now >= self._void_at(row):
-            self._give_up(row, Code.DEADLINE_EXPIRED, now)
+        if now >= self._endings.void_at(row):
+            self._endings.give_up(row, Code.DEADLINE_EXPIRED, now)
             return
         if self._state.is_held or not self._may_start(row):
-            self._enter(row, PendingState.WAITING)
+            self._endings.enter(row, PendingState.WAITING)
             pending.schedule(row, now + _FAIR_SHARE_RETRY_MS)
             return
         named = self._candidates.for_request(
             pending.service[row], pending.customer[row], pending.tried[row], now
         )
         if not named:
-            self._give_up(row, Code.NO_UPSTREAM, now)
+            self._endings.give_up(row, Code.NO_UPSTREAM, now)
+            return
+        if self._state.loads.lacks_room(named[0], pending.failures[row], now):
+            # All are full by fresh reports: waiting here costs no attempt and no message. With
+            # each refusal more free places are asked for, since others compete for the last ones.
+            self._state.counters.add("requests.wait_for_room")
+            self._endings.enter(row, PendingState.WAITING)
+            pending.schedule(row, now + self._state.rng.randint(*_ROOM_RETRY_MS))
             return
         pending.attempt[row] = self._state.rng.getrandbits(64)
         pending.attempts[row] += (pending.attempt[row],)
@@ -190,7 +186,7 @@
         pending.sent_at[row] = now
         pending.upstream[row] = named[0]
         self._state.loads.start(named[0])
-        self._enter(row, PendingState.RUNNING)
+        self._endings.enter(row, PendingState.RUNNING)
         self._send_attempt(row, now)
 
     def _send_attempt(self, row: int, now: int) -> None:
@@ -216,27 +212,32 @@
         state.counters.add("attempts.sent")
         state.send_to(pending.named[row][0], attempt)
         silence = now + (_SILENCE_MS << pending.resends[row])
-        pending.schedule(row, min(silence, self._void_at(row)))
+        pending.schedule(row, min(silence, self._endings.void_at(row)))
 
     def _try_again(self, row: int, reason: int, now: int) -> None:
         """Plans the next attempt after a refusal, failure or silence, or gives up."""
         pending = self.pending
-        self._discharge(row)
+        self._endings.discharge(row)
         pending.reason[row] = reason
-        if pending.failures[row] >= MAX_ATTEMPTS:
-            self._give_up(row, reason, now)
+        if pending.failures[row] >= MAX_ATTEMPTS or now >= self._endings.void_at(row):
+            self._endings.give_up(row, reason, now)
             return
         if not self._budget.spend(pending.customer[row], pending.service[row], now):
             self._state.counters.add("retries.refused")
-            self._give_up(row, Code.RETRY_BUDGET_SPENT, now)
+            pending.reason[row] = Code.RETRY_BUDGET_SPENT
+            self._endings.enter(row, PendingState.WAITING)
+            pending.schedule(row, now + _BUDGET_RETRY_MS)
             return
         self._state.counters.add("retries.planned")
-        if self._has_untried(row, now):
+        if reason not in _WITNESS_CODES and self._has_untried(row, now):
             self._start(row, now)
             return
         pending.tried[row] = ()
-        self._enter(row, PendingState.WAITING)
-        pending.schedule(row, now + backoff(pending.failures[row], self._state.rng))
+        self._endings.enter(row, PendingState.WAITING)
+        delay = backoff(pending.failures[row], self._state.rng)
+        if reason in _WITNESS_CODES:
+            delay += _WITNESS_RETRY_MS
+        pending.schedule(row, now + delay)
 
     def _has_untried(self, row: int, now: int) -> bool:
         pending = self.pending
@@ -249,21 +250,28 @@
     def _take_due(self, row: int, now: int) -> None:
         state = self.pending.state[row]
         if state == PendingState.FINISHED:
-            self._forget(row)
+            self._endings.forget(row)
         elif state == PendingState.WAITING:
-            self._start(row, now)
+            self._take_turn(row, now)
         elif state == PendingState.RUNNING:
             self._take_silence(row, now)
         elif now >= self.pending.deadline[row]:
-            self._finish_unknown(row, now)
+            self._endings.finish_unknown(row, now)
+        else:
+            self._endings.listen(row, now)
+
+    def _take_turn(self, row: int, now: int) -> None:
+        """Goes on with a request that waited for its turn, a backoff or the retry budget."""
+        if self.pending.reason[row] == Code.RETRY_BUDGET_SPENT:
+            self._try_again(row, Code.RETRY_BUDGET_SPENT, now)
         else:
-            self._listen(row, now)
+            self._start(row, now)
 
     def _take_silence(self, row: int, now: int) -> None:
         pending = self.pending
         state = self._state
-        if now >= self._void_at(row):
-            self._give_up(row, Code.DEADLINE_EXPIRED, now)
+        if now >= self._endings.void_at(row):
+            self._endings.give_up(row, Code.DEADLINE_EXPIRED, now)
             return
         upstream = pending.upstream[row]
         excluded = state.exclusions.for_new_work(pending.service[row])
@@ -302,24 +310,10 @@
             state.counters.add("answers.crossed")
             return
         if answer.code == Code.OK:
-            self._take_part(row, answer, now)
+            self._endings.take_part(row, answer, now)
         else:
             self._take_failure(row, answer, now)
 
-    def _take_part(self, row: int, answer: AttemptAnswer, now: int) -> None:
-        payloads = self._answers.add(answer)
-        if payloads is None:
-            self._state.counters.add("answers.parts_held")
-            return
-        request = self.pending.request[row]
-        final = tuple(
-            CallerAnswer(
-                request, Outcome.DONE, Code.OK, part, len(payloads), answer.checksum, payload
-            )
-            for part, payload in enumerate(payloads)
-        )
-        self._finish(row, final, now)
-
     def _take_failure(self, row: int, answer: AttemptAnswer, now: int) -> None:
         """Handles an answer that says that the request was started and has failed."""
         pending = self.pending
@@ -332,7 +326,7 @@
             pending.tried[row] += (answer.upstream,)
             self._try_again(row, answer.code, now)
             return
-        self._finish_with(row, Outcome.UNKNOWN, answer.code, now)
+        self._endings.finish_with(row, Outcome.UNKNOWN, answer.code, now)
 
     def _take_declined(self, declined: Declined, now: int) -> None:
         state = self._state
@@ -350,11 +344,21 @@
             return
         state.counters.add("declines")
         pending.tried[row] += pending.named[row]
+        if declined.code in _ROOM_CODES:
+            self._note_full(row, now)
         if declined.code == Code.VOIDED:
-            self._give_up(row, pending.reason[row] or Code.VOIDED, now)
+            self._endings.give_up(row, pending.reason[row] or Code.VOIDED, now)
             return
         self._try_again(row, declined.code, now)
 
+    def _note_full(self, row: int, now: int) -> None:
+        """Notes that none of the candidates had room; each has passed the attempt on."""
+        state = self._state
+        for upstream in self.pending.named[row]:
+            view = state.catalog.upstream(upstream)
+            if view is not None:
+                state.loads.note_full(upstream, view.slots, now)
+
     def _take_cancelled(self, cancelled: Cancelled, now: int) -> None:
         row = self.pending.row(cancelled.key)
         if row == MISSING or self.pending.attempt[row] != cancelled.attempt:
@@ -363,39 +367,13 @@
         name = "cancels.in_time" if cancelled.in_time else "cancels.too_late"
         self._state.counters.add(name)
 
-    # Outcomes.
-
-    def _void_at(self, row: int) -> int:
-        """Returns when to start the proof of "not run", so that it ends before the deadline."""
-        pending = self.pending
-        budget = pending.deadline[row] - pending.arrived[row]
-        return pending.deadline[row] - min(_MAX_VOID_MARGIN_MS, budget // 4)
-
-    def _give_up(self, row: int, reason: int, now: int) -> None:
-        """Makes no more attempts: proves that none was run, or waits for a late answer."""
-        pending = self.pending
-        pending.reason[row] = reason
-        self._enter(row, PendingState.VOIDING)
-        age = pending.age_at(row, now)
-        if age <= REQUEST_LIFETIME_MS:
-            self._verdicts.begin(pending.key[row], pending.service[row], age, now)
-        self._listen(row, now)
-
-    def _listen(self, row: int, now: int) -> None:
-        pending = self.pending
-        if pending.cancelled[row] and pending.attempts[row]:
-            for upstream in pending.named[row]:
-                cancel = CancelAttempt(pending.key[row], pending.attempt[row])
-                self._state.send_to(upstream, cancel)
-            pending.schedule(row, min(now + _CANCEL_RESEND_MS, pending.deadline[row]))
-            return
-        pending.schedule(row, max(pending.deadline[row], now))
+    # Proofs.
 
     def _take_verdicts(self, now: int) -> None:
         for key in self._verdicts.proven:
             row = self.pending.row(key)
             if row != MISSING and self.pending.state[row] == PendingState.VOIDING:
-                self._finish_not_run(row, now)
+                self._endings.finish_not_run(row, now)
         for key in self._verdicts.held:
             row = self.pending.row(key)
             if row != MISSING and self.pending.state[row] == PendingState.VOIDING:
@@ -404,71 +382,11 @@
     def _ask_holder(self, row: int, now: int) -> None:
         """Sends one more attempt when another one holds the key: its holder has the answer."""
         pending = self.pending
-        if pending.cancelled[row] or now + _HELD_RETRY_MS >= self._void_at(row):
+        if pending.cancelled[row] or now + _HELD_RETRY_MS >= self._endings.void_at(row):
             return
         if pending.failures[row] > MAX_ATTEMPTS:
             return
         self._verdicts.end(pending.key[row])
         pending.tried[row] = ()
-        self._enter(row, PendingState.WAITING)
+        self._endings.enter(row, PendingState.WAITING)
         pending.schedule(row, now + _HELD_RETRY_MS)
-
-    def _finish_not_run(self, row: int, now: int) -> None:
-        reason = self.pending.reason[row]
-        code = reason if 200 <= reason < 300 else Code.DEADLINE_EXPIRED
-        self._finish_with(row, Outcome.NOT_RUN, code, now)
-
-    def _finish_unknown(self, row: int, now: int) -> None:
-        code = Code.ANSWER_MISSING
-        if self._answers.has_some(self.pending.key[row]):
-            code = Code.ANSWER_INCOMPLETE
-        self._finish_with(row, Outcome.UNKNOWN, code, now)
-
-    def _finish_with(self, row: int, outcome: Outcome, code: int, now: int) -> None:
-        answer = CallerAnswer(self.pending.request[row], outcome, code, 0, 1, 0, b"")
-        self._finish(row, (answer,), now)
-
-    def _finish(self, row: int, final: tuple[CallerAnswer, ...], now: int) -> None:
-        pending = self.pending
-        self._state.counters.add(f"outcomes.{Outcome(final[0].outcome).name.lower()}")
-        for answer in final:
-            self._state.answer(pending.caller[row], pending.vip[row], answer)
-        key = pending.key[row]
-        self._verdicts.end(key)
-        self._answers.drop(key)
-        self._enter(row, PendingState.FINISHED)
-        self._open -= 1
-        pending.payload[row] = b""
-        size = sum(len(answer.payload) for answer in final)
-        if self._final_bytes + size > _HELD_BYTES:
-            self._forget(row)
-            return
-        self._final_bytes += size
-        pending.final[row] = final
-        pending.schedule(row, now + _FINISHED_MS)
-
-    def _forget(self, row: int) -> None:
-        pending = self.pending
-        self._final_bytes -= sum(len(answer.payload) for answer in pending.final[row])
-        pending.remove(pending.key[row])
-
-    # Counts.
-
-    def _discharge(self, row: int) -> None:
-        upstream = self.pending.upstream[row]
-        if upstream:
-            self._state.loads.finish(upstream)
-            self.pending.upstream[row] = 0
-
-    def _enter(self, row: int, state: PendingState) -> None:
-        """Changes the state of a request and the counts that depend on it."""
-        pending = self.pending
-        was = pending.state[row]
-        if state != PendingState.RUNNING:
-            self._discharge(row)
-        in_flight = (state == PendingState.RUNNING) - (was == PendingState.RUNNING)
-        waiting = (state == PendingState.WAITING) - (was == PendingState.WAITING)
-        pending.state[row] = state
-        if in_flight or waiting:
-            customer, service = pending.customer[row], pending.service[row]
-            self._shares.move(customer, service, in_flight, waiting)
--- a/shallotshore/loads.py
+++ b/shallotshore/loads.py
@@ -9,6 +9,7 @@
 
 _HALF_LIFE_MS = 200  # requests last tens to hundreds of milliseconds: older counts mislead
 _LIMIT_VALID_MS = 2_000  # the heartbeat period four times over; then the record's slots count
+_FULL = 3  # times the limit: as many run, and twice as many wait
 _IDLE_ROW_MS = 10_000
 _ROWS = 8_192  # upstreams with work or reports of the last seconds, 36 bytes each plus the index
 
@@ -93,6 +94,30 @@
             return True
         return self.connections[row] < connections and self.reported_limit[row] > 0
 
+    def note_full(self, upstream: int, slots: int, now: int) -> None:
+        """Notes that an upstream passed a request on or refused it for want of room."""
+        row = self.add(upstream)
+        if row == MISSING:
+            return
+        if now - self.reported_at[row] >= _LIMIT_VALID_MS:
+            self.reported_limit[row] = slots
+        self.reported[row] = max(self.reported[row], _FULL * max(self.reported_limit[row], 1))
+        self.reported_at[row] = now
+
+    def lacks_room(self, upstream: int, margin: int, now: int) -> bool:
+        """Whether the upstream reported within the last 200 ms that its queue is nearly full.
+
+        Args:
+            upstream: Id of the upstream.
+            margin: Places in the queue that must be free beyond the one wanted.
+            now: Time in ms.
+        """
+        row = self.row(upstream)
+        if row == MISSING or now - self.reported_at[row] > _HALF_LIFE_MS:
+            return False
+        limit = max(self.reported_limit[row], 1)
+        return self.reported[row] >= max(limit, _FULL * limit - margin)
+
     def heard_since(self, upstream: int, time: int) -> bool:
         """Whether the upstream has reported since a time (ms)."""
         row = self.row(upstream)
--- a/shallotshore/pending.py
+++ b/shallotshore/pending.py
@@ -7,9 +7,9 @@
 from enum import IntEnum
 
 from shallotshore.messages import Address, CallerAnswer
+from shallotshore.placement import REQUEST_LIFETIME_MS
 from shallotshore.tables import MISSING, Table
 
-REQUEST_LIFETIME_MS = 10_000  # greatest age plus budget of a request
 CLAIM_LEASE_MS = 14_000  # the lifetime plus twice the greatest packet delay of 2 s
 _ROWS = 16_384
 _NO_ADDRESS: Address = ("", 0)
--- a/shallotshore/placement.py
+++ b/shallotshore/placement.py
@@ -1,6 +1,6 @@
 """Candidates and witnesses of a key: the rendezvous order of the key's bucket in its service."""
 
-__all__ = ["WITNESSES", "Placement", "UpstreamSets", "quorum"]
+__all__ = ["REQUEST_LIFETIME_MS", "WITNESSES", "Placement", "UpstreamSets", "quorum"]
 
 from array import array
 from collections.abc import Iterator, Sequence
@@ -18,6 +18,9 @@
 _STRIDE = 8  # ids kept per cached bucket: five witnesses and the candidates that replace them
 _SLOT_BITS = 13  # 8,192 cached buckets of 80 bytes; the cache is direct-mapped
 FORMER_MS = 14_000  # the life of a request claim, which may stand in a table that has since changed
+REQUEST_LIFETIME_MS = 10_000  # greatest age plus budget of a request
+_PACKET_DELAY_MS = 2_000  # greatest delay of a packet that the design allows for
+_LAG_MS = 3_000  # in which a new table is in force everywhere, so that no older one is used
 _CHECKS_PER_TICK = 500  # services looked at after a new revision; under 2 ms
 _NO_STAMP = -1
 
@@ -158,9 +161,15 @@
             found.update(dict.fromkeys(rank(tag, members, WITNESSES)))
         return tuple(upstream for upstream in found if upstream not in present)
 
-    def knows_former(self, service: int) -> bool:
-        """Whether all tables of the last 14 s are known, so that no claim can be overlooked."""
-        return self._now - self._table(service).known_since >= FORMER_MS
+    def knows_former(self, service: int, age: int = REQUEST_LIFETIME_MS) -> bool:
+        """Whether every table is known by which a request of an age may have been claimed.
+
+        Args:
+            service: Id of the service.
+            age: Age of the request in ms.
+        """
+        known_for = self._now - self._table(service).known_since
+        return known_for >= min(FORMER_MS, age + _PACKET_DELAY_MS + _LAG_MS)
 
     def _table(self, service: int) -> _ServiceTable:
         table = self._services.get(service)
--- a/shallotshore/shares.py
+++ b/shallotshore/shares.py
@@ -9,6 +9,8 @@
 from shallotshore.tables import MISSING, Table
 
 _ROWS = 16_384
+_WAITING = 8  # times the bound on those in flight: a burst that drains within a usual budget
+_MIN_WAITING = 32
 _ROOM = 2  # times the share of slots: one batch runs while the next is on its way
 
 
@@ -89,4 +91,6 @@
         row = self._pairs.row(score(customer, service))
         if row == MISSING:
             return not self._pairs.is_full
-        return self._pairs.waiting[row] < _ROOM * self.bound(customer, service)
+        return self._pairs.waiting[row] < max(
+            _MIN_WAITING, _WAITING * self.bound(customer, service)
+        )
--- a/shallotshore/verdicts.py
+++ b/shallotshore/verdicts.py
@@ -160,7 +160,8 @@
         count = len(voids.witnesses[row])
         granted = (voids.granted[row] & ((1 << count) - 1)).bit_count()
         # All present witnesses together meet every quorum of a table that has two of them.
-        knows_former = self._state.placement.knows_former(voids.service[row])
+        age = now - voids.born[row]
+        knows_former = self._state.placement.knows_former(voids.service[row], age)
         if granted < (quorum(count) if knows_former else max(count, 1)):
             return False
         if not voids.former[row]:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -91,6 +91,9 @@
         self.sets.take_out(self.ids[:1])
         self.placement.refresh(20_000)
         self.assertFalse(self.placement.knows_former(1))
+        self.placement.refresh(26_000)
+        self.assertTrue(self.placement.knows_former(1, age=1000))
+        self.assertFalse(self.placement.knows_former(1, age=1001))
         self.placement.refresh(34_000)
         self.assertTrue(self.placement.knows_former(1))
 
