--- a/shallotshore/agent.py
+++ b/shallotshore/agent.py
@@ -15,6 +15,8 @@
 from shallotshore.hashing import name_id
 from shallotshore.membership import Membership
 from shallotshore.messages import (
+    Attempt,
+    Forward,
     Message,
     StatusReply,
     UpstreamAnswer,
@@ -130,6 +132,8 @@
         self._watch_for_pause(now)
         self._propagation.run(now)
         state.may_serve = self._guard.may_serve and self._propagation.is_validated
+        if state.catalog.revision <= 0:
+            self._drop_work()
         state.follow_table(now)
         super().tick(now)
         self._compare_revisions(now)
@@ -137,6 +141,11 @@
         self.counters.add("messages_unexpected", self.inbox.clear())
         self._finish_stop(now)
 
+    def _drop_work(self) -> None:
+        """Drops callers' work: without a configuration every VIP would look unknown."""
+        for message_type in (Forward, Attempt):
+            self.counters.add("work_dropped_unconfigured", len(self.inbox.take(message_type)))
+
     def stop(self, now: int) -> None:
         """Starts a graceful stop: accepted requests end, new work goes to other agents."""
         if self.state.phase.stopping_since == 0:
