Do not call a peer lost that was never heard

Cause: a new agent's table of peers has rows for holders of claims before their first heartbeat; their time of last heartbeat is 0, so that a joined upstream's agent answered FLOW_LOST for living feeds.

--- a/shallotshore/agent_state.py
+++ b/shallotshore/agent_state.py
@@ -237,9 +237,15 @@
         return record is None or self.catalog.data_centre_in(record.data_centre)
 
     def is_lost(self, peer: int, now: int) -> bool:
-        """Returns whether a peer is silent for long while most others are heard at `now` (ms)."""
+        """Returns whether a peer is silent for long while most others are heard at `now` (ms).
+
+        Nothing is known about a peer that was never heard, such as the holder of a claim that
+        comes before its first heartbeat.
+        """
         row = self.peers.row(peer)
-        if row == MISSING or now - self.peers.heard[row] < HOLDER_SILENCE:
+        if row == MISSING or not self.peers.heard[row]:
+            return False
+        if now - self.peers.heard[row] < HOLDER_SILENCE:
             return False
         others = [self.peers.row(other) for other in self.peer_ids() if other != peer]
         heard = [o for o in others if o != MISSING and now - self.peers.heard[o] < HEARD_LATELY]
