--- a/shallotshore/requests.py
+++ b/shallotshore/requests.py
@@ -198,11 +198,11 @@
     elif now >= requests.deadline[row]:
         decline(state, row, Code.DEADLINE_EXPIRED)
         abandon(state, row, now)
-    elif requests.state[row] == RequestState.CLAIMING:
-        _settle(state, row, now)
     elif not state.data_centre_in:
         decline(state, row, Code.DATA_CENTRE_OUT)
         abandon(state, row, now)
+    elif requests.state[row] == RequestState.CLAIMING:
+        _settle(state, row, now)
 
 
 def _settle(state: AgentState, row: int, now: int) -> None:
