--- /dev/null
+++ b/bench/forwarding.py
@@ -0,0 +1,170 @@
+"""Packets a second of one balancer process, against a bare asyncio UDP relay in the same run.
+
+Both run as child processes on loopback. Rates are per second of the child's own processor time, so
+that the sender and other work on the machine do not count.
+"""
+
+__all__ = ["run"]
+
+import asyncio
+import multiprocessing
+import random
+import socket
+import time
+from collections.abc import Callable
+from multiprocessing.synchronize import Event
+from typing import cast
+
+from bench.decision import FLOWS
+from bench.fleet import SMALL_SERVICES, vip_of
+from shallotshore.application import Application, ApplicationConfig
+from shallotshore.balancer import BalancerConfig, BalancerCore
+from shallotshore.catalog import Catalog
+from shallotshore.datagrams import seal_frame
+from shallotshore.listed_peers import ListedPeers
+from shallotshore.membership import Membership
+from shallotshore.messages import Address, CallerData, FabricPacket
+from shallotshore.records import Binding, Customer, DataCentre, Record, Service, Upstream
+from shallotshore.security import MacKeys
+
+PACKETS = 100_000
+_WINDOW = 256  # packets in flight: the socket buffers hold them, so that none is lost
+_PAYLOAD = b"x" * 64
+_HOST = "127.0.0.1"
+_KEY = b"k" * 32
+_TIMEOUT = 0.2  # seconds of silence after which a window is given up as lost
+
+
+class _Relay(asyncio.DatagramProtocol):
+    """Passes every datagram on unchanged."""
+
+    __slots__ = ("_destination", "_transport")
+
+    def __init__(self, destination: Address) -> None:
+        self._destination = destination
+        self._transport: asyncio.DatagramTransport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keeps the transport."""
+        self._transport = cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(self, data: bytes, addr: Address) -> None:
+        """Sends the datagram on."""
+        assert self._transport is not None
+        self._transport.sendto(data, self._destination)
+
+
+def _catalog(sink: Address) -> Catalog:
+    records: list[Record] = [DataCentre("dc-0", "region-0")]
+    for number in range(SMALL_SERVICES):
+        records.append(Service(f"service-{number}"))
+        records.append(
+            Customer(f"customer-{number}", 1, (Binding(f"service-{number}", vip_of(number)),))
+        )
+        records.append(Upstream(f"upstream-{number}", f"service-{number}", "dc-0", sink))
+    return Catalog.from_records(1, records)
+
+
+async def _serve_relay(address: Address, sink: Address) -> None:
+    loop = asyncio.get_running_loop()
+    await loop.create_datagram_endpoint(lambda: _Relay(sink), local_addr=address)
+
+
+async def _serve_balancer(address: Address, sink: Address) -> None:
+    config = BalancerConfig(address, "dc-0")
+    peers = ListedPeers(address, config.data_centre, Membership())
+    core = BalancerCore(config, random.Random(1), _catalog(sink), peers)
+    settings = ApplicationConfig(address, keys=MacKeys((_KEY,)), control=False)
+    await Application(core, settings).start()
+
+
+def _child(
+    serve: Callable, address: Address, sink: Address, ready: Event, stop: Event, used: object
+) -> None:
+    """Serves until told to stop, then reports the processor time used since it was ready."""
+
+    async def main() -> None:
+        await serve(address, sink)
+        start = time.process_time()
+        ready.set()
+        while not stop.is_set():
+            await asyncio.sleep(0.05)
+        used.value = time.process_time() - start  # type: ignore[attr-defined]
+
+    asyncio.run(main())
+
+
+def _free_port() -> int:
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+        probe.bind((_HOST, 0))
+        return probe.getsockname()[1]
+
+
+def _frames() -> list[bytes]:
+    """Returns packets of random open flows, as the fabric sends them."""
+    rng = random.Random(3)
+    keys = MacKeys((_KEY,))
+    frames = []
+    for _ in range(PACKETS):
+        flow = rng.randrange(FLOWS)
+        caller = (f"10.100.{flow // 256 % 256}.{flow % 256}", 10_000 + flow // 65_536)
+        packet = FabricPacket(caller, vip_of(flow % SMALL_SERVICES), CallerData(flow, _PAYLOAD))
+        frames.append(seal_frame(packet, keys).unwrap())
+    return frames
+
+
+def _drive(frames: list[bytes], address: Address, sink: socket.socket) -> int:
+    """Sends all frames, a window at a time, and returns how many came through."""
+    arrived = 0
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+        for start in range(0, len(frames), _WINDOW):
+            window = frames[start : start + _WINDOW]
+            for frame in window:
+                sender.sendto(frame, address)
+            arrived += _receive(sink, len(window))
+    return arrived
+
+
+def _receive(sink: socket.socket, count: int) -> int:
+    for received in range(count):
+        try:
+            sink.recv(65_535)
+        except TimeoutError:
+            return received
+    return count
+
+
+def _rate(serve: Callable, frames: list[bytes]) -> tuple[float, float]:
+    """Returns (packets per second of processor time, share of packets that came through)."""
+    context = multiprocessing.get_context("spawn")
+    ready, stop, used = context.Event(), context.Event(), context.Value("d", 0.0)
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sink:
+        sink.bind((_HOST, 0))
+        sink.settimeout(_TIMEOUT)
+        address = (_HOST, _free_port())
+        arguments = (serve, address, sink.getsockname(), ready, stop, used)
+        child = context.Process(target=_child, args=arguments)
+        child.start()
+        try:
+            ready.wait(timeout=30)
+            arrived = _drive(frames, address, sink)
+        finally:
+            stop.set()
+            child.join(timeout=10)
+            if child.is_alive():
+                child.kill()
+    return arrived / used.value, arrived / len(frames)
+
+
+def run() -> dict[str, float]:
+    """Measures the relay and the balancer one after the other, twice, and keeps the better run."""
+    frames = _frames()
+    relay = max(_rate(_serve_relay, frames) for _ in range(2))
+    balancer = max(_rate(_serve_balancer, frames) for _ in range(2))
+    return {
+        "relay_packets_per_cpu_second": relay[0],
+        "balancer_packets_per_cpu_second": balancer[0],
+        "relay_share_through": relay[1],
+        "balancer_share_through": balancer[1],
+        "ratio_to_bare_relay": balancer[0] / relay[0],
+    }
