--- /dev/null
+++ b/shallotshore/agent.py
@@ -0,0 +1,213 @@
+"""Core of the agent, which runs beside one upstream."""
+
+__all__ = ["AgentConfig", "AgentCore"]
+
+import random
+
+import msgspec
+
+from shallotshore.admission import AdmissionSystem
+from shallotshore.agent_state import AgentConfig, AgentState
+from shallotshore.catalog import Catalog
+from shallotshore.claiming import ClaimingSystem
+from shallotshore.claims import ClaimsSystem
+from shallotshore.flows import FlowIntakeSystem, FlowSystem
+from shallotshore.hashing import name_id
+from shallotshore.membership import Membership
+from shallotshore.messages import (
+    Attempt,
+    Forward,
+    Message,
+    StatusReply,
+    UpstreamAnswer,
+    UpstreamClose,
+    UpstreamData,
+    UpstreamHealth,
+)
+from shallotshore.outcomes import AnswerSystem
+from shallotshore.peering import PropagationConfig
+from shallotshore.peers import PeersSystem, extend_leases, hand_over
+from shallotshore.placement import Placement
+from shallotshore.propagation import Propagation
+from shallotshore.requests import RequestIntakeSystem, RequestSystem
+from shallotshore.systems import Core
+from shallotshore.upstream_link import UpstreamLinkSystem
+from shallotshore.wakeup import PAUSE_MS, WakeupGuard
+
+SLICE_LIMIT = 1 << 14  # records of one service, or VMs of one data centre
+ASK_INTERVAL = 200  # ms between questions after a witness has refused an old table
+STOP_QUIET = 1_000  # ms; a balancer asks again for a lost answer well within it
+STOP_LIMIT = 30_000  # ms
+_LOCAL_TYPES: tuple[type[Message], ...] = (
+    UpstreamHealth,
+    UpstreamAnswer,
+    UpstreamData,
+    UpstreamClose,
+)
+
+
+class AgentCore(Core):
+    """Tables and systems of one agent.
+
+    The order of the systems matters: catalog, state of the upstream and verdicts of witnesses are
+    current before packets and attempts are taken in, and claims are decided after intake, so that
+    a claim that needs no other agent starts its work within the tick.
+    """
+
+    __slots__ = ("_guard", "_last_tick", "_propagation", "_stopped", "state")
+
+    def __init__(
+        self, config: AgentConfig, rng: random.Random, catalog: Catalog, membership: Membership
+    ) -> None:
+        super().__init__()
+        self._last_tick: int | None = None
+        self._stopped = False
+        self.state = AgentState(
+            config=config,
+            catalog=catalog,
+            membership=membership,
+            placement=Placement(catalog),
+            rng=rng,
+            inbox=self.inbox,
+            outbox=self.outbox,
+            counters=self.counters,
+            own=name_id("upstream", config.upstream),
+            service=name_id("service", config.service),
+            data_centre=name_id("data_centre", config.data_centre),
+        )
+        self._propagation = Propagation.from_config(
+            PropagationConfig(
+                config.address,
+                config.data_centre,
+                config.peers,
+                service=config.service,
+                upstream=config.upstream,
+            ),
+            self,
+            catalog,
+            membership,
+            rng,
+        )
+        self._guard = WakeupGuard(
+            self, self._propagation.ask_peers, self._propagation.confirmed_since
+        )
+        self._systems = [
+            UpstreamLinkSystem(self.state),
+            AdmissionSystem(self.state),
+            ClaimsSystem(self.state),
+            PeersSystem(self.state),
+            FlowIntakeSystem(self.state),
+            RequestIntakeSystem(self.state),
+            ClaimingSystem(self.state),
+            FlowSystem(self.state),
+            AnswerSystem(self.state),
+            RequestSystem(self.state),
+        ]
+
+    @classmethod
+    def from_config(cls, config: AgentConfig, rng: random.Random) -> "AgentCore":
+        """Builds an agent that holds no configuration yet.
+
+        Args:
+            config: Settings of the process.
+            rng: Source of random numbers; a seed makes the agent's choices repeatable.
+        """
+        return cls(config, rng, Catalog(SLICE_LIMIT), Membership(SLICE_LIMIT))
+
+    @property
+    def stopped(self) -> bool:
+        """Whether a graceful stop is complete."""
+        return self._stopped
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether an update waits to be worked off, so that the next tick should follow at once."""
+        return self._propagation.is_busy
+
+    def tick(self, now: int) -> None:
+        """Runs every system in order at `now` (ms)."""
+        state = self.state
+        if state.phase.started == 0:
+            state.phase.started = now
+        self._watch_for_pause(now)
+        self._propagation.run(now)
+        state.may_serve = self._guard.may_serve and self._propagation.is_validated
+        if state.catalog.revision <= 0:
+            self._drop_work()
+        state.follow_table(now)
+        super().tick(now)
+        self._compare_revisions(now)
+        # Types that no system takes must not pile up.
+        self.counters.add("messages_unexpected", self.inbox.clear())
+        self._finish_stop(now)
+
+    def _drop_work(self) -> None:
+        """Drops callers' work: without a configuration every VIP would look unknown."""
+        for message_type in (Forward, Attempt):
+            self.counters.add("work_dropped_unconfigured", len(self.inbox.take(message_type)))
+
+    def stop(self, now: int) -> None:
+        """Starts a graceful stop: accepted requests end, new work goes to other agents."""
+        if self.state.phase.stopping_since == 0:
+            self.state.phase.stopping_since = max(1, now)
+
+    def status(self, now: int) -> StatusReply:
+        """Returns what the agent knows at `now` (ms), as JSON text."""
+        state = self.state
+        report = {
+            "role": "agent",
+            "upstream": state.config.upstream,
+            "service": state.config.service,
+            "data_centre": state.config.data_centre,
+            "revision": state.catalog.revision,
+            "membership": state.table,
+            "health": state.health(now).name,
+            "incarnation": state.upstream.incarnation,
+            "load": state.load()._asdict(),
+            "flows": len(state.flows),
+            "requests": len(state.requests),
+            "claims": len(state.claims),
+            "peers": len(state.peers),
+            "stored_bytes": state.stored_bytes,
+            "may_serve": state.may_serve,
+            "up_ms": now - state.phase.started,
+            "stopping": state.phase.stopping_since > 0,
+        }
+        return StatusReply(msgspec.json.encode(report))
+
+    def _watch_for_pause(self, now: int) -> None:
+        """Drops what arrived during a pause, but for the words of the local upstream.
+
+        These stay true however late they are read. Heartbeats of peers went unheard meanwhile, so
+        that the claims kept for them are prolonged.
+        """
+        kept = [entry for kind in _LOCAL_TYPES for entry in self.inbox.take(kind)]
+        self._guard.run(now)
+        for source, message in kept:
+            self.inbox.put(source, message)
+        if self._last_tick is not None and now - self._last_tick > PAUSE_MS:
+            extend_leases(self.state, now - self._last_tick)
+        self._last_tick = now
+
+    def _compare_revisions(self, now: int) -> None:
+        """Asks for what others hold above the own revision, and tells those that are behind."""
+        state = self.state
+        for address, revision in state.revisions.items():
+            self._propagation.note_revision(address, revision, now)
+        state.revisions.clear()
+        if state.is_stale and now - state.asked_at >= ASK_INTERVAL:
+            state.asked_at = now
+            self._propagation.ask_peers(now)
+        state.is_stale = False
+
+    def _finish_stop(self, now: int) -> None:
+        """Ends a stop once no request is open and answers had time to be asked for again."""
+        state = self.state
+        since = state.phase.stopping_since
+        if since == 0 or self._stopped:
+            return
+        quiet_from = max(since, state.last_finished)
+        is_quiet = state.work.accepted == 0 and now - quiet_from >= STOP_QUIET
+        if is_quiet or now - since >= STOP_LIMIT:
+            hand_over(state)
+            self._stopped = True
--- /dev/null
+++ b/shallotshore/main.py
@@ -0,0 +1,164 @@
+"""The command line: balancer, agent, check, diff, status, demo and version."""
+
+__all__ = ["main", "run"]
+
+import asyncio
+import logging
+import os
+import random
+import sys
+import time
+from collections.abc import Callable, Sequence
+from importlib import import_module
+
+import structlog
+from result import Err
+
+from shallotshore import __version__
+from shallotshore.application import Application, ApplicationConfig, RunnableCore
+from shallotshore.codes import Code
+from shallotshore.security import MacKeys, MaterialError, TlsMaterial
+from shallotshore.settings import Problem, Settings, read_settings, report_problems
+
+EXIT_USAGE = 2
+
+USAGE = """usage: shallotshore COMMAND [ARGUMENTS]
+
+  balancer --SETTING=VALUE ...   run a balancer
+  agent --SETTING=VALUE ...      run the agent beside an upstream
+  check DIRECTORY                list every problem in a directory of records
+  check --explain CODE           explain a result code
+  diff OLD NEW                   show what publishing NEW over OLD changes
+  status --address=IP:PORT       show the status report of a process
+  demo                           run both users' deployments on loopback
+  version                        show the version
+
+Each setting can also be given as the environment variable SHALLOTSHORE_<SETTING>.
+"""
+
+
+def run() -> None:
+    """Runs the command line and ends the process."""
+    sys.exit(main(sys.argv[1:]))
+
+
+def main(arguments: Sequence[str]) -> int:
+    """Runs one subcommand.
+
+    Args:
+        arguments: Command line after the program's name.
+
+    Returns:
+        The exit status: 0 on success, 1 on failure, 2 on wrong usage or settings.
+    """
+    command = _COMMANDS.get(arguments[0]) if arguments else None
+    if command is None:
+        print(USAGE, end="", file=sys.stderr)
+        return EXIT_USAGE
+    return command(arguments[1:])
+
+
+def _balancer(arguments: Sequence[str]) -> int:
+    return _serve("balancer", arguments, _balancer_core)
+
+
+def _agent(arguments: Sequence[str]) -> int:
+    return _serve("agent", arguments, _agent_core)
+
+
+def _tool(module: str, name: str) -> Callable[[Sequence[str]], int]:
+    """Returns a command that loads its module only when run, to keep servers small."""
+
+    def start(arguments: Sequence[str]) -> int:
+        return getattr(import_module(module), name)(list(arguments))
+
+    return start
+
+
+def _version(arguments: Sequence[str]) -> int:
+    print(f"shallotshore {__version__}")
+    return 0
+
+
+def _balancer_core(settings: Settings) -> RunnableCore:
+    module = import_module("shallotshore.balancer")
+    config = module.BalancerConfig(
+        address=settings.address,
+        data_centre=settings.data_centre,
+        peers=settings.peers,
+        configuration=settings.configuration,
+        vm_list=settings.vm_list,
+    )
+    return module.BalancerCore.from_config(config, random.Random(settings.seed))
+
+
+def _agent_core(settings: Settings) -> RunnableCore:
+    from shallotshore.agent import AgentConfig, AgentCore
+
+    assert settings.upstream_address is not None, "required by read_settings"
+    config = AgentConfig(
+        address=settings.address,
+        data_centre=settings.data_centre,
+        upstream=settings.name,
+        service=settings.service,
+        local=settings.upstream_address,
+        incarnation=time.time_ns() // 1_000_000,  # rises with each start, also on a new VM
+        peers=settings.peers,
+    )
+    return AgentCore.from_config(config, random.Random(settings.seed))
+
+
+def _serve(
+    command: str, arguments: Sequence[str], make_core: Callable[[Settings], RunnableCore]
+) -> int:
+    """Runs a core until a signal ends it."""
+    read = read_settings(command, arguments, os.environ)
+    if isinstance(read, Err):
+        return report_problems(read.err_value)
+    settings = read.ok_value
+    _set_up_logs(settings)
+    try:
+        config = _application_config(command, settings)
+    except MaterialError as error:
+        return report_problems([Problem(Code.SETTING_VALUE, "mac_keys or tls", str(error))])
+    application = Application(make_core(settings), config)
+    try:
+        return asyncio.run(application.run())
+    except (OSError, RuntimeError) as error:
+        return report_problems([Problem(Code.SETTING_VALUE, "address", str(error))])
+
+
+def _application_config(command: str, settings: Settings) -> ApplicationConfig:
+    return ApplicationConfig(
+        settings.address,
+        keys=MacKeys.from_file(settings.mac_keys) if settings.mac_keys else MacKeys.without_key(),
+        plain_from=settings.upstream_address,
+        tls=TlsMaterial.from_settings(settings),
+        statsd=settings.statsd,
+        prefix=f"shallotshore.{command}",
+    )
+
+
+def _set_up_logs(settings: Settings) -> None:
+    level = getattr(logging, settings.log_level.upper())
+    structlog.configure(
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.format_exc_info,
+            structlog.processors.JSONRenderer(),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(level),
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+    )
+
+
+_COMMANDS: dict[str, Callable[[Sequence[str]], int]] = {
+    "balancer": _balancer,
+    "agent": _agent,
+    "check": _tool("shallotshore.operator_commands", "run_check"),
+    "diff": _tool("shallotshore.operator_commands", "run_diff"),
+    "status": _tool("shallotshore.operator_commands", "run_status"),
+    "demo": _tool("standins.demo", "main"),
+    "version": _version,
+}
