Bring a refused customer into force when its address is free

Cause: a customer refused for an address in use stayed refused where it was seen first, but a newcomer, which sees the final state only, accepted it. Change: such records are tried again at the end of each update, in order of revision and key; ids are computed once a record; a slice is 8 records.

--- a/shallotshore/catalog.py
+++ b/shallotshore/catalog.py
@@ -6,7 +6,6 @@
 from bisect import bisect_left, insort
 from collections.abc import Iterable, Iterator, Sequence
 from functools import singledispatch
-from typing import NamedTuple
 
 from result import Ok, Result
 
@@ -15,8 +14,10 @@
     INHERITED_WARMUP,
     CustomerTable,
     DataCentreTable,
+    Route,
     ServiceTable,
     UpstreamStore,
+    UpstreamView,
 )
 from shallotshore.codes import Code
 from shallotshore.hashing import address_key, name_id
@@ -33,6 +34,7 @@
     to_text,
 )
 from shallotshore.replica import Applied, Replica, Update
+from shallotshore.store import id_of
 from shallotshore.tables import MISSING, Table
 from shallotshore.texts import pack, unpack
 
@@ -45,28 +47,6 @@
 _MEMBERS_TEXT = pack(b"{}")
 
 
-class Route(NamedTuple):
-    """The pair to which an address belongs."""
-
-    service: int
-    customer: int
-
-
-class UpstreamView(NamedTuple):
-    """One upstream by ids; `warmup` is in milliseconds, empty `customers` stands for all."""
-
-    id: int
-    service: int
-    data_centre: int
-    address: Address
-    leaving: bool
-    slots: int
-    connections: int
-    cold_limit: int
-    warmup: int
-    customers: tuple[int, ...]
-
-
 class Catalog(Replica):
     """The configuration in force, by 64-bit id.
 
@@ -255,6 +235,10 @@
             return Ok(Members(key.removeprefix(_MEMBERS_PREFIX)))
         return read_record(key, text)
 
+    def may_heal(self, key: str) -> bool:
+        """Whether a refused record may be in force later: a customer, once an address is free."""
+        return key.startswith("customer/")
+
     def conflict(self, record: object) -> Problem | None:
         """Returns why a record cannot be in force: a full table or an address in use."""
         if any(len(table) + new > table.limit for table, new in _new_rows(record, self)):
@@ -286,7 +270,8 @@
             return
         for service, revision in self._memberships.items():
             name = self._services.name[self._services.row(service)]
-            self.store.write(Entry(_MEMBERS_PREFIX + name, revision, _MEMBERS_TEXT))
+            entry = Entry(_MEMBERS_PREFIX + name, revision, _MEMBERS_TEXT)
+            self.store.write(id_of(entry.key), entry)
             yield
 
     def close(self, update: Update) -> None:
--- a/shallotshore/catalog_tables.py
+++ b/shallotshore/catalog_tables.py
@@ -1,16 +1,20 @@
-"""Columns of the catalog."""
+"""Columns of the catalog, and the views that it gives out."""
 
 __all__ = [
     "INHERITED_LIMIT",
     "INHERITED_WARMUP",
     "CustomerTable",
     "DataCentreTable",
+    "Route",
     "ServiceTable",
     "UpstreamStore",
+    "UpstreamView",
 ]
 
 from array import array
+from typing import NamedTuple
 
+from shallotshore.compact import CompactTable
 from shallotshore.messages import Address
 from shallotshore.records import Upstream
 from shallotshore.store import RecordStore
@@ -24,6 +28,28 @@
 _LONG_ADDRESS = 4
 
 
+class Route(NamedTuple):
+    """The pair to which an address belongs."""
+
+    service: int
+    customer: int
+
+
+class UpstreamView(NamedTuple):
+    """One upstream by ids; `warmup` is in milliseconds, empty `customers` stands for all."""
+
+    id: int
+    service: int
+    data_centre: int
+    address: Address
+    leaving: bool
+    slots: int
+    connections: int
+    cold_limit: int
+    warmup: int
+    customers: tuple[int, ...]
+
+
 def _pack_host(host: str) -> int:
     first, second, third, fourth = host.split(".")
     return int(first) << 24 | int(second) << 16 | int(third) << 8 | int(fourth)
@@ -121,7 +147,7 @@
         return bool(self.flags[row] & _LEAVING)
 
 
-class ServiceTable(Table):
+class ServiceTable(CompactTable):
     """Services by id; a service without a record has a row when another record names it."""
 
     __slots__ = (
@@ -176,7 +202,7 @@
     }
 
 
-class CustomerTable(Table):
+class CustomerTable(CompactTable):
     """Customers by id; a binding is (address key, service id)."""
 
     __slots__ = ("bindings", "share")
--- a/shallotshore/intake.py
+++ b/shallotshore/intake.py
@@ -6,7 +6,7 @@
 from shallotshore.peering import NEVER, Peering
 from shallotshore.replica import Applied, Update
 
-RECORDS_PER_SLICE = 16  # reading takes up to 100 us a record, and a slice at most 2 ms
+RECORDS_PER_SLICE = 8  # a record takes up to 150 us on a busy machine, a slice at most 2 ms
 RECORDS_PER_FIRST_SLICE = 256  # a process that holds nothing yet serves nobody
 TRANSFER_SILENCE_MS = 500  # without a new part for so long, the missing ones are asked for
 TRANSFER_RETRIES = 3
--- a/shallotshore/replica.py
+++ b/shallotshore/replica.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable, Iterator
 from typing import NamedTuple
 
-from result import Err, Result
+from result import Err, Ok, Result
 
 from shallotshore.codes import Code
 from shallotshore.messages import Entry
@@ -98,15 +98,14 @@
         return self.store.digest_of(self.slice_ids(scope))
 
     def _entries(self, key_ids: Iterable[int]) -> Iterator[Entry]:
-        refused = []
+        refused = {}
         for key_id in key_ids:
             yield from self.store.entries_of(key_id)
             if key_id in self.store.refused:
-                refused.append(key_id)
+                refused[key_id] = self.store.refused[key_id]
         # Texts in force go first, so that a receiver settles conflicts as this process did.
-        for key_id in refused:
-            if key_id in self.store.refused:
-                yield self.store.refused[key_id]
+        for _, entry in sorted(refused.items(), key=_refused_order):
+            yield entry
 
     def slice_ids(self, scope: int) -> Iterable[int]:
         """Returns the ids of all keys in a slice; each id once."""
@@ -128,6 +127,10 @@
         """Returns why a record cannot be in force beside the present ones."""
         raise NotImplementedError
 
+    def may_heal(self, key: str) -> bool:
+        """Whether a refused record may be in force once other records have changed."""
+        return False
+
     def is_kept(self, record: object) -> bool:
         """Whether a published record is held and relayed."""
         return True
@@ -149,6 +152,10 @@
         raise NotImplementedError
 
 
+def _refused_order(item: tuple[int, Entry]) -> tuple[int, str]:
+    return item[1].revision, item[1].key
+
+
 class Update:
     """One revision on its way into a replica.
 
@@ -265,24 +272,23 @@
         if not entry.text:
             self._delete(entry, key_id)
             return
-        text = entry.text
-        if self.relayed:
-            try:
-                text = unpack(entry.text)
-            except ValueError as error:
-                self._refuse(entry, [Problem(Code.RECORD_UNREADABLE, entry.key, "", str(error))])
-                return
-        else:
-            entry = entry._replace(text=pack(text))
-        read = self._replica.read(entry.key, text, self.relayed)
+        if not self.relayed:
+            entry = entry._replace(text=pack(entry.text))
+        read = self._read(entry)
         if isinstance(read, Err):
             self._refuse(entry, read.err_value)
-            return
-        if self.relayed or self._replica.is_kept(read.ok_value):
-            self._put(entry, read.ok_value)
+        elif self.relayed or self._replica.is_kept(read.ok_value):
+            self._put(key_id, entry, read.ok_value)
         elif key_id in store:
             self._delete(entry, key_id)
 
+    def _read(self, entry: Entry) -> Result[object, list[Problem]]:
+        try:
+            text = unpack(entry.text)
+        except ValueError as error:
+            return Err([Problem(Code.RECORD_UNREADABLE, entry.key, "", str(error))])
+        return self._replica.read(entry.key, text, self.relayed)
+
     def _delete(self, entry: Entry, key_id: int) -> None:
         scope = self._replica.scope_of(key_id)
         self._drop(key_id, entry.revision)
@@ -297,9 +303,9 @@
         self._problems.extend(problems)
         self._replica.store.refuse(entry)
 
-    def _put(self, entry: Entry, record: object) -> bool:
+    def _put(self, key_id: int, entry: Entry, record: object) -> bool:
         store = self._replica.store
-        row = store.row(id_of(entry.key))
+        row = store.row(key_id)
         if row != MISSING and store.record_key(row) != entry.key:
             detail = f"has the same id as {store.record_key(row)}"
             self._problems.append(Problem(Code.RECORD_ID_COLLISION, entry.key, "name", detail))
@@ -308,23 +314,34 @@
         if problem is not None:
             self._deferred.append((entry, record, problem))
             return False
-        row = store.write(entry)
+        row = store.write(key_id, entry)
         if row == MISSING:
             self._problems.append(Problem(Code.TABLE_FULL, entry.key, "", "too many records"))
             return False
         self._replica.put(row, record, self)
         return True
 
+    def _retry_refused(self) -> Iterator[None]:
+        """Tries the records again that were refused beside others that may be gone now."""
+        for key_id, entry in sorted(self._replica.store.refused.items(), key=_refused_order):
+            if self._replica.may_heal(entry.key):
+                read = self._read(entry)
+                if isinstance(read, Ok):
+                    self._put(key_id, entry, read.ok_value)
+                yield
+
     def _sweep(self) -> Iterator[None]:
+        yield from self._retry_refused()
         progress = True
         while progress and self._deferred:
             deferred, self._deferred = self._deferred, []
             progress = False
             for entry, record, _ in deferred:
-                progress = self._put(entry, record) or progress
+                progress = self._put(id_of(entry.key), entry, record) or progress
                 yield
         for entry, _, problem in self._deferred:
-            self._refuse(entry, [problem])
+            if not self._replica.store.is_known(id_of(entry.key), entry.revision):
+                self._refuse(entry, [problem])
         if self._replace:
             yield from self._drop_unseen()
 
--- a/shallotshore/store.py
+++ b/shallotshore/store.py
@@ -109,17 +109,16 @@
         refused = self.refused.get(key_id)
         return refused is not None and refused.revision == revision
 
-    def write(self, entry: Entry) -> int:
+    def write(self, key_id: int, entry: Entry) -> int:
         """Puts a text in force.
 
         Args:
+            key_id: Id of the entry's key.
             entry: Key, revision and compressed text; the kind of the key is known.
 
         Returns:
             The row, or MISSING when the table is at its limit.
         """
-        kind, name = split_key(entry.key)
-        key_id = name_id(kind, name)
         before = self.newest_revision(key_id)
         row = self.row(key_id)
         if row != MISSING:
@@ -128,12 +127,13 @@
             row = self.add(key_id)
             if row == MISSING:
                 return MISSING
+        kind, name = split_key(entry.key)
         self._arena.put(row, name.encode(), entry.text)
         self.kind[row] = _KIND_NUMBERS[kind]
         self.record_revision[row] = entry.revision
         self.tombstones.pop(key_id, None)
         self._drop_refused(key_id, entry.revision)
-        self._renew(key_id, before)
+        self._renew(key_id, before, max(before, entry.revision))
         return row
 
     def refuse(self, entry: Entry) -> None:
@@ -142,7 +142,7 @@
         before = self.newest_revision(key_id)
         if entry.revision > before:
             self.refused[key_id] = entry
-            self._renew(key_id, before)
+            self._renew(key_id, before, entry.revision)
 
     def delete(self, key: str, revision: int, scope: int) -> None:
         """Deletes a key and leaves a tombstone, which the digest leaves out."""
@@ -151,7 +151,7 @@
         self._drop_refused(key_id, revision)
         self._drop_row(key_id)
         self.tombstones[key_id] = Tombstone(key, revision, scope)
-        self._renew(key_id, before)
+        self._renew(key_id, before, self.newest_revision(key_id))
         self._log(key_id, revision)
 
     def discard(self, key_id: int) -> None:
@@ -159,7 +159,7 @@
         before = self.newest_revision(key_id)
         self.refused.pop(key_id, None)
         self._drop_row(key_id)
-        self._renew(key_id, before)
+        self._renew(key_id, before, self.newest_revision(key_id))
 
     def entries_of(self, key_id: int) -> Iterator[Entry]:
         """Yields the text in force or the deletion of a key; refused texts come apart."""
@@ -234,8 +234,7 @@
             self._arena.free(row)
             self.remove(key_id)
 
-    def _renew(self, key_id: int, before: int) -> None:
-        after = self.newest_revision(key_id)
+    def _renew(self, key_id: int, before: int, after: int) -> None:
         if after == before:
             return
         self._toggle(key_id, before)
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -167,6 +167,13 @@
         self.assertEqual(self.catalog.apply(7, both).problems, ())
         self.assertEqual(self.catalog.route(VIP).customer, name_id("customer", "thief"))
 
+    def test_refused_customer_comes_into_force_everywhere_when_its_address_is_free(self) -> None:
+        thief = Customer("thief", 1, (Binding("desk", VIP),))
+        self.catalog.apply(6, [entry(6, thief)])
+        self.catalog.apply(7, [Entry("customer/acme", 7, b"")])
+        self.assertEqual(self.catalog.route(VIP).customer, name_id("customer", "thief"))
+        self.assertEqual(self.catalog.store.refused, {})
+
     def test_second_name_with_the_same_id_is_refused(self) -> None:
         forged = name_id("upstream", "desk-1")
         record = Upstream("twin", "vault", "suva-a", ("127.0.0.1", 7009))
