--- a/bench/decision.py
+++ b/bench/decision.py
@@ -5,7 +5,7 @@
 import random
 import time
 
-from bench.fleet import (
+from bench.large_catalog import (
     FLEET_SERVICES,
     FLEET_UPSTREAMS,
     SMALL_SERVICES,
--- a/bench/forwarding.py
+++ b/bench/forwarding.py
@@ -16,7 +16,7 @@
 from typing import cast
 
 from bench.decision import FLOWS
-from bench.fleet import SMALL_SERVICES, vip_of
+from bench.large_catalog import SMALL_SERVICES, vip_of
 from shallotshore.application import Application, ApplicationConfig
 from shallotshore.balancer import BalancerConfig, BalancerCore
 from shallotshore.catalog import Catalog
