Ramp by time as the records say, and see an upstream that collapses without shedding

Change: steps pass by time and start again on failures; two requests that run 3 times the median and 1.5 times the longest within a second restart the ramp. Probes come every 50 ms, and only work since the probe before a restart keeps its slot.

--- a/shallotshore/agent_state.py
+++ b/shallotshore/agent_state.py
@@ -35,7 +35,7 @@
 MAX_BALANCERS = 4_096
 MAX_PEERS = 4_096
 MAX_CUSTOMERS = 4_096
-STALLED_AFTER = 1_000  # ms of silence; ten probes, so that a late scheduler is no stall
+STALLED_AFTER = 1_000  # ms of silence, many probes, so that a late scheduler is no stall
 HOLDER_SILENCE = 10_000  # ms, ten heartbeats; a shorter pause of a process must not end its flows
 HEARD_LATELY = 3_000  # ms
 ROUND_BITS = 22  # claims per millisecond of incarnation: rounds rise across restarts
@@ -66,6 +66,7 @@
         confirmed: Time (ms) of the last message that named its incarnation.
         doubted_from: Work sent from this time (ms) on may have reached the present process, not
             the one before.
+        probed: Time (ms) of the last probe, `probed_before` that of the one before it.
         sequence: Number of the last probe.
     """
 
@@ -74,6 +75,8 @@
     heard: int = 0
     confirmed: int = 0
     doubted_from: int = 0
+    probed: int = 0
+    probed_before: int = 0
     sequence: int = 0
 
 
--- a/shallotshore/agent_tables.py
+++ b/shallotshore/agent_tables.py
@@ -161,12 +161,11 @@
     """Flows that this agent's upstream serves.
 
     A RECOVERED flow is known by its key alone until its next packet names the caller. `waiting`
-    holds the packets that arrived while the flow was being claimed. `answered` is 1 once the
-    upstream has sent data.
+    holds the packets that arrived while the flow was being claimed. `votes` is a bit set of the
+    witnesses that have another holder.
     """
 
     __slots__ = (
-        "answered",
         "balancer",
         "caller",
         "customer",
@@ -182,7 +181,6 @@
 
     COLUMNS = {
         "state": "B",
-        "answered": "B",
         "votes": "B",
         "customer": "Q",
         "flow": "Q",
@@ -198,7 +196,6 @@
     }
 
     state: "array[int]"
-    answered: "array[int]"
     votes: "array[int]"
     customer: "array[int]"
     flow: "array[int]"
@@ -225,8 +222,8 @@
 
     `round` names the request to the upstream. `attempt` has age and budget as of the time
     `accepted`. `askers` lists (balancer, attempt) pairs, `answer`
-    maps part numbers to payloads. `keep_until` is the time at which the claim has lapsed
-    everywhere.
+    maps part numbers to payloads. `slow` is 1 once it has run far longer than usual.
+    `keep_until` is the time at which the claim has lapsed everywhere.
     """
 
     __slots__ = (
@@ -243,6 +240,7 @@
         "next_cancel",
         "parts",
         "round",
+        "slow",
         "started",
         "state",
     )
@@ -250,6 +248,7 @@
     COLUMNS = {
         "state": "B",
         "cancelling": "B",
+        "slow": "B",
         "code": "H",
         "parts": "L",
         "customer": "Q",
@@ -265,6 +264,7 @@
 
     state: "array[int]"
     cancelling: "array[int]"
+    slow: "array[int]"
     code: "array[int]"
     parts: "array[int]"
     customer: "array[int]"
--- a/shallotshore/flows.py
+++ b/shallotshore/flows.py
@@ -270,7 +270,7 @@
         state.counters.add("upstream_data_of_wrong_customer")
         return
     flows.touched[row] = now
-    _note_first_data(state, row, now)
+    note_data(state, now)
     reply = FlowReply(
         key=data.key,
         service=state.service,
@@ -285,13 +285,6 @@
     state.outbox.send(state.live_balancer(balancer), reply)
 
 
-def _note_first_data(state: AgentState, row: int, now: int) -> None:
-    note_data(state, now)
-    if not state.flows.answered[row]:
-        state.flows.answered[row] = 1
-        state.ramp.note_flow()
-
-
 def _close_by_upstream(state: AgentState, close: UpstreamClose, now: int) -> None:
     flows = state.flows
     row = flows.row(close.key)
--- a/shallotshore/outcomes.py
+++ b/shallotshore/outcomes.py
@@ -260,8 +260,8 @@
         state.stored_bytes += len(message.payload)
     if len(answer) < message.parts:
         return
-    if state.ramp.note_good(now - requests.started[row], now):
-        restart_ramp(state, now)
+    if not requests.slow[row]:
+        state.ramp.note_good(now - requests.started[row])
     finish(state, row, Code.OK, now)
 
 
--- a/shallotshore/ramp.py
+++ b/shallotshore/ramp.py
@@ -9,7 +9,9 @@
 
 TIMES_KEPT = 31  # service times behind the moving median
 TIMES_NEEDED = 8  # fewer say too little about the usual service time
-SLOW_FACTOR = 3
+SLOW_FACTOR = 3  # times the median
+BEYOND_LONGEST = 1.5  # times the longest one kept, as services differ in spread
+SLOW_IN_A_ROW = 2  # slow requests alone that show it: a collapsing server may not even shed
 COLD_EVIDENCE_WINDOW = 1_000  # ms within which slow and failed answers count as one sign
 FAILURES_IN_A_ROW = 3  # refusals alone that show a limit above what the upstream bears
 OPEN_WINDOW = 1_000  # ms
@@ -19,16 +21,16 @@
 class Ramp:
     """Limit of concurrent requests of one upstream incarnation.
 
-    It starts at the record's cold limit and opens one slot for each step of the warm-up time in
-    which an answer succeeded and none failed.
+    It starts at the record's cold limit and opens one slot for each step of the warm-up time; a
+    failed answer starts the step again.
     """
 
     __slots__ = (
         "_failed_at",
         "_failures",
-        "_good",
         "_opens",
         "_slow_at",
+        "_slow_row",
         "_step_began",
         "_steps",
         "_times",
@@ -43,9 +45,9 @@
         """Starts again from the cold limit."""
         self._steps = 0
         self._step_began = now
-        self._good = False
         self._failures = 0
         self._slow_at: int | None = None
+        self._slow_row = 0
         self._failed_at: int | None = None
         self._times.clear()
 
@@ -58,35 +60,32 @@
         return self._steps >= _step_count(record)
 
     def advance(self, record: UpstreamView, now: int) -> None:
-        """Completes a step when its time has passed and answers succeeded in it."""
-        if self.is_warm(record) or not self._good:
-            return
-        if now - self._step_began >= record.warmup:
+        """Completes a step when its time has passed without a failed answer."""
+        if not self.is_warm(record) and now - self._step_began >= record.warmup:
             self._steps += 1
             self._step_began = now
-            self._good = False
 
-    def note_good(self, took: int, now: int) -> bool:
-        """Notes a successful answer.
-
-        Args:
-            took: Service time in milliseconds.
-            now: Monotonic time in milliseconds.
-
-        Returns:
-            Whether the upstream shows that it turned cold.
-        """
-        self._good = True
+    def note_good(self, took: int) -> None:
+        """Notes the service time (ms) of a successful answer that was not slow."""
         self._failures = 0
-        if len(self._times) >= TIMES_NEEDED and took > SLOW_FACTOR * max(1.0, median(self._times)):
-            self._slow_at = now
-        else:
-            self._times.append(took)
+        self._times.append(took)
+
+    def is_slow(self, took: int) -> bool:
+        """Returns whether a request that takes so long (ms) is far slower than usual."""
+        if len(self._times) < TIMES_NEEDED:
+            return False
+        usual = max(1.0, median(self._times))
+        return took > max(SLOW_FACTOR * usual, BEYOND_LONGEST * max(self._times))
+
+    def note_slow(self, now: int) -> bool:
+        """Notes a slow request; returns whether the upstream shows that it turned cold."""
+        is_recent = self._slow_at is not None and now - self._slow_at < COLD_EVIDENCE_WINDOW
+        self._slow_row = self._slow_row + 1 if is_recent else 1
+        self._slow_at = now
         return self._has_turned_cold(now)
 
     def note_failed(self, now: int) -> bool:
         """Notes a shed or failed answer; returns whether the upstream shows that it turned cold."""
-        self._good = False
         self._step_began = now
         self._failures += 1
         self._failed_at = now
@@ -103,16 +102,12 @@
         bears = OPENS_PER_SLOT * self.limit(record)
         return self.is_warm(record) or len(self._opens) < bears
 
-    def note_flow(self) -> None:
-        """Notes that an opened flow got its first data."""
-        self._good = True
-
     def note_open(self, now: int) -> None:
         """Counts an opened flow."""
         self._opens.append(now)
 
     def _has_turned_cold(self, now: int) -> bool:
-        if self._failures >= FAILURES_IN_A_ROW:
+        if self._failures >= FAILURES_IN_A_ROW or self._slow_row >= SLOW_IN_A_ROW:
             return True
         if self._slow_at is None or self._failed_at is None:
             return False
--- a/shallotshore/requests.py
+++ b/shallotshore/requests.py
@@ -25,6 +25,7 @@
 )
 from shallotshore.passing import next_candidate
 from shallotshore.tables import MISSING
+from shallotshore.upstream_link import restart_ramp
 
 MAX_LIFETIME = 10_000  # ms; age plus budget of a request
 MAX_ASKERS = 16  # balancers' attempts attached to one request
@@ -241,8 +242,12 @@
 
 
 def _check_running(state: AgentState, row: int, now: int) -> None:
-    """Cancels a request that runs past its deadline, and gives up on a silent upstream."""
+    """Notices a slow request, cancels it past its deadline and gives up on a silent upstream."""
     requests = state.requests
+    if not requests.slow[row] and state.ramp.is_slow(now - requests.started[row]):
+        requests.slow[row] = 1
+        if state.ramp.note_slow(now):
+            restart_ramp(state, now)
     late = now - requests.deadline[row]
     if late < 0:
         return
--- a/shallotshore/upstream_link.py
+++ b/shallotshore/upstream_link.py
@@ -5,8 +5,7 @@
 from shallotshore.agent_state import AgentState
 from shallotshore.messages import UpstreamHealth, UpstreamProbe
 
-PROBE_INTERVAL = 100  # ms
-DOUBTED_TIME = 3 * PROBE_INTERVAL  # a process that answers was not there two lost probes before
+PROBE_INTERVAL = 50  # ms; also the time within which work may cross a restart unnoticed
 
 
 class UpstreamLinkSystem:
@@ -27,6 +26,8 @@
         if now >= self._next_probe:
             self._next_probe = now + PROBE_INTERVAL
             state.upstream.sequence += 1
+            state.upstream.probed_before = state.upstream.probed
+            state.upstream.probed = now
             state.outbox.send(state.config.local, UpstreamProbe(state.upstream.sequence))
 
 
@@ -48,7 +49,8 @@
     if incarnation > upstream.incarnation:
         upstream.incarnation = incarnation
         upstream.ready = False  # until this incarnation says so itself
-        upstream.doubted_from = max(upstream.confirmed, now - DOUBTED_TIME)
+        # The new process did not answer the probe before, so that it came after that.
+        upstream.doubted_from = max(upstream.confirmed, upstream.probed_before)
         restart_ramp(state, now)
     upstream.heard = upstream.confirmed = now
     return True
