--- a/shallotshore/agent_tables.py
+++ b/shallotshore/agent_tables.py
@@ -161,7 +161,8 @@
     """Flows that this agent's upstream serves.
 
     A RECOVERED flow is known by its key alone until its next packet names the caller. `waiting`
-    holds the packets that arrived while the flow was being claimed. `votes` is a bit set of the
+    holds the packets that arrived while the flow was being claimed. `opened` is the time at which
+    the upstream was told to open it. `votes` is a bit set of the
     witnesses that have another holder.
     """
 
@@ -170,6 +171,7 @@
         "caller",
         "customer",
         "flow",
+        "opened",
         "round",
         "state",
         "touched",
@@ -185,6 +187,7 @@
         "customer": "Q",
         "flow": "Q",
         "round": "Q",
+        "opened": "q",
         "touched": "q",
     }
     OBJECT_COLUMNS = {
@@ -200,6 +203,7 @@
     customer: "array[int]"
     flow: "array[int]"
     round: "array[int]"
+    opened: "array[int]"
     touched: "array[int]"
     caller: list[Address | None]
     vip: list[Address | None]
--- a/shallotshore/claims.py
+++ b/shallotshore/claims.py
@@ -15,6 +15,7 @@
     "take_back",
 ]
 
+from collections.abc import Container
 from functools import singledispatch
 
 from shallotshore.agent_state import ROUND_BITS, AgentState
@@ -165,11 +166,23 @@
     return list(state.kept.get(holder, ()))
 
 
-def lose_claims(state: AgentState, holder: int, incarnation: int, now: int) -> None:
-    """Marks the flow claims of a holder's earlier upstream incarnations as lost."""
+def lose_claims(
+    state: AgentState, holder: int, incarnation: int, now: int, kept: Container[int] = ()
+) -> None:
+    """Marks the flow claims of a holder's earlier upstream incarnations as lost.
+
+    Args:
+        state: State of the witness.
+        holder: The upstream.
+        incarnation: Its present incarnation.
+        now: Monotonic time in milliseconds.
+        kept: Keys that the present incarnation lists as its own.
+    """
     for key in flow_claims_of(state, holder):
         row = state.claims.row(key)
-        if state.claims.incarnation[row] < incarnation:
+        if key in kept:
+            state.claims.incarnation[row] = max(state.claims.incarnation[row], incarnation)
+        elif state.claims.incarnation[row] < incarnation:
             _count_held(state, row, -1)
             state.claims.state[row] = ClaimState.LOST
             state.claims.expires[row] = now + FLOW_LEASE
--- a/shallotshore/flows.py
+++ b/shallotshore/flows.py
@@ -23,7 +23,7 @@
     UpstreamOpen,
 )
 from shallotshore.passing import next_candidate, pass_to
-from shallotshore.peers import lend, take_home
+from shallotshore.peers import lend, take_home, tell_incarnation
 from shallotshore.placement import quorum
 from shallotshore.tables import MISSING
 from shallotshore.upstream_link import note_data
@@ -64,9 +64,9 @@
         state = self._state
         if state.upstream.incarnation != self._incarnation:
             self._incarnation = state.upstream.incarnation
-            _reset_all(state, Code.FLOW_LOST, now)
+            _lose_flows(state, now)
         elif not state.data_centre_in and len(state.flows):
-            _reset_all(state, Code.DATA_CENTRE_OUT, now)
+            _reset_all(state, list(state.flows.rows()), Code.DATA_CENTRE_OUT, now)
         for row in state.claiming.rows():
             if state.claiming.kind[row] == ClaimKind.FLOW:
                 _settle(state, state.claiming.key[row], now)
@@ -197,15 +197,16 @@
     if packet.hops > 0:
         hint = FlowHint(packet.key, state.own, HINT_LEASE)
         state.outbox.send(packet.balancer, hint)
-    _hand_over(state, packet)
+    _hand_over(state, packet, now)
     if packet.kind == PacketKind.CLOSE:
         _end(state, packet.key, now)
 
 
-def _hand_over(state: AgentState, packet: Forward) -> None:
+def _hand_over(state: AgentState, packet: Forward, now: int) -> None:
     """Sends a packet to the upstream; a repeated opening packet is repeated there too."""
     local = state.config.local
     if packet.kind == PacketKind.OPEN:
+        state.flows.opened[state.flows.row(packet.key)] = now
         state.outbox.send(local, UpstreamOpen(packet.key, packet.customer, packet.payload))
     elif packet.kind == PacketKind.DATA:
         state.outbox.send(local, UpstreamData(packet.key, packet.customer, packet.payload))
@@ -294,24 +295,42 @@
     _end(state, close.key, now)
 
 
-def _reset_all(state: AgentState, code: Code, now: int) -> None:
-    """Gives up every flow, as their upstream's incarnation has ended or its data centre is out."""
-    state.counters.add("flows_reset", len(state.flows))
+def _lose_flows(state: AgentState, now: int) -> None:
+    """Gives up the flows of an upstream incarnation that has ended.
+
+    Flows opened just before the first sign of the present incarnation may live there: they stay,
+    and their witnesses learn the incarnation.
+    """
+    lost, kept = [], False
     for row in state.flows.rows():
+        if state.flows.state[row] == FlowState.CLAIMING:
+            # Its claim names the ended incarnation; the caller sends its opening packet again.
+            _drop_opening(state, row, now)
+        elif state.flows.opened[row] < state.upstream.doubted_from:
+            lost.append(row)
+        else:
+            kept = True
+    _reset_all(state, lost, Code.FLOW_LOST, now)
+    if kept:
+        state.counters.add("flows_kept_over_restart")
+        tell_incarnation(state, now)
+
+
+def _reset_all(state: AgentState, rows: list[int], code: Code, now: int) -> None:
+    """Gives flows up and tells their callers."""
+    state.counters.add("flows_reset", len(rows))
+    for row in rows:
         key = state.flows.key[row]
         if state.flows.state[row] == FlowState.CLAIMING:
-            _drop_opening(state, row, code, now)
+            _drop_opening(state, row, now)
             continue
         _tell_caller(state, row, code)
-        # Also a new process may have the flow, when it was opened just before its first sign.
         state.outbox.send(state.config.local, UpstreamClose(key, code))
         _end(state, key, now)
 
 
-def _drop_opening(state: AgentState, row: int, code: Code, now: int) -> None:
-    """Drops a flow whose claim names an upstream incarnation that has ended."""
+def _drop_opening(state: AgentState, row: int, now: int) -> None:
     key = state.flows.key[row]
-    _tell_caller(state, row, code)
     state.flows.remove(key)
     give_back(state, key, state.claiming.round[state.claiming.row(key)], now)
 
--- a/shallotshore/peers.py
+++ b/shallotshore/peers.py
@@ -1,6 +1,6 @@
 """Heartbeats between agents, repair of claim lists, and recovery after a restart."""
 
-__all__ = ["PeersSystem", "extend_leases", "hand_over", "lend", "take_home"]
+__all__ = ["PeersSystem", "extend_leases", "hand_over", "lend", "take_home", "tell_incarnation"]
 
 from functools import singledispatch
 
@@ -181,6 +181,16 @@
             state.peers.remove(peer)
 
 
+def tell_incarnation(state: AgentState, now: int) -> None:
+    """Lists the own flows to their witnesses anew, as claims of the present incarnation."""
+    rows = state.flows.rows()
+    witnesses = {witness for row in rows for witness in state.flows.witnesses[row]}
+    for peer in witnesses:
+        _send_sync(state, peer, state.own)
+    for key in _keys_lent_to(state, state.own):
+        _keep_own_claim(state, key, now)
+
+
 def extend_leases(state: AgentState, gap: int) -> None:
     """Prolongs the claims kept for peers by a pause in which their heartbeats went unheard."""
     for row in state.peers.rows():
@@ -387,6 +397,7 @@
 def _take_list(state: AgentState, message: ClaimSync, source: Address, now: int) -> None:
     """Takes over a holder's list; the holder's own list also shows what it has ended."""
     row = state.peers.add(message.holder)
+    lose_claims(state, message.holder, message.incarnation, now, set(message.keys))
     if row == MISSING or message.incarnation < state.peers.incarnation[row]:
         state.counters.add("claim_lists_late")
         return
--- a/tests/test_flows.py
+++ b/tests/test_flows.py
@@ -73,6 +73,15 @@
         self.assertEqual(self.echoes(self.order[1]), 0)
         self.assertEqual(len(self.resets()), 2)
 
+    def test_flow_opened_at_a_process_not_yet_heard_of_stays(self) -> None:
+        """A flow that a restarted upstream serves must not be reset when its restart is seen."""
+        self.fleet.upstream(self.order[0]).incarnation = 2
+        self.open()
+        self.fleet.run(2_000)
+        self.assertEqual(self.resets(), [])
+        witnesses = self.fleet.agent(self.order[0]).state.witnesses(self.key)
+        self.assertEqual([self.echoes(witness) for witness in witnesses], [1] * 5)
+
     def test_packets_of_others_are_refused(self) -> None:
         """Whatever the balancer believes, no packet reaches another customer's flow."""
         self.open()
