--- a/shallotshore/requests.py
+++ b/shallotshore/requests.py
@@ -2,6 +2,8 @@
 
 __all__ = ["RequestIntakeSystem", "RequestSystem"]
 
+from dataclasses import replace
+
 from shallotshore.admission import may_accept, mismatch
 from shallotshore.agent_state import AgentState
 from shallotshore.agent_tables import ClaimingState, ClaimState, RequestState
@@ -23,6 +25,7 @@
 )
 from shallotshore.passing import next_candidate
 from shallotshore.tables import MISSING
+from shallotshore.upstream_link import restart_ramp
 
 MAX_LIFETIME = 10_000  # ms; age plus budget of a request
 MAX_ASKERS = 16  # balancers' attempts attached to one request
@@ -141,13 +144,29 @@
         if holder != state.own and pass_attempt(state, attempt, holder, now):
             return
     follower = next_candidate(state, attempt)
-    refusal = _no_room(state) or may_accept(state, attempt.customer, follower is None, now)
+    may_queue = follower is None or attempt.hops >= len(attempt.candidates)
+    refusal = _no_room(state) or may_accept(state, attempt, may_queue, now)
     if refusal is None and _begin(state, attempt, now):
         return
+    if follower is None:
+        follower, attempt = _second_lap(state, attempt)
     if follower is None or not pass_attempt(state, attempt, follower, now):
         decline_attempt(state, attempt, refusal or Code.TABLE_FULL)
 
 
+def _second_lap(state: AgentState, attempt: Attempt) -> tuple[int | None, Attempt]:
+    """Returns the first candidate when all have been asked once for a free slot.
+
+    In the second lap each may queue the request: with the queue of the last one alone, services
+    of few slots declined requests at 70% load.
+    """
+    count = len(attempt.candidates)
+    others = [u for u in attempt.candidates if u != state.own and state.is_reachable(u)]
+    if attempt.hops >= count or not others:
+        return None, attempt
+    return others[0], replace(attempt, hops=count - 1)
+
+
 def _no_room(state: AgentState) -> Code | None:
     is_full = state.requests.is_full or state.stored_bytes >= MAX_STORED
     return Code.TABLE_FULL if is_full else None
@@ -223,8 +242,12 @@
 
 
 def _check_running(state: AgentState, row: int, now: int) -> None:
-    """Cancels a request that runs past its deadline, and gives up on a silent upstream."""
+    """Notices a slow request, cancels it past its deadline and gives up on a silent upstream."""
     requests = state.requests
+    if not requests.slow[row] and state.ramp.is_slow(now - requests.started[row]):
+        requests.slow[row] = 1
+        if state.ramp.note_slow(now):
+            restart_ramp(state, now)
     late = now - requests.deadline[row]
     if late < 0:
         return
@@ -266,8 +289,14 @@
 
 
 def _lose_running(state: AgentState, now: int) -> None:
-    """Ends what ran in an upstream incarnation that has ended: its outcome is unknown."""
+    """Ends what ran in an upstream incarnation that has ended: its outcome is unknown.
+
+    What was sent just before the first sign of the new one may have reached it: it keeps its slot
+    until an answer or its deadline, so that a cold upstream has no more in hand than it bears.
+    """
+    requests = state.requests
     for key in list(state.active):
-        row = state.requests.row(key)
-        if state.requests.state[row] == RequestState.RUNNING:
+        row = requests.row(key)
+        is_lost = requests.started[row] < state.upstream.doubted_from
+        if requests.state[row] == RequestState.RUNNING and is_lost:
             finish(state, row, Code.UPSTREAM_LOST, now)
