Spread the attempts of a request over its budget while every upstream is busy

Cause: at 70% load 0.2% of requests ended as not run after four attempts within 300 ms. Change: after a refusal for want of room by all candidates the next attempt comes after up to a quarter of the time left; an agent's FAIR_SHARE counts as such a refusal.

--- a/shallotshore/dispatch.py
+++ b/shallotshore/dispatch.py
@@ -32,7 +32,8 @@
 _FAIR_SHARE_RETRY_MS = 20
 _ROOM_RETRY_MS = (10, 30)
 _WITNESS_RETRY_MS = 100
-_ROOM_CODES = (Code.OVERLOADED, Code.UPSTREAM_COLD)
+_ROOM_CODES = (Code.OVERLOADED, Code.UPSTREAM_COLD, Code.FAIR_SHARE)
+_ROOM_WAIT_SHARE = 4
 # Refusals by the witnesses of the key: they are the same for every upstream, so that an attempt
 # elsewhere at once would meet them again.
 _WITNESS_CODES = (Code.NO_QUORUM, Code.TOO_YOUNG)
@@ -237,6 +238,10 @@
         delay = backoff(pending.failures[row], self._state.rng)
         if reason in _WITNESS_CODES:
             delay += _WITNESS_RETRY_MS
+        elif reason in _ROOM_CODES:
+            # Every upstream is busy: the attempts left are spread over the time left.
+            left = pending.deadline[row] - now
+            delay += self._state.rng.randint(0, max(0, left // _ROOM_WAIT_SHARE))
         pending.schedule(row, now + delay)
 
     def _has_untried(self, row: int, now: int) -> bool:
