--- a/shallotshore/main.py
+++ b/shallotshore/main.py
@@ -86,7 +86,7 @@
         address=settings.address,
         data_centre=settings.data_centre,
         peers=settings.peers,
-        configuration=settings.configuration,
+        configuration=settings.configuration_service,
         vm_list=settings.vm_list,
     )
     return module.BalancerCore.from_config(config, random.Random(settings.seed))
--- a/shallotshore/platform_reader.py
+++ b/shallotshore/platform_reader.py
@@ -80,9 +80,11 @@
         data_centre = self._peering.data_centre
         if membership.revision:
             return membership.ranked(data_centre, data_centre, READERS + STANDBYS)
-        # Before the VM list is known, the settings name the first balancers.
+        # Before the VM list is known, the settings name the first balancers, but not their data
+        # centres. The order must be the same everywhere: by the own data centre's id, each of them
+        # could leave the reading to others.
         known = {address_key(peer): peer for peer in (*config.peers, config.address)}
-        return [known[key] for key in rank(data_centre, known, READERS + STANDBYS)]
+        return [known[key] for key in rank(0, known, READERS + STANDBYS)]
 
     def _is_on_duty(self, now: int) -> bool:
         if self._peering.config.address not in self._order():
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -48,11 +48,15 @@
 """
 STEADY = (12_000, 16_000)  # ms: the usual load before the first change
 OUT_FROM, OUT_UNTIL = 28_000 + SECONDS_TO_OBEY, 36_000  # ms
-READY_LIMIT = 15.0  # seconds for all programs to start and hold a revision
+READY_LIMIT = 15_000  # ms for all programs to start and hold a revision
 PROGRESS_INTERVAL = 5.0  # seconds
 _WORK = ("datagrams.received.forward", "datagrams.received.attempt")
 
 
+class NotReadyError(Exception):
+    """A program did not get ready in time."""
+
+
 class Demo:
     """One user's deployment, its script and what was seen.
 
@@ -128,12 +132,14 @@
         """Waits until every program answers and holds a revision.
 
         Raises:
-            TimeoutError: A program is not ready in time.
+            NotReadyError: A program is not ready in time.
         """
-        async with asyncio.timeout(READY_LIMIT):
-            for name in self.world.programs():
-                while not await self._is_ready(name):
-                    await asyncio.sleep(0.1)
+        limit = clock() + READY_LIMIT
+        for name in self.world.programs():
+            while not await self._is_ready(name):
+                if clock() > limit:
+                    raise NotReadyError(f"{self.user}: {name} is not ready")
+                await asyncio.sleep(0.1)
 
     async def _is_ready(self, name: str) -> bool:
         report = await self._report(name)
@@ -209,8 +215,8 @@
                 demos.append(Demo(user, seed + number, ports[number], logs))
             await asyncio.gather(*(demo.run() for demo in demos))
             faults = [fault for demo in demos for fault in demo.result()]
-        except TimeoutError:
-            faults = ["the programs were not ready in time"]
+        except NotReadyError as error:
+            faults = [str(error), *(fault for demo in demos for fault in demo.world.pump.faults)]
         finally:
             for demo in demos:
                 await demo.close()
--- a/standins/live.py
+++ b/standins/live.py
@@ -7,7 +7,6 @@
 __all__ = ["LivePump", "LiveProcess", "Program", "Programs"]
 
 import asyncio
-import ctypes
 import os
 import signal
 import subprocess
@@ -30,7 +29,6 @@
 from standins.processes import Site
 
 _END_WAIT = 5.0  # seconds that a killed process has until the demo gives up waiting for it
-_SET_PARENT_DEATH_SIGNAL = 1  # option of prctl(2)
 
 
 class Program(Core):
@@ -90,7 +88,7 @@
             f"--address={_text(site.address)}",
             f"--data_centre={site.data_centre}",
             f"--peers={','.join(_text(peer) for peer in site.peers)}",
-            f"--configuration={_text(ports.of(site.configuration))}",
+            f"--configuration_service={_text(ports.of(site.configuration))}",
             f"--vm_list={_text(ports.of(site.vm_list))}",
         ]
 
@@ -258,12 +256,12 @@
     @_launch.register
     def _(self, core: Program, process: LiveProcess) -> None:
         with open(self._logs / f"{process.name}.log", "ab") as log:
+            # No preexec_fn: it would run in a copy of this process, whose gRPC threads are gone.
             core.child = subprocess.Popen(
-                [sys.executable, "-m", "shallotshore", *core.arguments],
+                [sys.executable, "-m", "standins.child", str(os.getpid()), *core.arguments],
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
-                preexec_fn=_die_with_parent,
             )
         self._programs.append(core)
 
@@ -306,11 +304,3 @@
         await endpoint.close()
     if process.application is not None:
         await process.application.close()
-
-
-def _die_with_parent() -> None:
-    """Has the kernel kill this new process when the demo ends, however it ends."""
-    parent = os.getppid()
-    ctypes.CDLL(None).prctl(_SET_PARENT_DEATH_SIGNAL, signal.SIGKILL)
-    if os.getppid() != parent:
-        os._exit(1)
