--- /dev/null
+++ b/bench/soak.py
@@ -0,0 +1,139 @@
+"""Randomised fault schedules by seed: `python -m bench.soak --seeds N [--first S]`.
+
+A failing seed is printed with its schedule, which is a scenario: put it into tests/scenarios/.
+"""
+
+__all__ = ["main", "schedule", "soak"]
+
+import random
+import sys
+import time
+from collections.abc import Callable
+
+from absl import app, flags
+
+from standins.deployments import KOLTSEGTER, VATULELE, deployment
+from standins.scenario import Scenario
+
+_SEEDS = flags.DEFINE_integer("seeds", 200, "Number of schedules to run.")
+_FIRST = flags.DEFINE_integer("first", 1, "Seed of the first schedule.")
+
+START = 15.0  # s; the fleet has known its tables for the life of a claim
+SPAN = 10.0  # s in which faults begin
+SETTLE = 8.0  # s after the last fault
+MOST_FAULTS = 5
+
+
+def schedule(seed: int) -> tuple[str, str]:
+    """Returns a user and the text of a random scenario for it.
+
+    Args:
+        seed: Equal seeds give equal schedules.
+    """
+    rng = random.Random(seed)
+    user = rng.choice((KOLTSEGTER, VATULELE))
+    lines = [f"0 deployment {user}", f"0 seed {seed}", "3 load * * light"]
+    for _ in range(rng.randint(2, MOST_FAULTS)):
+        at = START + rng.random() * SPAN
+        lines += rng.choice(_FAULTS)(rng, user, at)
+    lines.append(f"{START + SPAN + SETTLE} end")
+    return user, "\n".join(lines)
+
+
+def soak(seed: int) -> list[str]:
+    """Runs one schedule and returns the problems found."""
+    user, text = schedule(seed)
+    return Scenario.from_text(text).run(user).problems
+
+
+def main(arguments: list[str]) -> int:
+    """Runs schedules and returns the exit status: 1 when one broke a promise."""
+    failed = 0
+    start = time.monotonic()
+    for seed in range(_FIRST.value, _FIRST.value + _SEEDS.value):
+        problems = soak(seed)
+        if problems:
+            failed += 1
+            print(f"# seed {seed}", schedule(seed)[1], *problems[:5], sep="\n", flush=True)
+    print(f"{_SEEDS.value} schedules, {failed} failed, {time.monotonic() - start:.0f} s")
+    return int(failed > 0)
+
+
+def _server(rng: random.Random, user: str) -> str:
+    return rng.choice(sorted(deployment(user).servers))
+
+
+def _balancer(rng: random.Random, user: str) -> str:
+    return rng.choice(sorted(deployment(user).balancers))
+
+
+def _data_centre(rng: random.Random, user: str) -> str:
+    return rng.choice(deployment(user).data_centres)
+
+
+def _pair(at: float, begin: str, later: float, end: str) -> list[str]:
+    return [f"{at:.3f} {begin}", f"{at + later:.3f} {end}"]
+
+
+def _kill_balancer(rng: random.Random, user: str, at: float) -> list[str]:
+    name = _balancer(rng, user)
+    return _pair(at, f"kill_balancer {name}", rng.uniform(0.5, 5), f"start_balancer {name}")
+
+
+def _restart_agent(rng: random.Random, user: str, at: float) -> list[str]:
+    return [f"{at:.3f} restart_agent {_server(rng, user)}"]
+
+
+def _restart_upstream(rng: random.Random, user: str, at: float) -> list[str]:
+    return [f"{at:.3f} restart_upstream {_server(rng, user)}"]
+
+
+def _drain(rng: random.Random, user: str, at: float) -> list[str]:
+    name = _server(rng, user)
+    return _pair(at, f"drain {name}", rng.uniform(1, 6), f"undrain {name}")
+
+
+def _take_out(rng: random.Random, user: str, at: float) -> list[str]:
+    name = _data_centre(rng, user)
+    return _pair(at, f"data_centre {name} out", rng.uniform(1, 8), f"data_centre {name} in")
+
+
+def _pause(rng: random.Random, user: str, at: float) -> list[str]:
+    name = rng.choice((_balancer(rng, user), _server(rng, user) + ".agent"))
+    return _pair(at, f"pause {name}", rng.uniform(0.1, 5), f"resume {name}")
+
+
+def _split(rng: random.Random, user: str, at: float) -> list[str]:
+    return _pair(at, f"partition {_data_centre(rng, user)}", rng.uniform(0.2, 5), "heal")
+
+
+def _outage(rng: random.Random, user: str, at: float) -> list[str]:
+    begin = rng.choice(("configuration down", "configuration stale", "vm_list down"))
+    return _pair(at, begin, rng.uniform(1, 8), begin.split()[0] + " up")
+
+
+def _loss(rng: random.Random, user: str, at: float) -> list[str]:
+    begin = f"network loss={rng.uniform(0, 0.1):.3f} duplication=0.05 reordering=0.1"
+    return _pair(at, begin, rng.uniform(1, 5), "network loss=0 duplication=0 reordering=0")
+
+
+def _grow(rng: random.Random, user: str, at: float) -> list[str]:
+    return [f"{at:.3f} add_upstream $main {_data_centre(rng, user)}"]
+
+
+_FAULTS: tuple[Callable[[random.Random, str, float], list[str]], ...] = (
+    _kill_balancer,
+    _restart_agent,
+    _restart_upstream,
+    _drain,
+    _take_out,
+    _pause,
+    _split,
+    _outage,
+    _loss,
+    _grow,
+)
+
+
+if __name__ == "__main__":
+    app.run(lambda arguments: sys.exit(main(arguments)))
--- a/shallotshore/flows.py
+++ b/shallotshore/flows.py
@@ -85,8 +85,8 @@
     refusal = _mismatch(state, packet)
     if refusal is None and (state.may_serve or packet.key in state.flows):
         _accept_packet(state, packet, now)
-    elif refusal is None or packet.revision > state.catalog.revision:
-        # What is believed here may be older than the packet; the caller sends it again.
+    elif refusal is None or packet.revision != state.catalog.revision:
+        # One side holds older records, so that nothing is proved; the caller sends it again.
         state.counters.add("packets_dropped_while_behind")
     else:
         state.counters.add("packets_refused")
--- a/standins/configuration_service.py
+++ b/standins/configuration_service.py
@@ -80,9 +80,14 @@
         self._log.extend((now, Entry(key, number, text)) for key, text in texts.items())
         return number
 
-    def become(self, mode: Mode) -> None:
-        """Changes the mode; a stale service goes on showing what is visible now."""
-        self._stale_revision = self.visible_revision()
+    def become(self, mode: Mode, back: int = 0) -> None:
+        """Changes the mode.
+
+        Args:
+            mode: The new mode.
+            back: How many revisions a stale service falls back behind what is visible now.
+        """
+        self._stale_revision = max(0, self.visible_revision() - back)
         self.mode = mode
 
     def visible_revision(self) -> int:
--- a/standins/events.py
+++ b/standins/events.py
@@ -19,7 +19,7 @@
 Event: TypeAlias = Callable[[World, list[str]], None]
 VERBS: dict[str, Event] = {}
 RESTART_TIME = 200  # ms until a crashed server's process runs again
-LIGHT = 5  # usual over light rate of requests
+LOADS = {"usual": (1.0, 1.0), "half": (0.5, 0.5), "light": (0.2, 0.3)}  # of requests, feeds
 
 
 def verb(event: Event) -> Event:
@@ -55,19 +55,20 @@
 def load(world: World, words: list[str]) -> None:
     """Sets fields of the load: service or *, customer or *, name=value ...
 
-    The single setting "usual" takes the user's load at 70% of the slots, "light" a fifth of its
-    requests with as many feeds.
+    A single word takes the user's load: "usual" at 70% of the slots, "half" with half of its
+    requests (which the servers bear without one data centre), "light" with a fifth and few feeds.
     """
     service, customer, *settings = words
     for (whose, used), caller in world.callers.items():
         if service not in ("*", used) or customer not in ("*", whose):
             continue
-        if settings[0] in ("usual", "light"):
+        if settings[0] in LOADS:
             usual = world.plan.loads[used]
             for field in fields(CallerLoad):
                 setattr(caller.load, field.name, getattr(usual, field.name))
-            if settings[0] == "light":
-                caller.load.rate /= LIGHT
+            requests, feeds = LOADS[settings[0]]
+            caller.load.rate *= requests
+            caller.load.feeds = int(caller.load.feeds * feeds)
         else:
             for name, value in options(settings).items():
                 setattr(caller.load, name, _LOAD_READERS.get(name, int)(value))
@@ -258,8 +259,8 @@
 
 @verb
 def configuration(world: World, words: list[str]) -> None:
-    """Sets the mode of the configuration service: up, down or stale."""
-    world.configuration.become(Mode(words[0]))
+    """Sets the mode of the configuration service: up, down, or stale by a number of revisions."""
+    world.configuration.become(Mode(words[0]), int(words[1]) if words[1:] else 0)
     world.wake(PLATFORM + ".configuration")
 
 
