--- a/shallotshore/claims.py
+++ b/shallotshore/claims.py
@@ -199,7 +199,7 @@
     """
     claims = state.claims
     row = claims.row(claim.key)
-    if row != MISSING and claims.state[row] != ClaimState.LOST:
+    if row != MISSING and claims.state[row] not in (ClaimState.LOST, ClaimState.RELEASED):
         if claims.holder[row] != claim.holder:
             return Code.HELD
         if spare or claims.state[row] != ClaimState.HELD or not claims.spare[row]:
