--- /dev/null
+++ b/tests/test_mutations.py
@@ -0,0 +1,151 @@
+"""Breaks the product on purpose, one promise at a time, and checks that a scenario notices.
+
+Each case names scenario, user, promise and what is patched. docs/promises.md has the list.
+"""
+
+import unittest
+from collections.abc import Callable
+from concurrent.futures import ProcessPoolExecutor
+from contextlib import ExitStack
+from unittest import mock
+
+from shallotshore.catalog import Catalog, Route
+from shallotshore.codes import Code
+from shallotshore.hashing import address_key
+from shallotshore.messages import ClaimReply
+from standins.deployments import KOLTSEGTER, VATULELE
+from tests.test_scenarios import WORKERS, load
+
+
+def grant_everything(state: object, claim: object, now: int) -> ClaimReply:
+    """A witness that keeps no record of claims."""
+    return ClaimReply(claim.key, claim.attempt, state.own, Code.OK, claim.holder)
+
+
+def one_void_proves(self: object, row: int, now: int) -> bool:
+    """A proof of "not run" without a quorum."""
+    return self._voids.granted[row] != 0
+
+
+def first_part_is_all(self: object, answer: object) -> tuple[bytes, ...]:
+    """An answer given as whole with its first part."""
+    return (answer.payload,)
+
+
+def route_of_another(self: Catalog, vip: tuple[str, int]) -> Route | None:
+    """A table of addresses in which all of a service lead to one customer."""
+    route = self._routes.get(address_key(vip))
+    if route is None:
+        return None
+    shared = [each.customer for each in self._routes.values() if each.service == route.service]
+    return Route(route.service, min(shared))
+
+
+CASES: dict[str, tuple[str, str, str, dict[str, object]]] = {
+    "agents_forget_claims": (
+        "feeds_through_agent_restarts",
+        KOLTSEGTER,
+        "P1",
+        {
+            "shallotshore.flows.live_holder": lambda *_: None,
+            "shallotshore.peers.flow_claims_of": lambda *_: [],
+        },
+    ),
+    "every_vip_belongs_to_one_customer": (
+        "crossed_and_late_packets",
+        VATULELE,
+        "P2",
+        {"shallotshore.catalog.Catalog.route": route_of_another},
+    ),
+    "ramp_admits_in_full": (
+        "upstreams_start_cold",
+        KOLTSEGTER,
+        "P3",
+        {
+            "shallotshore.ramp.Ramp.limit": lambda _, record: record.slots,
+            "shallotshore.ramp.Ramp.can_open": lambda *_: True,
+        },
+    ),
+    "nobody_looks_at_the_data_centre": (
+        "data_centre_out_during_outage",
+        VATULELE,
+        "P4",
+        {"shallotshore.catalog.Catalog.data_centre_in": lambda *_: True},
+    ),
+    "first_part_is_the_answer": (
+        "crossed_and_late_packets",
+        VATULELE,
+        "P5",
+        {"shallotshore.answers.AnswerParts.add": first_part_is_all},
+    ),
+    "not_run_without_quorum": (
+        "not_run_is_true",
+        KOLTSEGTER,
+        "P6",
+        {"shallotshore.verdicts.Verdicts._is_proven": one_void_proves},
+    ),
+    "retry_without_claims": (
+        "edits_run_once",
+        KOLTSEGTER,
+        "P7",
+        {
+            "shallotshore.claims.judge_claim": grant_everything,
+            "shallotshore.claiming.judge_claim": grant_everything,
+        },
+    ),
+    "nobody_looks_at_the_state_of_upstreams": (
+        "upstream_leaves",
+        VATULELE,
+        "P8",
+        {
+            "shallotshore.catalog.Catalog.takes_new_work": lambda *_: True,
+            "shallotshore.catalog.UpstreamView.leaving": False,
+            "shallotshore.agent_state.AgentState.leaving": False,
+        },
+    ),
+    "stops_at_once": (
+        "graceful_stops",
+        KOLTSEGTER,
+        "P9",
+        {
+            "shallotshore.agent.AgentCore.stopped": True,
+            "shallotshore.balancer.BalancerCore.stopped": True,
+        },
+    ),
+    "deletions_are_not_applied": (
+        "configuration_in_force",
+        VATULELE,
+        "P10",
+        {"shallotshore.replica.Update._delete": lambda *_: None},
+    ),
+}
+
+
+def broken_promises(name: str) -> set[str]:
+    """Runs a case and returns the promises that its scenario saw broken."""
+    scenario, user, _, patches = CASES[name]
+    with ExitStack() as stack:
+        for target, replacement in patches.items():
+            stack.enter_context(mock.patch(target, replacement))
+        return {verdict.promise for verdict in load(scenario).run(user).verdicts}
+
+
+class MutationTest(unittest.TestCase):
+    """Guards against scenarios that would pass whatever the product does."""
+
+    found: dict[str, set[str]] = {}
+
+    def check(self, name: str) -> None:
+        if not self.found:
+            with ProcessPoolExecutor(WORKERS) as pool:
+                results = zip(CASES, pool.map(broken_promises, CASES), strict=True)
+                self.found.update(results)
+        self.assertIn(CASES[name][2], self.found[name])
+
+
+def _test_of(name: str) -> Callable[[MutationTest], None]:
+    return lambda self: self.check(name)
+
+
+for _name in CASES:
+    setattr(MutationTest, f"test_{_name}", _test_of(_name))
