Hand request claims of a stopping witness to its successor

Change: a stopping agent sends its request claims and voids to one keeper, which serves them to the first successor that asks within 1 s; new messages Handover, HandoverReceived and HandoverQuery.

--- a/shallotshore/agent.py
+++ b/shallotshore/agent.py
@@ -12,6 +12,7 @@
 from shallotshore.claiming import ClaimingSystem
 from shallotshore.claims import ClaimsSystem
 from shallotshore.flows import FlowIntakeSystem, FlowSystem
+from shallotshore.handover import HandoverSystem
 from shallotshore.hashing import name_id
 from shallotshore.membership import Membership
 from shallotshore.messages import (
@@ -54,7 +55,7 @@
     a claim that needs no other agent starts its work within the tick.
     """
 
-    __slots__ = ("_guard", "_last_tick", "_propagation", "_stopped", "state")
+    __slots__ = ("_guard", "_handover", "_last_tick", "_propagation", "_stopped", "state")
 
     def __init__(
         self, config: AgentConfig, rng: random.Random, catalog: Catalog, membership: Membership
@@ -91,10 +92,12 @@
         self._guard = WakeupGuard(
             self, self._propagation.ask_peers, self._propagation.confirmed_since
         )
+        self._handover = HandoverSystem(self.state)
         self._systems = [
             UpstreamLinkSystem(self.state),
             AdmissionSystem(self.state),
             ClaimsSystem(self.state),
+            self._handover,
             PeersSystem(self.state),
             FlowIntakeSystem(self.state),
             RequestIntakeSystem(self.state),
@@ -128,7 +131,7 @@
         """Runs every system in order at `now` (ms)."""
         state = self.state
         if state.phase.started == 0:
-            state.phase.started = now
+            state.phase.started = state.phase.vouched_from = now
         self._watch_for_pause(now)
         self._propagation.run(now)
         state.may_serve = self._guard.may_serve and self._propagation.is_validated
@@ -208,6 +211,8 @@
             return
         quiet_from = max(since, state.last_finished)
         is_quiet = state.work.accepted == 0 and now - quiet_from >= STOP_QUIET
-        if is_quiet or now - since >= STOP_LIMIT:
+        if is_quiet and not state.phase.handing_over:
             hand_over(state)
-            self._stopped = True
+            self._handover.start(now)
+        is_handed_over = state.phase.handing_over and self._handover.is_done(now)
+        self._stopped = is_handed_over or now - since >= STOP_LIMIT
--- a/shallotshore/agent_state.py
+++ b/shallotshore/agent_state.py
@@ -14,6 +14,7 @@
     ClaimingTable,
     ClaimTable,
     FlowTable,
+    HandoverTable,
     PassedTable,
     PeerTable,
     QueueTable,
@@ -31,6 +32,7 @@
 MAX_CLAIMING = 4_096
 MAX_FLOWS = 8_192
 MAX_REQUESTS = 8_192
+MAX_HANDOVERS = 256
 MAX_PASSED = 8_192
 MAX_BALANCERS = 4_096
 MAX_PEERS = 4_096
@@ -96,11 +98,21 @@
 
 @dataclass(slots=True)
 class Phase:
-    """Times that bound what the process may do; 0 means not reached."""
+    """Times (ms) that bound what the process may do; 0 means not reached.
+
+    Attributes:
+        started: First tick.
+        vouched_from: Since when no grant of a request that was made here can be missing.
+        stopping_since: Start of the graceful stop.
+        recovering: Whether peers are still asked for the flows of the upstream.
+        handing_over: Whether the process has stopped to be a witness.
+    """
 
     started: int = 0
+    vouched_from: int = 0
     stopping_since: int = 0
     recovering: bool = True
+    handing_over: bool = False
 
 
 @dataclass(slots=True)
@@ -166,6 +178,7 @@
     flows: FlowTable = field(default_factory=lambda: FlowTable(MAX_FLOWS))
     requests: RequestTable = field(default_factory=lambda: RequestTable(MAX_REQUESTS))
     queues: QueueTable = field(default_factory=lambda: QueueTable(MAX_CUSTOMERS))
+    handovers: HandoverTable = field(default_factory=lambda: HandoverTable(MAX_HANDOVERS))
     passed: PassedTable = field(default_factory=lambda: PassedTable(MAX_PASSED))
     peers: PeerTable = field(default_factory=lambda: PeerTable(MAX_PEERS))
 
--- a/shallotshore/agent_tables.py
+++ b/shallotshore/agent_tables.py
@@ -7,6 +7,7 @@
     "ClaimingTable",
     "FlowState",
     "FlowTable",
+    "HandoverTable",
     "PassedTable",
     "PeerTable",
     "QueueTable",
@@ -18,7 +19,7 @@
 from collections import deque
 from enum import IntEnum
 
-from shallotshore.messages import Address, Attempt, Forward
+from shallotshore.messages import Address, Attempt, Forward, HandedClaim
 from shallotshore.tables import Table
 
 
@@ -358,6 +359,35 @@
     parts: list[frozenset[int]]
 
 
+class HandoverTable(Table):
+    """Handovers kept for successors of stopped witnesses, by upstream id.
+
+    `incarnation` is that of the stopped agent. `taker` is the incarnation of the first successor
+    that asked: only one process may go on from a handover, since the next one would miss what
+    this one granted. `claims` maps part numbers to claims.
+    """
+
+    __slots__ = ("claims", "expires", "incarnation", "parts", "received", "taker", "uptime")
+
+    COLUMNS = {
+        "incarnation": "Q",
+        "taker": "Q",
+        "parts": "L",
+        "uptime": "q",
+        "received": "q",
+        "expires": "q",
+    }
+    OBJECT_COLUMNS = {"claims": None}
+
+    incarnation: "array[int]"
+    taker: "array[int]"
+    parts: "array[int]"
+    uptime: "array[int]"
+    received: "array[int]"
+    expires: "array[int]"
+    claims: list[dict[int, tuple[HandedClaim, ...]] | None]
+
+
 class PassedTable(Table):
     """Attempts that were passed on or cancelled, by attempt number, so that cancels follow them.
 
--- a/shallotshore/claims.py
+++ b/shallotshore/claims.py
@@ -7,12 +7,14 @@
     "ClaimsSystem",
     "drop_flow_claim",
     "flow_claims_of",
+    "handed_claims",
     "is_voided",
     "judge_claim",
     "live_holder",
     "lose_claims",
     "record_flow_claim",
     "take_back",
+    "take_handed",
 ]
 
 from collections.abc import Container
@@ -27,6 +29,7 @@
     Claim,
     ClaimKind,
     ClaimReply,
+    HandedClaim,
     Message,
     Release,
     Void,
@@ -83,6 +86,8 @@
     if message.service != state.service:
         state.counters.add("claims_of_wrong_service")
         return
+    if state.phase.handing_over:
+        return
     code = _void_verdict(state, message, now)
     if code == Code.OK:
         code = _record_void(state, message, now)
@@ -103,6 +108,8 @@
     if claim.service != state.service:
         state.counters.add("claims_of_wrong_service")
         return None
+    if state.phase.handing_over:
+        return None
     if claim.holder != state.own and _owns(state, claim.key):
         return ClaimReply(claim.key, claim.attempt, state.own, Code.HELD, state.own)
     _drop_if_lapsed(state, claim.key, now)
@@ -213,6 +220,45 @@
     return code
 
 
+def handed_claims(state: AgentState, now: int) -> list[HandedClaim]:
+    """Returns the request claims and voids kept here, for a successor."""
+    claims = state.claims
+    handed = []
+    for row in claims.rows():
+        is_voided = claims.state[row] == ClaimState.VOIDED
+        is_held = claims.state[row] == ClaimState.HELD and claims.kind[row] != ClaimKind.FLOW
+        lease = claims.expires[row] - now
+        if lease <= 0 or not (is_voided or is_held):
+            continue
+        kind = ClaimKind(claims.kind[row] or ClaimKind.REQUEST)
+        pairs = ((claims.holder[row], claims.round[row]), *claims.others[row])
+        for holder, number in pairs:
+            key, incarnation = claims.key[row], claims.incarnation[row]
+            handed.append(HandedClaim(key, kind, is_voided, holder, incarnation, number, lease))
+    return handed
+
+
+def take_handed(state: AgentState, handed: HandedClaim, now: int) -> None:
+    """Takes over a claim or void of the predecessor."""
+    if handed.voided:
+        _record_void(state, Void(handed.key, 0, state.service, 0, handed.lease, 0), now)
+        return
+    claim = Claim(
+        key=handed.key,
+        kind=handed.kind,
+        service=state.service,
+        holder=handed.holder,
+        incarnation=handed.incarnation,
+        attempt=handed.attempt,
+        age=0,
+        lease=handed.lease,
+        membership=0,
+    )
+    row = state.claims.row(handed.key)
+    if row == MISSING or state.claims.state[row] == ClaimState.HELD:
+        _record_claim(state, claim, now)
+
+
 def drop_flow_claim(state: AgentState, key: int) -> None:
     """Removes a flow claim that its holder no longer lists."""
     _forget(state, key)
@@ -226,9 +272,10 @@
 def _fresh_verdict(state: AgentState, claim: Claim, now: int) -> Code:
     if claim.membership < state.table:
         return Code.STALE_TABLE
-    if now - state.phase.started < claim.age + PACKET_DELAY:
-        return Code.TOO_YOUNG
-    return Code.OK
+    # Flow claims are restored by their holders, request claims by nobody but a predecessor.
+    is_flow = claim.kind == ClaimKind.FLOW
+    since = state.phase.started if is_flow else state.phase.vouched_from
+    return Code.TOO_YOUNG if now - since < claim.age + PACKET_DELAY else Code.OK
 
 
 def _verdict_on_row(state: AgentState, claim: Claim, row: int, now: int) -> Code | None:
@@ -310,7 +357,7 @@
         return Code.HELD
     if void.membership < state.table:
         return Code.STALE_TABLE
-    if now - state.phase.started < void.age + PACKET_DELAY:
+    if now - state.phase.vouched_from < void.age + PACKET_DELAY:
         return Code.TOO_YOUNG
     return Code.OK
 
--- a/shallotshore/messages.py
+++ b/shallotshore/messages.py
@@ -31,6 +31,10 @@
     "FlowReply",
     "FlowReset",
     "Forward",
+    "HandedClaim",
+    "Handover",
+    "HandoverQuery",
+    "HandoverReceived",
     "HealthEvent",
     "HealthState",
     "Heartbeat",
@@ -114,6 +118,18 @@
     text: bytes
 
 
+class HandedClaim(NamedTuple):
+    """A request claim or void that a stopping witness hands to its successor."""
+
+    key: int
+    kind: ClaimKind
+    voided: bool
+    holder: int
+    incarnation: int
+    attempt: int
+    lease: int
+
+
 class Message:
     """Base of all messages."""
 
@@ -407,6 +423,43 @@
     code: int
 
 
+@dataclass(slots=True)
+class Handover(Message):
+    """What a stopping witness knows of requests, kept by another agent for its successor.
+
+    `uptime` says for how long the witness had vouched, `taker` is the incarnation of the successor
+    it is meant for; 0 on the way to the keeper.
+    """
+
+    service: int
+    owner: int
+    incarnation: int
+    taker: int
+    uptime: int
+    part: int
+    parts: int
+    claims: tuple[HandedClaim, ...]
+
+
+@dataclass(slots=True)
+class HandoverReceived(Message):
+    """A keeper has a part of a handover."""
+
+    service: int
+    owner: int
+    incarnation: int
+    part: int
+
+
+@dataclass(slots=True)
+class HandoverQuery(Message):
+    """A started agent asks for the handover of its predecessor; `incarnation` is its own."""
+
+    service: int
+    owner: int
+    incarnation: int
+
+
 # Membership, health and load.
 
 
