--- a/tests/test_flows.py
+++ b/tests/test_flows.py
@@ -147,6 +147,14 @@
         passed = [to for to, message in self.fleet.flown if isinstance(message, Forward)]
         self.assertNotIn(removed, passed)
 
+    def test_dead_holder_counts_as_lost_in_time(self) -> None:
+        """Callers must not wait for the lease of a flow whose agent is gone."""
+        self.open()
+        self.fleet.agents.pop(self.fleet.agent(self.order[0]).state.config.address)
+        self.fleet.run(11_000)
+        self.assertEqual(self.echoes(self.order[1]), 0)
+        self.assertEqual(self.resets(), [Code.FLOW_LOST])
+
     def test_leaving_upstream_takes_no_flow_but_keeps_its_own(self) -> None:
         self.open()
         name = self.fleet.agent(self.order[0]).state.config.upstream
