Leave the owner of a flow open while a witness is silent, and vouch as a new witness

A witness that is added counted as one that had lost its memory for 2 s. Change: no reset while a witness of the key has been silent for 1.5 to 10 s; an agent that ran before its record appeared vouches at once.

--- a/shallotshore/agent_state.py
+++ b/shallotshore/agent_state.py
@@ -39,7 +39,8 @@
 MAX_CUSTOMERS = 4_096
 STALLED_AFTER = 1_000  # ms of silence, many probes, so that a late scheduler is no stall
 HOLDER_SILENCE = 10_000  # ms, ten heartbeats; a shorter pause of a process must not end its flows
-HEARD_LATELY = 3_000  # ms
+HEARD_LATELY = 1_500  # ms; one heartbeat and a half
+NEVER = -1_000_000  # ms; older than any request
 ROUND_BITS = 22  # claims per millisecond of incarnation: rounds rise across restarts
 _MASK = (1 << 64) - 1
 
@@ -195,7 +196,12 @@
 
     def follow_table(self, now: int) -> None:
         """Takes over what the catalog says of the service, for the tick at `now` (ms)."""
+        was_absent = self.record is None and self.catalog.upstreams_of(self.service)
         self.record = self.catalog.upstream(self.own)
+        if was_absent and self.record is not None and self.may_serve:
+            # A witness that was running before it became one has lost no grant.
+            self.phase.vouched_from = NEVER
+            self.counters.add("vouched_as_new")
         self.data_centre_in = self.catalog.data_centre_in(self.data_centre)
         self.placement.refresh(now)
         table = self.catalog.membership(self.service)
@@ -252,6 +258,12 @@
         record = self.catalog.upstream(upstream)
         return record is None or self.catalog.data_centre_in(record.data_centre)
 
+    def silence(self, peer: int, now: int) -> int:
+        """Returns for how long (ms) a peer has not been heard, at most since the own start."""
+        row = self.peers.row(peer)
+        heard_at = 0 if row == MISSING else self.peers.heard[row]
+        return now - max(heard_at, self.phase.started)
+
     def is_lost(self, peer: int, now: int) -> bool:
         """Returns whether a peer is silent for long while most others are heard at `now` (ms).
 
@@ -259,12 +271,10 @@
         comes before its first heartbeat.
         """
         row = self.peers.row(peer)
-        if row == MISSING or not self.peers.heard[row]:
-            return False
-        if now - self.peers.heard[row] < HOLDER_SILENCE:
+        if row == MISSING or not self.peers.heard[row] or self.silence(peer, now) < HOLDER_SILENCE:
             return False
-        others = [self.peers.row(other) for other in self.peer_ids() if other != peer]
-        heard = [o for o in others if o != MISSING and now - self.peers.heard[o] < HEARD_LATELY]
+        others = [other for other in self.peer_ids() if other != peer]
+        heard = [other for other in others if self.silence(other, now) < HEARD_LATELY]
         return 2 * len(heard) > len(others)
 
     def live_balancer(self, balancer: Address) -> Address:
--- a/shallotshore/flows.py
+++ b/shallotshore/flows.py
@@ -3,7 +3,7 @@
 __all__ = ["FlowIntakeSystem", "FlowSystem"]
 
 from shallotshore.admission import can_open, mismatch
-from shallotshore.agent_state import AgentState
+from shallotshore.agent_state import HEARD_LATELY, HOLDER_SILENCE, AgentState
 from shallotshore.agent_tables import ClaimingState, ClaimState, FlowState
 from shallotshore.claiming import begin_claim, end_claim, give_back
 from shallotshore.claims import live_holder
@@ -135,7 +135,7 @@
     follower = next_candidate(state, packet)
     if follower is not None and pass_to(state, packet, follower):
         return
-    _refuse(state, packet, refusal or Code.TABLE_FULL)
+    _refuse(state, packet, refusal or Code.TABLE_FULL, now)
 
 
 def _loss(state: AgentState, kept: tuple[ClaimState, int] | None, now: int) -> Code | None:
@@ -149,15 +149,25 @@
     return None
 
 
-def _refuse(state: AgentState, packet: Forward, code: Code) -> None:
+def _refuse(state: AgentState, packet: Forward, code: Code, now: int) -> None:
     """Answers a packet that no candidate takes.
 
-    A restarted agent that has not yet heard from its peers may own the flow, so it stays silent.
+    A restarted agent that has not yet heard from its peers may own the flow, and a witness that
+    is silent for a while may know its owner: until that is clear the caller gets no answer.
     """
-    if packet.kind != PacketKind.OPEN and state.phase.recovering:
-        state.counters.add("packets_dropped_in_recovery")
-        return
-    _reset(state, packet, Code.FLOW_REFUSED if packet.kind == PacketKind.OPEN else code)
+    if packet.kind == PacketKind.OPEN:
+        _reset(state, packet, Code.FLOW_REFUSED)
+    elif state.phase.recovering or _has_silent_witness(state, packet.key, now):
+        state.counters.add("packets_dropped_in_doubt")
+    else:
+        _reset(state, packet, code)
+
+
+def _has_silent_witness(state: AgentState, key: int, now: int) -> bool:
+    former = state.placement.former_witnesses(state.service, key)
+    witnesses = (*state.witnesses(key), *former)
+    silences = [state.silence(peer, now) for peer in witnesses if peer != state.own]
+    return any(HEARD_LATELY <= silence < HOLDER_SILENCE for silence in silences)
 
 
 def _begin(state: AgentState, packet: Forward, now: int) -> bool:
@@ -245,15 +255,15 @@
         return
     state.flows.remove(key)
     for packet in packets:
-        _pass_refused(state, packet, code, holder)
+        _pass_refused(state, packet, code, holder, now)
 
 
-def _pass_refused(state: AgentState, packet: Forward, code: int, holder: int) -> None:
+def _pass_refused(state: AgentState, packet: Forward, code: int, holder: int, now: int) -> None:
     if code == Code.HELD and holder != state.own and pass_to(state, packet, holder):
         return
     follower = next_candidate(state, packet)
     if follower is None or not pass_to(state, packet, follower):
-        _refuse(state, packet, Code.NO_SUCH_FLOW)
+        _refuse(state, packet, Code.NO_SUCH_FLOW, now)
 
 
 def _reply(state: AgentState, data: UpstreamData, now: int) -> None:
--- a/tests/test_flows.py
+++ b/tests/test_flows.py
@@ -147,6 +147,16 @@
         passed = [to for to, message in self.fleet.flown if isinstance(message, Forward)]
         self.assertNotIn(removed, passed)
 
+    def test_silent_witness_leaves_the_question_open(self) -> None:
+        """While a witness is cut off, its word on the owner is missing: no reset yet."""
+        witnesses = self.fleet.agent(self.order[0]).state.witnesses(self.key)
+        self.fleet.cut.add(self.fleet.agent(witnesses[4]).state.config.address)
+        self.fleet.run(3_000)
+        self.assertEqual((self.echoes(self.order[0]), self.resets()), (0, []))
+        self.fleet.run(8_000)
+        self.assertEqual(self.echoes(self.order[0]), 0)
+        self.assertEqual(self.resets(), [Code.NO_SUCH_FLOW])
+
     def test_dead_holder_counts_as_lost_in_time(self) -> None:
         """Callers must not wait for the lease of a flow whose agent is gone."""
         self.open()
