Keep flows through stale claims and stale balancers

Change: an owner gives way to a quorum only; an agent that gets a packet passed for a flow that it does not have releases the claim at the sender; a tombstone of one holder does not refuse another; packets of another revision than the agent's are dropped, not reset, when they do not fit.

--- a/shallotshore/claims.py
+++ b/shallotshore/claims.py
@@ -206,11 +206,14 @@
     """
     claims = state.claims
     row = claims.row(claim.key)
-    if row != MISSING and claims.state[row] != ClaimState.LOST:
-        if claims.holder[row] != claim.holder:
-            return Code.HELD
-        if spare or claims.state[row] != ClaimState.HELD or not claims.spare[row]:
-            return Code.OK
+    present = ClaimState(claims.state[row]) if row != MISSING else ClaimState.LOST
+    is_own = row != MISSING and claims.holder[row] == claim.holder
+    if present == ClaimState.HELD and not is_own:
+        return Code.HELD
+    if present == ClaimState.HELD and (spare or not claims.spare[row]):
+        return Code.OK
+    if present == ClaimState.RELEASED and is_own:
+        return Code.OK  # the list is older than the release
     code = _record_claim(state, claim, now)
     if code == Code.OK and spare:
         row = claims.row(claim.key)
--- a/shallotshore/flows.py
+++ b/shallotshore/flows.py
@@ -18,6 +18,7 @@
     FlowReset,
     Forward,
     PacketKind,
+    Release,
     UpstreamClose,
     UpstreamData,
     UpstreamOpen,
@@ -45,8 +46,12 @@
 
     def run(self, now: int) -> None:
         """Runs the step at `now` (ms)."""
-        for _, packet in self._state.inbox.take(Forward):
+        for source, packet in self._state.inbox.take(Forward):
             _take(self._state, packet, now)
+            if packet.hops > 0 and packet.key not in self._state.flows:
+                # The sender may have a claim of this upstream for a flow that is not here.
+                release = Release(packet.key, self._state.own, self._state.next_round())
+                self._state.outbox.send(source, release)
 
 
 class FlowSystem:
@@ -85,8 +90,8 @@
     refusal = _mismatch(state, packet)
     if refusal is None and (state.may_serve or packet.key in state.flows):
         _accept_packet(state, packet, now)
-    elif refusal is None or packet.revision > state.catalog.revision:
-        # What is believed here may be older than the packet; the caller sends it again.
+    elif refusal is None or packet.revision != state.catalog.revision:
+        # Agent or balancer acts on older records and has been told so; the caller sends again.
         state.counters.add("packets_dropped_while_behind")
     else:
         state.counters.add("packets_refused")
@@ -354,17 +359,17 @@
 
 
 def _judge_dispute(state: AgentState, key: int, now: int) -> None:
-    """Gives a flow up when too many witnesses have another holder for it.
+    """Gives a flow up when a quorum of witnesses has another holder for it.
 
     This happens to a process that slept beyond its leases. The caller is not told: its flow is
-    alive at the other holder.
+    alive at the other holder. Fewer witnesses may just hold claims that were given up meanwhile.
     """
     flows = state.flows
     row = flows.row(key)
     if row == MISSING:
         return
     witnesses = flows.witnesses[row]
-    if len(witnesses) - flows.votes[row].bit_count() >= quorum(len(witnesses)):
+    if flows.votes[row].bit_count() < quorum(len(witnesses)):
         return
     state.outbox.send(state.config.local, UpstreamClose(key, Code.FLOW_LOST))
     state.counters.add("flows_disputed")
--- a/tests/test_flows.py
+++ b/tests/test_flows.py
@@ -4,19 +4,25 @@
 from dataclasses import replace
 
 from shallotshore.agent_tables import FlowState
+from shallotshore.claiming import DISPUTE_ROUND
+from shallotshore.claims import drop_flow_claim, judge_claim, live_holder
 from shallotshore.codes import Code
 from shallotshore.hashing import flow_key, name_id
 from shallotshore.messages import (
+    Claim,
+    ClaimKind,
+    ClaimReply,
     FlowReply,
     FlowReset,
     Forward,
     PacketKind,
+    RevisionNotice,
     UpstreamClose,
     UpstreamData,
     UpstreamOpen,
 )
 from shallotshore.records import DataCentre, Upstream
-from tests.agents import ACME, CALLER, GROVE, OTHER_VIP, VIP, Fleet, packet
+from tests.agents import ACME, CALLER, GROVE, OTHER_VIP, SERVICE, VIP, Fleet, packet
 
 
 class FlowsTest(unittest.TestCase):
@@ -46,6 +52,14 @@
         self.fleet.run(50)
         return len(self.fleet.answers(FlowReply)) - before
 
+    def give_away(self, witness: int, holder: int) -> None:
+        """Lets a witness have a claim of an upstream that does not own the flow."""
+        state = self.fleet.agent(witness).state
+        drop_flow_claim(state, self.key)
+        table = state.catalog.membership(SERVICE)
+        claim = Claim(self.key, ClaimKind.FLOW, SERVICE, holder, 1, 1, 0, 30_000, table)
+        judge_claim(state, claim, self.fleet.now)
+
     def test_any_witness_leads_to_the_owner(self) -> None:
         self.open()
         witnesses = self.fleet.agent(self.order[0]).state.witnesses(self.key)
@@ -95,6 +109,15 @@
             self.assertEqual(self.echoes(self.order[0], **changes), 0)
         self.assertEqual(len(self.fleet.upstream(self.order[0]).seen), seen)
 
+    def test_misdirected_packet_of_an_old_revision_ends_no_flow(self) -> None:
+        """A balancer on old records may send to a VM that another service uses by now."""
+        self.open()
+        stale = {"service": name_id("service", "docvault"), "revision": 0}
+        self.assertEqual(self.echoes(self.order[0], **stale), 0)
+        self.assertEqual(self.resets(), [])
+        notices = [notice.revision for notice in self.fleet.answers(RevisionNotice)]
+        self.assertEqual(notices, [1])
+
     def test_crossed_data_of_the_upstream_is_dropped(self) -> None:
         self.open()
         core = self.fleet.agent(self.order[0])
@@ -190,6 +213,28 @@
         self.fleet.run(10_000)
         self.assertEqual(self.owners(), [self.order[1]])
 
+    def test_owner_outlives_stale_claims_of_others(self) -> None:
+        """Two witnesses with a claim that was given up unheard must not end a live flow."""
+        self.open()
+        state = self.fleet.agent(self.order[0]).state
+        witnesses = state.witnesses(self.key)
+        for witness in witnesses[1:3]:
+            self.give_away(witness, witnesses[4])
+            dispute = ClaimReply(self.key, DISPUTE_ROUND, witness, Code.HELD, witnesses[4])
+            self.fleet.agent(self.order[0]).receive(("10.2.0.9", 1), dispute)
+        self.fleet.run(50)
+        self.assertEqual(self.owners(), [self.order[0]])
+
+    def test_stale_claim_of_a_holder_is_released_by_the_first_packet(self) -> None:
+        """Otherwise the witness sends every packet of the flow to the wrong agent."""
+        self.open()
+        self.give_away(self.order[1], self.order[2])
+        self.echoes(self.order[1])
+        stale = self.fleet.agent(self.order[1]).state
+        self.assertIsNone(live_holder(stale, self.key, self.fleet.now))
+        self.fleet.run(6_000)
+        self.assertEqual(self.echoes(self.order[1]), 1)
+
     def test_stopping_agent_leaves_its_claims_to_the_next_witness(self) -> None:
         self.open()
         core = self.fleet.agent(self.order[1])
