Measure an agent's tables and a balancer's resident memory

Cause: docs/CAPACITY.md needs slopes for both roles. Change: bench/agent, bench/memory; the large catalog is applied in parts of 1,000 records.

--- /dev/null
+++ b/bench/agent.py
@@ -0,0 +1,215 @@
+"""Memory, processor time and control messages of an agent with many flows and claims."""
+
+__all__ = ["run"]
+
+import random
+import time
+import tracemalloc
+from functools import singledispatchmethod
+
+from shallotshore import codec
+from shallotshore.agent import AgentConfig, AgentCore
+from shallotshore.catalog import Catalog
+from shallotshore.codes import Code
+from shallotshore.hashing import flow_key, name_id
+from shallotshore.membership import Membership
+from shallotshore.messages import (
+    Address,
+    Claim,
+    ClaimKind,
+    ClaimReply,
+    ClaimSync,
+    Entry,
+    Forward,
+    Message,
+    PacketKind,
+    UpstreamHealth,
+    UpstreamOpen,
+    UpstreamProbe,
+)
+from shallotshore.records import (
+    Binding,
+    Customer,
+    DataCentre,
+    Record,
+    Service,
+    Upstream,
+    key_of,
+    to_text,
+)
+
+FLOWS = 2_000
+PEERS = 18  # 150,000 upstreams over 8,100 services
+FOREIGN_CLAIMS = 13_000  # four of the five claims of each of 490 M flows / 150,000 upstreams
+_TICK_MS = 20
+_BATCH = 20  # openings a tick
+_SETTLE_MS = 4_000
+_VIP = ("10.9.0.1", 443)
+_BALANCER = ("10.1.0.1", 7000)
+_LOCAL = ("127.0.0.1", 7200)
+_LEASE_MS = 600_000
+_IDLE_TICKS = 500
+
+
+def _address(number: int) -> Address:
+    return (f"10.2.0.{number}", 7100)
+
+
+def _upstream(number: int) -> Upstream:
+    return Upstream(
+        f"desk-{number}", "spotdesk", f"dc-{number % 3}", _address(number), cold_limit=1_000
+    )
+
+
+def _records() -> list[Record]:
+    centres = [DataCentre(f"dc-{number}", "suva") for number in range(3)]
+    customer = Customer("acme", 1, (Binding("spotdesk", _VIP),))
+    return [Service("spotdesk"), customer, *centres, *(_upstream(n) for n in range(PEERS))]
+
+
+class _Surroundings:
+    """Answers an agent's upstream probes and claims, and counts what it sends."""
+
+    __slots__ = ("core", "now", "syncs", "sync_bytes")
+
+    def __init__(self) -> None:
+        config = AgentConfig(_address(0), "dc-0", "desk-0", "spotdesk", _LOCAL, incarnation=1)
+        catalog = Catalog.from_records(1, _records())
+        self.core = AgentCore(config, random.Random(1), catalog, Membership())
+        self.now = 1_000
+        self.syncs = 0
+        self.sync_bytes = 0
+
+    def run(self, milliseconds: int) -> None:
+        """Advances the clock."""
+        for _ in range(milliseconds // _TICK_MS):
+            self.tick()
+
+    def tick(self) -> None:
+        """Runs one tick and answers what it sent."""
+        self.now += _TICK_MS
+        self.core.tick(self.now)
+        for destination, message in self.core.outbox.drain():
+            self.answer(message, destination)
+
+    @singledispatchmethod
+    def answer(self, message: Message, destination: Address) -> None:
+        """Answers a message as its destination would; most need no answer."""
+
+    @answer.register
+    def _(self, message: UpstreamProbe, destination: Address) -> None:
+        health = UpstreamHealth(1, message.sequence, True, 0, 0)
+        self.core.receive(destination, health)
+
+    @answer.register
+    def _(self, message: Claim, destination: Address) -> None:
+        witness = name_id("upstream", f"desk-{destination[0].rpartition('.')[2]}")
+        reply = ClaimReply(message.key, message.attempt, witness, Code.OK, message.holder)
+        self.core.receive(destination, reply)
+
+    @answer.register
+    def _(self, message: ClaimSync, destination: Address) -> None:
+        self.syncs += 1
+        self.sync_bytes += len(codec.encode(message))
+
+
+def _opening(number: int) -> Forward:
+    caller = (f"10.8.{number >> 8}.{number & 255}", 5000)
+    own = name_id("upstream", "desk-0")
+    return Forward(
+        flow_key(caller, _VIP, number),
+        PacketKind.OPEN,
+        name_id("service", "spotdesk"),
+        name_id("customer", "acme"),
+        number,
+        caller,
+        _VIP,
+        _BALANCER,
+        (own,),
+        0,
+        1,
+        b"",
+    )
+
+
+def _open_flows(world: _Surroundings) -> int:
+    opened = 0
+    for start in range(0, FLOWS, _BATCH):
+        for number in range(start, start + _BATCH):
+            world.core.receive(_BALANCER, _opening(number))
+        world.core.tick(world.now)
+        for destination, message in world.core.outbox.drain():
+            opened += isinstance(message, UpstreamOpen)
+            world.answer(message, destination)
+        world.tick()
+    world.run(1_000)
+    return opened
+
+
+def _take_claims(world: _Surroundings) -> None:
+    rng = random.Random(2)
+    service = name_id("service", "spotdesk")
+    for number in range(FOREIGN_CLAIMS):
+        holder = 1 + number % (PEERS - 1)
+        claim = Claim(
+            rng.getrandbits(64),
+            ClaimKind.FLOW,
+            service,
+            name_id("upstream", f"desk-{holder}"),
+            1,
+            rng.getrandbits(32),
+            0,
+            _LEASE_MS,
+            1,
+        )
+        world.core.receive(_address(holder), claim)
+        if number % 500 == 0:
+            world.tick()
+    world.tick()
+
+
+def _idle_share(world: _Surroundings) -> float:
+    """Returns the share of a core that ticks without arrivals take."""
+    start = time.process_time()
+    world.run(_IDLE_TICKS * _TICK_MS)
+    return (time.process_time() - start) / (_IDLE_TICKS * _TICK_MS / 1000)
+
+
+def _change_table(world: _Surroundings) -> None:
+    added = _upstream(PEERS)
+    entry = Entry(key_of(added), 2, to_text(added))
+    world.core.state.catalog.apply(2, (entry,))
+    world.run(3_000)
+
+
+def _memory() -> int:
+    return tracemalloc.get_traced_memory()[0]
+
+
+def run() -> dict[str, float]:
+    """Opens flows, takes claims of other holders, idles and changes the table."""
+    world = _Surroundings()
+    world.run(_SETTLE_MS)
+    empty_share = _idle_share(world)
+    tracemalloc.start()
+    before = _memory()
+    _open_flows(world)
+    after_flows = _memory()
+    _take_claims(world)
+    after_claims = _memory()
+    tracemalloc.stop()
+    claims = len(world.core.state.claims)
+    flows = len(world.core.state.flows)
+    loaded_share = _idle_share(world)
+    world.syncs = world.sync_bytes = 0
+    _change_table(world)
+    return {
+        "flows": flows,
+        "claims_kept": claims,
+        "bytes_per_flow": (after_flows - before) / max(1, flows),
+        "bytes_per_claim": (after_claims - after_flows) / FOREIGN_CLAIMS,
+        "core_share_idle_empty": empty_share,
+        "core_share_idle_loaded": loaded_share,
+        "sync_messages_per_table_change": world.syncs,
+        "sync_bytes_per_table_change": world.sync_bytes,
+    }
--- a/bench/large_catalog.py
+++ b/bench/large_catalog.py
@@ -3,14 +3,25 @@
 __all__ = ["FLEET_SERVICES", "FLEET_UPSTREAMS", "SMALL_SERVICES", "build_catalog", "vip_of"]
 
 from collections.abc import Iterator
+from itertools import islice
 
 from shallotshore.catalog import Catalog
-from shallotshore.messages import Address
-from shallotshore.records import Binding, Customer, DataCentre, Record, Service, Upstream
+from shallotshore.messages import Address, Entry
+from shallotshore.records import (
+    Binding,
+    Customer,
+    DataCentre,
+    Record,
+    Service,
+    Upstream,
+    key_of,
+    to_text,
+)
 
 FLEET_SERVICES = 8_100
 FLEET_UPSTREAMS = 150_000
 SMALL_SERVICES = 10
+_PART = 1_000  # records per revision
 _DATA_CENTRES = 19
 _REGIONS = 5
 _VIP_PORT = 443
@@ -23,13 +34,19 @@
 
 
 def build_catalog(services: int, upstreams: int) -> Catalog:
-    """Returns a catalog at revision 1 with one customer and one VIP per service.
+    """Returns a catalog with one customer and one VIP per service.
 
     Args:
         services: Number of services.
         upstreams: Number of upstreams, spread evenly over services and data centres.
     """
-    return Catalog.from_records(1, _records(services, upstreams))
+    catalog = Catalog()
+    records = _records(services, upstreams)
+    # A process gets a large configuration in parts too; one part at a time keeps its memory low.
+    for revision, part in enumerate(iter(lambda: list(islice(records, _PART)), []), start=1):
+        entries = [Entry(key_of(record), revision, to_text(record)) for record in part]
+        catalog.apply(revision, entries)
+    return catalog
 
 
 def _records(services: int, upstreams: int) -> Iterator[Record]:
--- /dev/null
+++ b/bench/memory.py
@@ -0,0 +1,60 @@
+"""Resident memory of a balancer process with the catalog of the planned fleet."""
+
+__all__ = ["run"]
+
+import gc
+import json
+import subprocess
+import sys
+from pathlib import Path
+
+_PAGE = 4096  # bytes, on x86-64
+_MB = 1e6
+_TIMEOUT = 300  # seconds
+
+
+def _resident_mb() -> float:
+    pages = int(Path("/proc/self/statm").read_text(encoding="ascii").split()[1])
+    return pages * _PAGE / _MB
+
+
+def _stages() -> dict[str, float]:
+    """Measures after each stage of a start; imports come late so that they are stages too."""
+    figures = {"interpreter_mb": _resident_mb()}
+
+    from shallotshore.application import Application, ApplicationConfig
+
+    figures["libraries_mb"] = _resident_mb()
+
+    import random
+
+    from bench.large_catalog import FLEET_SERVICES, FLEET_UPSTREAMS, build_catalog
+    from shallotshore.balancer import BalancerConfig, BalancerCore
+    from shallotshore.listed_peers import ListedPeers
+    from shallotshore.membership import Membership
+
+    figures["modules_mb"] = _resident_mb()
+    config = BalancerConfig(("127.0.0.1", 7000), "dc-0")
+    peers = ListedPeers(config.address, config.data_centre, Membership())
+    catalog = build_catalog(FLEET_SERVICES, FLEET_UPSTREAMS)
+    gc.collect()
+    figures["catalog_mb"] = _resident_mb()
+    core = BalancerCore(config, random.Random(1), catalog, peers)
+    application = Application(core, ApplicationConfig(config.address, control=False))
+    core.tick(10_000)
+    gc.collect()
+    figures["balancer_process_mb"] = _resident_mb()
+    assert application.core is core
+    return figures
+
+
+def run() -> dict[str, float]:
+    """Starts one process, builds everything in it and returns megabytes (1e6 bytes) by stage."""
+    command = [sys.executable, "-m", "bench.memory"]
+    done = subprocess.run(command, capture_output=True, check=True, timeout=_TIMEOUT)
+    figures: dict[str, float] = json.loads(done.stdout)
+    return figures
+
+
+if __name__ == "__main__":
+    print(json.dumps(_stages()))
