--- a/tests/test_propagation.py
+++ b/tests/test_propagation.py
@@ -9,6 +9,7 @@
 from shallotshore.codes import Code
 from shallotshore.hashing import name_id
 from shallotshore.messages import (
+    Address,
     Delta,
     DeltaRequest,
     Entry,
@@ -50,6 +51,16 @@
                         self.assertEqual(core.catalog.data_centre_in(centre), state == "in")
                     fleet.run(random.Random(step).randrange(1500))
 
+    def test_balancers_that_start_together_find_their_first_readers(self) -> None:
+        # With some addresses, each left the first reading to two others that did the same.
+        for seed in range(30):
+            with self.subTest(seed=seed):
+                MovedFleet.seed = seed
+                fleet = MovedFleet(4, 0, 4, seed, 0.0)
+                fleet.publish(*fleet.records())
+                fleet.run(5000)
+                self.assertEqual(fleet.behind(1), [])
+
     def test_agents_hold_their_slice_and_nothing_else(self) -> None:
         fleet = started(4, 7, 2, 5)
         for name, core in fleet.cores.items():
@@ -85,6 +96,16 @@
         self.assertIsNone(agent.catalog.route(("192.0.2.1", 80)))
 
 
+class MovedFleet(Fleet):
+    """A fleet whose addresses are drawn by seed."""
+
+    seed = 0
+
+    def address(self, name: str) -> Address:
+        host, _ = super().address(name)
+        return (host, random.Random(f"{name} {self.seed}").randrange(65536))
+
+
 class FailureTest(unittest.TestCase):
     """Guards propagation against the deaths, pauses and partitions of the design page."""
 
