--- a/standins/processes.py
+++ b/standins/processes.py
@@ -9,7 +9,6 @@
 
 from shallotshore.agent import AgentConfig, AgentCore
 from shallotshore.balancer import BalancerConfig, BalancerCore
-from shallotshore.catalog import Catalog
 from shallotshore.codes import Code
 from shallotshore.hashing import address_key, name_id, rank
 from shallotshore.messages import Address, PlatformRead, PlatformReply, Source
