--- a/shallotshore/agent_state.py
+++ b/shallotshore/agent_state.py
@@ -35,7 +35,7 @@
 MAX_BALANCERS = 4_096
 MAX_PEERS = 4_096
 MAX_CUSTOMERS = 4_096
-STALLED_AFTER = 1_000  # ms of silence; ten probes, so that a late scheduler is no stall
+STALLED_AFTER = 1_000  # ms of silence, many probes, so that a late scheduler is no stall
 HOLDER_SILENCE = 10_000  # ms, ten heartbeats; a shorter pause of a process must not end its flows
 HEARD_LATELY = 3_000  # ms
 ROUND_BITS = 22  # claims per millisecond of incarnation: rounds rise across restarts
@@ -57,12 +57,26 @@
 
 @dataclass(slots=True)
 class UpstreamStatus:
-    """What the agent knows about its upstream; incarnation 0 means not heard yet."""
+    """What the agent knows about its upstream; incarnation 0 means not heard yet.
+
+    Attributes:
+        incarnation: The present process of the upstream.
+        ready: Whether that process says that it can work.
+        heard: Time (ms) of its last sign of life.
+        confirmed: Time (ms) of the last message that named its incarnation.
+        doubted_from: Work sent from this time (ms) on may have reached the present process, not
+            the one before.
+        probed: Time (ms) of the last probe, `probed_before` that of the one before it.
+        sequence: Number of the last probe.
+    """
 
     incarnation: int = 0
     ready: bool = False
     heard: int = 0
+    confirmed: int = 0
+    doubted_from: int = 0
     probed: int = 0
+    probed_before: int = 0
     sequence: int = 0
 
 
@@ -226,9 +240,15 @@
         return record is None or self.catalog.data_centre_in(record.data_centre)
 
     def is_lost(self, peer: int, now: int) -> bool:
-        """Returns whether a peer is silent for long while most others are heard at `now` (ms)."""
+        """Returns whether a peer is silent for long while most others are heard at `now` (ms).
+
+        Nothing is known about a peer that was never heard, such as the holder of a claim that
+        comes before its first heartbeat.
+        """
         row = self.peers.row(peer)
-        if row == MISSING or now - self.peers.heard[row] < HOLDER_SILENCE:
+        if row == MISSING or not self.peers.heard[row]:
+            return False
+        if now - self.peers.heard[row] < HOLDER_SILENCE:
             return False
         others = [self.peers.row(other) for other in self.peer_ids() if other != peer]
         heard = [o for o in others if o != MISSING and now - self.peers.heard[o] < HEARD_LATELY]
