Label latencies with customer and service, and settle the name of a flag

Histograms were labelled with the service's address, which no operator knows by heart; the balancer's catalog gives both names.

--- a/shallotshore/application.py
+++ b/shallotshore/application.py
@@ -17,7 +17,7 @@
 from shallotshore.control import ControlClient, ControlServer
 from shallotshore.datagrams import DatagramEndpoint
 from shallotshore.messages import Address, Message, PlatformRead, StatusReply, StatusRequest
-from shallotshore.metrics import Latencies, Metrics, RequestTimes
+from shallotshore.metrics import Latencies, Metrics, RequestTimes, label_with
 from shallotshore.platform import PlatformClient
 from shallotshore.security import MacKeys, MaterialError, TlsMaterial
 from shallotshore.systems import Counters, Outbox
@@ -51,10 +51,6 @@
     return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
 
 
-def _label(vip: Address) -> str:
-    return f"{vip[0]}:{vip[1]}".replace(".", "_").replace(":", "_")
-
-
 @dataclass(slots=True)
 class ApplicationConfig:
     """What the application needs besides its core.
@@ -77,7 +73,7 @@
     control: bool = True
     statsd: Address | None = None
     prefix: str = "shallotshore"
-    label: Callable[[Address], str] = _label
+    label: Callable[[Address], str] = label_with(None)
 
 
 class Application:
--- a/shallotshore/main.py
+++ b/shallotshore/main.py
@@ -17,6 +17,7 @@
 from shallotshore import __version__
 from shallotshore.application import Application, ApplicationConfig, RunnableCore
 from shallotshore.codes import Code
+from shallotshore.metrics import label_with
 from shallotshore.security import MacKeys, MaterialError, TlsMaterial
 from shallotshore.settings import Problem, Settings, read_settings, report_problems
 
@@ -81,15 +82,16 @@
 
 
 def _balancer_core(settings: Settings) -> RunnableCore:
-    module = import_module("shallotshore.balancer")
-    config = module.BalancerConfig(
+    from shallotshore.balancer import BalancerConfig, BalancerCore
+
+    config = BalancerConfig(
         address=settings.address,
         data_centre=settings.data_centre,
         peers=settings.peers,
-        configuration=settings.configuration_service,
+        configuration=settings.configuration,
         vm_list=settings.vm_list,
     )
-    return module.BalancerCore.from_config(config, random.Random(settings.seed))
+    return BalancerCore.from_config(config, random.Random(settings.seed))
 
 
 def _agent_core(settings: Settings) -> RunnableCore:
@@ -121,7 +123,9 @@
         config = _application_config(command, settings)
     except MaterialError as error:
         return report_problems([Problem(Code.SETTING_VALUE, "mac_keys or tls", str(error))])
-    application = Application(make_core(settings), config)
+    core = make_core(settings)
+    config.label = label_with(core)
+    application = Application(core, config)
     try:
         return asyncio.run(application.run())
     except (OSError, RuntimeError) as error:
--- a/shallotshore/metrics.py
+++ b/shallotshore/metrics.py
@@ -1,10 +1,12 @@
 """Counters to statsd, and histograms of request latency per customer and service."""
 
-__all__ = ["Latencies", "Metrics", "RequestTimes"]
+__all__ = ["Latencies", "Metrics", "RequestTimes", "label_with"]
 
+import re
 from collections import OrderedDict
 from collections.abc import Callable
 from functools import singledispatchmethod
+from typing import Any
 
 import statsd
 from hdrh.histogram import HdrHistogram
@@ -24,6 +26,25 @@
 _DIGITS = 2  # significant decimal digits of a recorded latency
 _PENDING = 65_536  # requests whose start is remembered
 _PERCENTILES = (50, 99)
+_UNSAFE = re.compile(r"[^A-Za-z0-9_-]")  # statsd takes a dot in a name as a level of its own
+
+
+def label_with(core: object) -> Callable[[Address], str]:
+    """Returns what labels an address with its customer and service, by a core's catalog.
+
+    Args:
+        core: A core whose `state` holds a catalog; with any other, all labels are `other`.
+    """
+    catalog = getattr(getattr(core, "state", None), "catalog", None)
+    return lambda vip: _label(catalog, vip)
+
+
+def _label(catalog: Any, vip: Address) -> str:
+    route = catalog.route(vip) if catalog is not None else None
+    if route is None:
+        return OTHER
+    names = (catalog.name(route.customer), catalog.name(route.service))
+    return ".".join(_UNSAFE.sub("_", name) for name in names)
 
 
 class Latencies:
--- a/shallotshore/settings.py
+++ b/shallotshore/settings.py
@@ -52,7 +52,7 @@
     name: str = ""
     data_centre: str = ""
     peers: tuple[Address, ...] = ()
-    configuration_service: tuple[Address, ...] = ()
+    configuration: tuple[Address, ...] = ()
     vm_list: tuple[Address, ...] = ()
     service: str = ""
     upstream_address: Address | None = None
@@ -133,7 +133,7 @@
     _Spec("name", _parse_name, "Name of this VM; an agent's upstream has it too.", (AGENT,)),
     _Spec("data_centre", _parse_name, "Data centre of this process.", (BALANCER, AGENT)),
     _Spec("peers", _parse_addresses, "Balancers asked first, as IP:PORT,IP:PORT."),
-    _Spec("configuration_service", _parse_addresses, "Configuration service, as IP:PORT,IP:PORT."),
+    _Spec("configuration", _parse_addresses, "Configuration service, as IP:PORT,IP:PORT."),
     _Spec("vm_list", _parse_addresses, "List of VMs, as IP:PORT,IP:PORT."),
     _Spec("service", _parse_name, "Service of the agent's upstream.", (AGENT,)),
     _Spec("upstream_address", parse_address, "IP:PORT of the agent's upstream.", (AGENT,)),
--- a/standins/live.py
+++ b/standins/live.py
@@ -88,7 +88,7 @@
             f"--address={_text(site.address)}",
             f"--data_centre={site.data_centre}",
             f"--peers={','.join(_text(peer) for peer in site.peers)}",
-            f"--configuration_service={_text(ports.of(site.configuration))}",
+            f"--configuration={_text(ports.of(site.configuration))}",
             f"--vm_list={_text(ports.of(site.vm_list))}",
         ]
 
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -2,11 +2,14 @@
 
 import socket
 import unittest
+from unittest import mock
 
 import statsd
 
+from shallotshore.catalog import Catalog
 from shallotshore.messages import CallerAnswer, CallerClose, CallerRequest, FabricPacket, Message
-from shallotshore.metrics import OTHER, Latencies, Metrics, RequestTimes
+from shallotshore.metrics import OTHER, Latencies, Metrics, RequestTimes, label_with
+from shallotshore.records import Binding, Customer, Service
 from shallotshore.systems import Counters
 
 VIP, CALLER = ("10.9.0.1", 443), ("10.8.0.1", 4000)
@@ -28,6 +31,14 @@
         self.assertEqual(set(summary), {"customer0", "customer1", OTHER})
         self.assertEqual(summary[OTHER]["count"], 3)
 
+    def test_labels_are_names_that_statsd_takes(self) -> None:
+        records = [Service("spot.desk"), Customer("a.b", 1, (Binding("spot.desk", VIP),))]
+        core = mock.Mock()
+        core.state.catalog = Catalog.from_records(1, records)
+        self.assertEqual(label_with(core)(VIP), "a_b.spot_desk")
+        self.assertEqual(label_with(core)(CALLER), OTHER)
+        self.assertEqual(label_with(None)(VIP), OTHER)
+
     def test_percentiles_are_within_a_hundredth(self) -> None:
         latencies = Latencies()
         for latency in range(1, 1001):
