Serve waiting requests oldest first

Cause: while a data centre is out, requests that had waited longest lost against those that had just come: each looked for room at random times, so that some waited until their deadline. Change: requests without room stand in one line per service; a report's room counts what was sent since; up to 128 requests of a customer may wait.

--- a/shallotshore/dispatch.py
+++ b/shallotshore/dispatch.py
@@ -25,12 +25,14 @@
 from shallotshore.retries import MAX_ATTEMPTS, RetryBudget, backoff
 from shallotshore.tables import MISSING
 from shallotshore.verdicts import Verdicts
+from shallotshore.waiting_line import WaitingLine
 
 _HOP_MS = 5  # taken off the budget at each hop: the one-way delay between data centres
 _SILENCE_MS = 400  # far above a round trip; doubles with each resend
 _SILENCES_BEFORE_MOVE = 3
-_FAIR_SHARE_RETRY_MS = 20
-_ROOM_RETRY_MS = (10, 30)
+_LINE_INTERVAL_MS = 5
+_LINE_DEPTH = 64  # requests looked at in one service, past those of customers over their share
+_LINE_REFUSALS = 2  # then the rest of the line is taken to find no room either
 _WITNESS_RETRY_MS = 100
 _ROOM_CODES = (Code.OVERLOADED, Code.UPSTREAM_COLD, Code.FAIR_SHARE)
 _ROOM_WAIT_SHARE = 4
@@ -46,11 +48,13 @@
     """System that runs callers' requests at upstreams, at most once where they say so."""
 
     __slots__ = (
+        "_advanced_at",
         "_budget",
         "_candidates",
         "_endings",
         "_handle",
         "_ingress",
+        "_line",
         "_state",
         "_verdicts",
         "pending",
@@ -64,6 +68,8 @@
         self._candidates = candidates
         self._verdicts = verdicts
         self._budget = RetryBudget()
+        self._line = WaitingLine()
+        self._advanced_at = 0
         self._endings = Endings(state, verdicts)
         self.pending = self._endings.pending
         # Bound once: a singledispatchmethod builds a new function at each access.
@@ -89,6 +95,7 @@
             self._handle(packet.message, packet, now)
         for row in self.pending.pop_due(now):
             self._take_due(row, now)
+        self._advance_lines(now)
 
     # Callers.
 
@@ -131,6 +138,7 @@
             return
         self._state.counters.add("requests.cancelled")
         self.pending.cancelled[row] = 1
+        self._leave_line(row)
         self._endings.give_up(row, Code.CANCELLED, now)
 
     def _fill(self, row: int, message: CallerRequest, packet: CallerPacket, now: int) -> None:
@@ -157,28 +165,65 @@
         return self._endings.shares.may_start(self.pending.customer[row], self.pending.service[row])
 
     def _start(self, row: int, now: int) -> None:
-        """Sends an attempt, or lets the request wait while its customer is over its share."""
+        """Sends an attempt, or lets the request stand in line for room or its customer's share."""
         pending = self.pending
         if now >= self._endings.void_at(row):
             self._endings.give_up(row, Code.DEADLINE_EXPIRED, now)
-            return
-        if self._state.is_held or not self._may_start(row):
+        elif self._line.has_any(pending.service[row]) or not self._try_start(row, now):
             self._endings.enter(row, PendingState.WAITING)
-            pending.schedule(row, now + _FAIR_SHARE_RETRY_MS)
+            if pending.state[row] == PendingState.WAITING:
+                self._line.put(pending.service[row], pending.arrived[row], pending.key[row])
+                pending.schedule(row, self._endings.void_at(row))
+
+    def _advance_lines(self, now: int) -> None:
+        """Starts the requests in line for which there is room, oldest first."""
+        if now - self._advanced_at < _LINE_INTERVAL_MS:
             return
+        self._advanced_at = now
+        pending = self.pending
+        for service in self._line.services():
+            refusals = 0
+            for arrived, key in self._line.first(service, _LINE_DEPTH):
+                row = pending.row(key)
+                if row == MISSING or pending.state[row] != PendingState.WAITING:
+                    # A late answer to an earlier attempt has ended it.
+                    self._line.drop(service, arrived, key)
+                elif self._may_start(row) and not self._try_start(row, now):
+                    refusals += 1
+                if refusals >= _LINE_REFUSALS:
+                    break
+
+    def _leave_line(self, row: int) -> None:
+        pending = self.pending
+        self._line.drop(pending.service[row], pending.arrived[row], pending.key[row])
+
+    def _try_start(self, row: int, now: int) -> bool:
+        """Sends an attempt when there is room.
+
+        Returns:
+            Whether the request has left the line, for an attempt or for good.
+        """
+        pending = self.pending
+        if self._state.is_held or not self._may_start(row):
+            return False
         named = self._candidates.for_request(
             pending.service[row], pending.customer[row], pending.tried[row], now
         )
         if not named:
+            self._leave_line(row)
             self._endings.give_up(row, Code.NO_UPSTREAM, now)
-            return
+            return True
         if self._state.loads.lacks_room(named[0], pending.failures[row], now):
             # All are full by fresh reports: waiting here costs no attempt and no message. With
             # each refusal more free places are asked for, since others compete for the last ones.
             self._state.counters.add("requests.wait_for_room")
-            self._endings.enter(row, PendingState.WAITING)
-            pending.schedule(row, now + self._state.rng.randint(*_ROOM_RETRY_MS))
-            return
+            return False
+        self._leave_line(row)
+        self._send_first(row, named, now)
+        return True
+
+    def _send_first(self, row: int, named: tuple[int, ...], now: int) -> None:
+        pending = self.pending
         pending.attempt[row] = self._state.rng.getrandbits(64)
         pending.attempts[row] += (pending.attempt[row],)
         pending.named[row] = named
@@ -257,6 +302,7 @@
         if state == PendingState.FINISHED:
             self._endings.forget(row)
         elif state == PendingState.WAITING:
+            self._leave_line(row)
             self._take_turn(row, now)
         elif state == PendingState.RUNNING:
             self._take_silence(row, now)
--- a/shallotshore/loads.py
+++ b/shallotshore/loads.py
@@ -18,16 +18,17 @@
     """Own requests in flight and the last report of each upstream that this balancer uses.
 
     Columns: `in_flight` (own requests); as last reported: `reported` (running and queued),
-    `reported_limit`, `connections`; `reported_at` (ms).
+    `reported_limit`, `connections`; `reported_at` (ms), and `sent` (requests since then).
     """
 
-    __slots__ = ("connections", "in_flight", "reported", "reported_at", "reported_limit")
+    __slots__ = ("connections", "in_flight", "reported", "reported_at", "reported_limit", "sent")
 
     connections: "array[int]"
     in_flight: "array[int]"
     reported: "array[int]"
     reported_at: "array[int]"
     reported_limit: "array[int]"
+    sent: "array[int]"
 
     COLUMNS = {
         "connections": "L",
@@ -35,6 +36,7 @@
         "reported": "L",
         "reported_at": "q",
         "reported_limit": "L",
+        "sent": "L",
     }
 
     def __init__(self, limit: int = _ROWS) -> None:
@@ -46,6 +48,7 @@
         row = self.add(upstream)
         if row != MISSING:
             self.in_flight[row] += 1
+            self.sent[row] += 1
 
     def finish(self, upstream: int) -> None:
         """Counts a request at an upstream as ended."""
@@ -62,6 +65,7 @@
         self.reported[row] = load.running + load.queued
         self.reported_limit[row] = load.limit
         self.reported_at[row] = now
+        self.sent[row] = 0
 
     def weight(self, upstream: int, slots: int, now: int) -> float:
         """Returns the load of an upstream relative to its limit.
@@ -116,7 +120,7 @@
         if row == MISSING or now - self.reported_at[row] > _HALF_LIFE_MS:
             return False
         limit = max(self.reported_limit[row], 1)
-        return self.reported[row] >= max(limit, _FULL * limit - margin)
+        return self.reported[row] + self.sent[row] >= max(limit, _FULL * limit - margin)
 
     def heard_since(self, upstream: int, time: int) -> bool:
         """Whether the upstream has reported since a time (ms)."""
--- a/shallotshore/shares.py
+++ b/shallotshore/shares.py
@@ -10,7 +10,7 @@
 
 _ROWS = 16_384
 _WAITING = 8  # times the bound on those in flight: a burst that drains within a usual budget
-_MIN_WAITING = 32
+_MIN_WAITING = 128
 _ROOM = 2  # times the share of slots: one batch runs while the next is on its way
 
 
