--- /dev/null
+++ b/bench/messages.py
@@ -0,0 +1,53 @@
+"""Sizes of the control messages on the wire, for the sums in docs/CAPACITY.md."""
+
+__all__ = ["run"]
+
+from shallotshore.codes import Code
+from shallotshore.datagrams import seal_frame
+from shallotshore.messages import (
+    Claim,
+    ClaimKind,
+    ClaimReply,
+    Delta,
+    Entry,
+    HealthEvent,
+    HealthState,
+    Heartbeat,
+    Load,
+    Message,
+    RevisionOffer,
+    Source,
+)
+from shallotshore.records import Upstream, key_of, to_text
+from shallotshore.security import MacKeys
+
+_ID = 2**63 + 1  # ids and keys fill 64 bits
+_REVISION = 9_500 * 365  # a year of changes
+_UDP_IP_HEADER = 28  # bytes
+
+
+def _samples() -> dict[str, Message]:
+    record = Upstream("spotdesk-123456", "spotdesk", "suva-a", ("10.1.2.3", 7100))
+    entry = Entry(key_of(record), _REVISION, to_text(record))
+    parts = {"part": 0, "parts": 1}
+    return {
+        "claim": Claim(_ID, ClaimKind.REQUEST, _ID, _ID, 2, _ID, 50, 14_000, _REVISION),
+        "claim_reply": ClaimReply(_ID, _ID, _ID, Code.OK, _ID),
+        "heartbeat": Heartbeat(
+            _ID, _ID, 2, 2, 100_000, HealthState.UP, Load(1, 0, 3, 2_000), _REVISION, 900, _ID
+        ),
+        "health_event": HealthEvent(_ID, 2, 100_000, HealthState.DOWN),
+        "revision_offer": RevisionOffer(Source.CONFIGURATION, _REVISION, _ID, _ID),
+        "delta_one_upstream": Delta(
+            Source.CONFIGURATION, _REVISION, _REVISION + 1, 0, entries=(entry,), **parts
+        ),
+    }
+
+
+def run() -> dict[str, float]:
+    """Returns bytes on the wire by message, with MAC and UDP and IP headers."""
+    keys = MacKeys((b"k" * 32,))
+    return {
+        f"{name}_bytes": len(seal_frame(message, keys).unwrap()) + _UDP_IP_HEADER
+        for name, message in _samples().items()
+    }
