Show by how much the demo's own loop was late

On a machine with a load of 30 the stand-ins' process was late by up to 3.7 s, and its callers then count requests as lost. The demo now prints the greatest delay beside its verdict; what it judges is unchanged.

--- a/standins/demo.py
+++ b/standins/demo.py
@@ -50,9 +50,30 @@
 OUT_FROM, OUT_UNTIL = 24_000 + SECONDS_TO_OBEY, 31_000  # ms
 READY_LIMIT = 18_000  # ms for all programs to start and hold a revision
 PROGRESS_INTERVAL = 5.0  # seconds
+LAG_INTERVAL = 50  # ms
 _WORK = ("datagrams.received.forward", "datagrams.received.attempt")
 
 
+class LoopLag:
+    """Measures by how much this process was late, since a starved stand-in looks like loss.
+
+    Attributes:
+        greatest: Greatest delay of a timer in ms.
+    """
+
+    __slots__ = ("greatest",)
+
+    def __init__(self) -> None:
+        self.greatest = 0
+
+    async def watch(self) -> None:
+        """Measures until it is cancelled."""
+        while True:
+            before = clock()
+            await asyncio.sleep(LAG_INTERVAL / 1000)
+            self.greatest = max(self.greatest, clock() - before - LAG_INTERVAL)
+
+
 class NotReadyError(Exception):
     """A program did not get ready in time."""
 
@@ -207,6 +228,8 @@
         loop.add_signal_handler(signal_number, task.cancel)
     ports = Ports.blocks(len(users), random.Random())
     demos: list[Demo] = []
+    lag = LoopLag()
+    lag_task = loop.create_task(lag.watch())
     with tempfile.TemporaryDirectory(prefix="shallotshore-demo-") as folder:
         try:
             for number, user in enumerate(users):
@@ -218,10 +241,12 @@
         except NotReadyError as error:
             faults = [str(error), *(fault for demo in demos for fault in demo.world.pump.faults)]
         finally:
+            lag_task.cancel()
             for demo in demos:
                 await demo.close()
         if faults:
             _show_logs(Path(folder))
+    print(f"\ngreatest delay of the stand-ins' own loop: {lag.greatest} ms")
     for fault in faults:
         print(fault)
     print(f"{len(faults)} broken promises" if faults else "all promises were kept")
