Pass hints on to the other balancers and notice silent owners

Cause: after a change each balancer learnt the owner of each displaced flow by itself, an extra hop per flow and balancer; packets went on to an owner out of reach until a health event came.

--- a/shallotshore/balancer_state.py
+++ b/shallotshore/balancer_state.py
@@ -13,6 +13,8 @@
 from shallotshore.placement import Placement
 from shallotshore.systems import Counters, Inbox, Outbox
 
+_SILENT_FLOWS_WEIGHT = 3.0  # enough to suspect an upstream at once
+
 
 class RouteView(Protocol):
     """Where the packets of a VIP belong."""
@@ -96,6 +98,9 @@
     def is_parent(self, upstream: int, data_centre: int) -> bool:
         """Whether this balancer watches the upstream's heartbeats."""
 
+    def hint_targets(self, source: Address) -> Sequence[Address]:
+        """Returns the balancers that a hint from `source` is passed on to."""
+
     def is_leaving(self, address: Address) -> bool:
         """Whether the VM list says that the VM at an address is leaving."""
 
@@ -185,11 +190,16 @@
         self.outbox.send(view.address, message)
         return True
 
-    def ask(self, upstream: int, service: int, now: int) -> None:
-        """Counts an opening sent to an upstream, which must answer it in time."""
-        if self.window.ask(upstream, now):
-            self.counters.add("health.openings_unanswered")
-            self.health.suspect(upstream, service, now)
+    def ask(self, upstream: int, service: int, is_opening: bool, now: int) -> None:
+        """Counts a packet sent to an upstream, from which some word is due in time.
+
+        A suspicion that is wrong ends soon: packets then go to a witness, which passes them on to
+        the owner, and the owner's hint is a word from it.
+        """
+        if self.window.ask(upstream, is_opening, now):
+            self.counters.add("health.packets_unanswered")
+            weight = 1.0 if is_opening else _SILENT_FLOWS_WEIGHT
+            self.health.suspect(upstream, service, now, weight)
 
     def hear(self, upstream: int, now: int) -> None:
         """Notes a message from an upstream's agent."""
--- a/shallotshore/forwarding.py
+++ b/shallotshore/forwarding.py
@@ -12,6 +12,7 @@
 from shallotshore.hints import HINT_LEASE_MS
 from shallotshore.ingress import CallerPacket, Ingress
 from shallotshore.messages import (
+    Address,
     CallerClose,
     CallerData,
     CallerOpen,
@@ -23,6 +24,7 @@
     Message,
     PacketKind,
 )
+from shallotshore.token_bucket import TokenBucket
 
 _RECENT_BITS = 11  # 2,048 packets: the traffic of some round trips between data centres
 _RECENT_MASK = (1 << _RECENT_BITS) - 1
@@ -30,6 +32,8 @@
 _SEARCH_PAUSE_MS = 1_000
 _SEARCHES_PER_MS = 0.5  # packets of flows that do not exist must not multiply without bound
 _SEARCH_BURST = 500.0
+_HINTS_PER_MS = 0.05  # some kilobytes a second for three other balancers
+_HINT_BURST = 1_000.0
 _FINAL_CODES = (Code.FLOW_LOST, Code.DATA_CENTRE_OUT, Code.FLOW_CLOSED, Code.FLOW_REFUSED)
 
 
@@ -45,10 +49,10 @@
         "_exhausted",
         "_exhausted_at",
         "_handle",
+        "_hint_budget",
         "_ingress",
         "_recent",
-        "_searches",
-        "_searches_at",
+        "_search_budget",
         "_state",
     )
 
@@ -59,16 +63,16 @@
         self._recent: list[Forward | None] = [None] * (1 << _RECENT_BITS)
         self._exhausted = array("Q", bytes(8 << _RECENT_BITS))
         self._exhausted_at = array("q", bytes(8 << _RECENT_BITS))
-        self._searches = _SEARCH_BURST
-        self._searches_at = 0
+        self._search_budget = TokenBucket(_SEARCHES_PER_MS, _SEARCH_BURST)
+        self._hint_budget = TokenBucket(_HINTS_PER_MS, _HINT_BURST)
         # Bound once: a singledispatchmethod builds a new function at each access.
         self._handle = self._forward
 
     def run(self, now: int) -> None:
         """Handles hints, callers' packets, replies and resets in that order."""
         inbox = self._state.inbox
-        for _, hint in inbox.take(FlowHint):
-            self._take_hint(hint, now)
+        for source, hint in inbox.take(FlowHint):
+            self._take_hint(source, hint, now)
         for packet in self._ingress.flows:
             self._handle(packet.message, packet, now)
         for _, reply in inbox.take(FlowReply):
@@ -98,22 +102,21 @@
         elif candidates[0] not in state.placement.order(packet.service, key, 1):
             # The owner will be away from the first candidate: later packets take no extra hop.
             state.hints.put(key, candidates[0], now + HINT_LEASE_MS)
-        state.ask(candidates[0], packet.service, now)
-        self._send(key, PacketKind.OPEN, packet, message.flow, candidates, message.payload)
+        self._send(key, PacketKind.OPEN, packet, candidates, message.payload, now)
 
     @_forward.register
     def _forward_data(self, message: CallerData, packet: CallerPacket, now: int) -> None:
         key = flow_key(packet.caller, packet.vip, message.flow)
         candidates = self._owners(key, message.flow, packet, now)
         if candidates:
-            self._send(key, PacketKind.DATA, packet, message.flow, candidates, message.payload)
+            self._send(key, PacketKind.DATA, packet, candidates, message.payload, now)
 
     @_forward.register
     def _forward_close(self, message: CallerClose, packet: CallerPacket, now: int) -> None:
         key = flow_key(packet.caller, packet.vip, message.flow)
         candidates = self._owners(key, message.flow, packet, now)
         if candidates:
-            self._send(key, PacketKind.CLOSE, packet, message.flow, candidates, b"")
+            self._send(key, PacketKind.CLOSE, packet, candidates, b"", now)
             self._state.hints.drop(key)
 
     def _owners(
@@ -158,17 +161,18 @@
         key: int,
         kind: PacketKind,
         packet: CallerPacket,
-        flow: int,
         candidates: tuple[int, ...],
         payload: bytes,
+        now: int,
     ) -> None:
         state = self._state
+        state.ask(candidates[0], packet.service, kind is PacketKind.OPEN, now)
         forward = Forward(
             key,
             kind,
             packet.service,
             packet.customer,
-            flow,
+            packet.message.flow,  # type: ignore[attr-defined]
             packet.caller,
             packet.vip,
             state.address,
@@ -184,14 +188,21 @@
     def _reset(self, packet: CallerPacket, flow: int, code: Code) -> None:
         self._state.answer(packet.caller, packet.vip, CallerReset(flow, code))
 
-    def _take_hint(self, hint: FlowHint, now: int) -> None:
+    def _take_hint(self, source: Address, hint: FlowHint, now: int) -> None:
         state = self._state
         if state.catalog.upstream(hint.upstream) is None:
             state.counters.add("hints.unknown_upstream")
             return
-        state.hear(hint.upstream, now)
         state.counters.add("hints.taken")
         state.hints.put(hint.key, hint.upstream, now + min(hint.lease, HINT_LEASE_MS))
+        targets = state.peers.hint_targets(source)
+        if not targets:
+            return
+        state.hear(hint.upstream, now)
+        if self._hint_budget.take(now):
+            state.counters.add("hints.passed_on")
+            for target in targets:
+                state.outbox.send(target, hint)
 
     def _take_reply(self, reply: FlowReply, now: int) -> None:
         state = self._state
@@ -275,7 +286,7 @@
             self._exhausted[slot] = reset.key
             self._exhausted_at[slot] = now
             return False
-        if not self._may_search(now):
+        if not self._search_budget.take(now):
             # The caller sends again; a reset without a full search could end a live flow.
             state.counters.add("flows.search_refused")
             return True
@@ -283,15 +294,6 @@
         state.send_to(untried[0], _readdressed(forward, untried[:MAX_CANDIDATES]))
         return True
 
-    def _may_search(self, now: int) -> bool:
-        earned = (now - self._searches_at) * _SEARCHES_PER_MS
-        self._searches = min(_SEARCH_BURST, self._searches + earned)
-        self._searches_at = now
-        if self._searches < 1:
-            return False
-        self._searches -= 1
-        return True
-
 
 def _with_first(owner: int, candidates: tuple[int, ...]) -> tuple[int, ...]:
     if candidates and candidates[0] == owner:
--- a/shallotshore/health.py
+++ b/shallotshore/health.py
@@ -18,8 +18,9 @@
 _FLAPS_FORGOTTEN_MS = 300_000
 _ROWS = 16_384  # upstreams with a recent event, suspicion or watch
 _DOWN_SEVERITY = 1_000.0
-_ANSWER_WINDOW_MS = 1_000  # the time in which an opening is answered even over a lossy link
-_STALE_WINDOW_MS = 5_000  # an unanswered opening that old may have been answered elsewhere
+_OPENING_WINDOW_MS = 1_000  # the time in which an opening is answered even over a lossy link
+_PACKET_WINDOW_MS = 3_000  # packets need no answer, but upstreams of live flows send now and then
+_STALE_WINDOW_MS = 5_000  # a silence that began so long ago may have ended at another balancer
 _WINDOW_BITS = 12
 _REFUSES_NEW = (HealthState.STALLED, HealthState.LEAVING)
 
@@ -39,7 +40,7 @@
 
 
 class AnswerWindow:
-    """Direct-mapped columns: since when an upstream has left openings unanswered."""
+    """Direct-mapped columns: since when an upstream has been sent to without a word from it."""
 
     __slots__ = ("_since", "_tags")
 
@@ -47,11 +48,11 @@
         self._tags = array("Q", bytes(8 << _WINDOW_BITS))
         self._since = array("q", bytes(8 << _WINDOW_BITS))
 
-    def ask(self, upstream: int, now: int) -> bool:
-        """Counts an opening sent to an upstream.
+    def ask(self, upstream: int, is_opening: bool, now: int) -> bool:
+        """Counts a packet sent to an upstream.
 
         Returns:
-            Whether earlier openings stayed unanswered for the whole window; it then starts again.
+            Whether the upstream has been silent for the whole window, which then starts again.
         """
         slot = upstream >> (64 - _WINDOW_BITS)
         age = now - self._since[slot]
@@ -59,7 +60,7 @@
             self._tags[slot] = upstream
             self._since[slot] = now
             return False
-        if age < _ANSWER_WINDOW_MS:
+        if age < (_OPENING_WINDOW_MS if is_opening else _PACKET_WINDOW_MS):
             return False
         self._since[slot] = now
         return True
@@ -138,18 +139,25 @@
         age = now - self.suspected_at[row]
         return float(self.suspicion[row]) * 0.5 ** (age / _HALF_LIFE_MS)
 
-    def suspect(self, upstream: int, service: int, now: int) -> None:
-        """Counts an attempt or opening that the upstream left unanswered."""
+    def suspect(self, upstream: int, service: int, now: int, weight: float = 1.0) -> None:
+        """Counts an attempt or packets that the upstream left unanswered.
+
+        Args:
+            upstream: Id of the upstream.
+            service: Id of its service.
+            now: Time in ms.
+            weight: Number of unanswered attempts that the silence stands for.
+        """
         row = self.track(upstream, service)
         if row != MISSING:
-            self.suspicion[row] = self.suspicion_at(row, now) + 1
+            self.suspicion[row] = self.suspicion_at(row, now) + weight
             self.suspected_at[row] = now
 
     def clear(self, upstream: int, now: int) -> None:
-        """Halves the suspicion of an upstream that answered."""
+        """Lowers the suspicion of an upstream that was heard from to a quarter."""
         row = self.row(upstream)
         if row != MISSING and self.suspicion[row]:
-            self.suspicion[row] = self.suspicion_at(row, now) / 2
+            self.suspicion[row] = self.suspicion_at(row, now) / 4
             self.suspected_at[row] = now
 
     def accept(self, row: int, incarnation: int, sequence: int, state: int, now: int) -> bool:
--- a/shallotshore/listed_peers.py
+++ b/shallotshore/listed_peers.py
@@ -18,7 +18,15 @@
     of all others, and down the relay tree of each data centre.
     """
 
-    __slots__ = ("_address", "_data_centre", "_membership", "_parents", "_revision", "_targets")
+    __slots__ = (
+        "_address",
+        "_data_centre",
+        "_hint_targets",
+        "_membership",
+        "_parents",
+        "_revision",
+        "_targets",
+    )
 
     def __init__(self, address: Address, data_centre: str, membership: Membership) -> None:
         """Creates an empty cache of answers.
@@ -32,6 +40,7 @@
         self._data_centre = name_id("data_centre", data_centre)
         self._membership = membership
         self._revision = -1
+        self._hint_targets: tuple[Address, ...] | None = None
         self._targets: dict[bool, tuple[Address, ...]] = {}
         self._parents: dict[int, bool] = {}
 
@@ -44,6 +53,21 @@
             self._targets[is_origin] = tuple(found)
         return self._targets[is_origin]
 
+    def hint_targets(self, source: Address) -> Sequence[Address]:
+        """Returns the balancers that a hint from `source` is passed on to.
+
+        A hint of an agent goes to all of a few balancers, since packets of a flow may reach any of
+        them; a hint of a balancer goes no further.
+        """
+        self._follow()
+        if self._membership.is_balancer(source):
+            return ()
+        if self._hint_targets is None:
+            everyone = self._membership.all_balancers()
+            others = [address for address in everyone if address != self._address]
+            self._hint_targets = tuple(others) if len(everyone) <= _FEW_BALANCERS else ()
+        return self._hint_targets
+
     def is_parent(self, upstream: int, data_centre: int) -> bool:
         """Whether this balancer watches the upstream's heartbeats."""
         self._follow()
@@ -60,6 +84,7 @@
         """Forgets the answers when the VM list has changed."""
         if self._revision != self._membership.revision:
             self._revision = self._membership.revision
+            self._hint_targets = None
             self._targets.clear()
             self._parents.clear()
 
--- /dev/null
+++ b/shallotshore/token_bucket.py
@@ -0,0 +1,34 @@
+"""Bounds the rate of something that costs messages."""
+
+__all__ = ["TokenBucket"]
+
+
+class TokenBucket:
+    """Tokens that are earned with time up to a bound."""
+
+    __slots__ = ("_burst", "_earned_at", "_rate", "_tokens")
+
+    def __init__(self, rate: float, burst: float) -> None:
+        """Creates a full bucket.
+
+        Args:
+            rate: Tokens earned per ms.
+            burst: Greatest number of tokens held.
+        """
+        self._rate = rate
+        self._burst = burst
+        self._tokens = burst
+        self._earned_at = 0
+
+    def take(self, now: int) -> bool:
+        """Takes one token.
+
+        Returns:
+            Whether there was one.
+        """
+        self._tokens = min(self._burst, self._tokens + (now - self._earned_at) * self._rate)
+        self._earned_at = now
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
--- a/shallotshore/watching.py
+++ b/shallotshore/watching.py
@@ -7,6 +7,7 @@
 from shallotshore.balancer_state import BalancerState
 from shallotshore.messages import HealthEvent, HealthState, Heartbeat
 from shallotshore.tables import MISSING, Table
+from shallotshore.token_bucket import TokenBucket
 
 _SILENT_MS = 1_500  # three heartbeats
 _CHECK_MS = 100
@@ -42,8 +43,7 @@
         "_checked_at",
         "_doubt_since",
         "_pruned_at",
-        "_relay_at",
-        "_relay_tokens",
+        "_relay_budget",
         "_relays",
         "_state",
         "_watch",
@@ -53,8 +53,7 @@
         self._state = state
         self._watch = WatchTable(_ROWS)
         self._relays: dict[int, bool] = {}
-        self._relay_tokens = _RELAY_BURST
-        self._relay_at = 0
+        self._relay_budget = TokenBucket(_RELAYS_PER_MS, _RELAY_BURST)
         self._checked_at = 0
         self._pruned_at = 0
         self._doubt_since = MISSING
@@ -197,17 +196,13 @@
         return not hears_agents or now - self._doubt_since < _DOUBT_MS
 
     def _relay(self, now: int) -> None:
-        earned = (now - self._relay_at) * _RELAYS_PER_MS
-        self._relay_tokens = min(_RELAY_BURST, self._relay_tokens + earned)
-        self._relay_at = now
         health = self._state.health
-        while self._relays and self._relay_tokens >= 1:
+        while self._relays and self._relay_budget.take(now):
             upstream = next(iter(self._relays))
             is_origin = self._relays.pop(upstream)
             row = health.row(upstream)
             if row == MISSING:
                 continue
-            self._relay_tokens -= 1
             event = HealthEvent(
                 upstream,
                 health.incarnation[row],
--- a/tests/balancer_fakes.py
+++ b/tests/balancer_fakes.py
@@ -97,6 +97,9 @@
     def is_parent(self, upstream: int, data_centre: int) -> bool:
         return upstream not in self.strangers
 
+    def hint_targets(self, source: Address) -> list[Address]:
+        return [] if source == PEER else [PEER]
+
     def is_leaving(self, address: Address) -> bool:
         return address in self.leaving
 
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -17,7 +17,16 @@
     Load,
     PacketKind,
 )
-from tests.balancer_fakes import CALLER, CUSTOMER, OTHER_CUSTOMER, SERVICE, VIP, Bench, only
+from tests.balancer_fakes import (
+    CALLER,
+    CUSTOMER,
+    OTHER_CUSTOMER,
+    PEER,
+    SERVICE,
+    VIP,
+    Bench,
+    only,
+)
 
 KEY = flow_key(CALLER, VIP, 5)
 
@@ -46,6 +55,22 @@
         self.bench.run(wait=30_000)
         self.assertEqual(self.data().candidates, self.order[:3])
 
+    def test_hint_of_an_agent_is_passed_on_once(self) -> None:
+        hint = FlowHint(KEY, self.order[6], 30_000)
+        self.assertEqual(self.bench.run(hint), [(PEER, hint)])
+        self.bench.core.receive(PEER, FlowHint(KEY, self.order[5], 30_000))
+        self.assertEqual(self.bench.run(), [])
+        self.assertEqual(self.data().candidates[0], self.order[5])
+
+    def test_packets_leave_an_owner_that_is_silent_and_come_back_at_its_word(self) -> None:
+        self.bench.run(FlowHint(KEY, self.order[6], 30_000))
+        for _ in range(8):
+            self.data()
+            self.bench.run(wait=500)
+        self.assertEqual(self.data().candidates[0], self.order[0])
+        self.bench.run(FlowHint(KEY, self.order[6], 30_000), wait=1000)
+        self.assertEqual(self.data().candidates[0], self.order[6])
+
     def test_hint_to_an_upstream_of_another_service_is_not_followed(self) -> None:
         self.bench.run(FlowHint(KEY, self.order[6], 30_000))
         self.bench.catalog.upstreams[self.order[6]].service = 1
