--- a/shallotshore/flows.py
+++ b/shallotshore/flows.py
@@ -3,7 +3,7 @@
 __all__ = ["FlowIntakeSystem", "FlowSystem"]
 
 from shallotshore.admission import can_open, mismatch
-from shallotshore.agent_state import AgentState
+from shallotshore.agent_state import HEARD_LATELY, HOLDER_SILENCE, AgentState
 from shallotshore.agent_tables import ClaimingState, ClaimState, FlowState
 from shallotshore.claiming import begin_claim, end_claim, give_back
 from shallotshore.claims import live_holder
@@ -18,6 +18,7 @@
     FlowReset,
     Forward,
     PacketKind,
+    Release,
     UpstreamClose,
     UpstreamData,
     UpstreamOpen,
@@ -45,8 +46,12 @@
 
     def run(self, now: int) -> None:
         """Runs the step at `now` (ms)."""
-        for _, packet in self._state.inbox.take(Forward):
+        for source, packet in self._state.inbox.take(Forward):
             _take(self._state, packet, now)
+            if packet.hops > 0 and packet.key not in self._state.flows:
+                # The sender may have a claim of this upstream for a flow that is not here.
+                release = Release(packet.key, self._state.own, self._state.next_round())
+                self._state.outbox.send(source, release)
 
 
 class FlowSystem:
@@ -85,8 +90,8 @@
     refusal = _mismatch(state, packet)
     if refusal is None and (state.may_serve or packet.key in state.flows):
         _accept_packet(state, packet, now)
-    elif refusal is None or packet.revision > state.catalog.revision:
-        # What is believed here may be older than the packet; the caller sends it again.
+    elif refusal is None or packet.revision != state.catalog.revision:
+        # Agent or balancer acts on older records and has been told so; the caller sends again.
         state.counters.add("packets_dropped_while_behind")
     else:
         state.counters.add("packets_refused")
@@ -135,7 +140,7 @@
     follower = next_candidate(state, packet)
     if follower is not None and pass_to(state, packet, follower):
         return
-    _refuse(state, packet, refusal or Code.TABLE_FULL)
+    _refuse(state, packet, refusal or Code.TABLE_FULL, now)
 
 
 def _loss(state: AgentState, kept: tuple[ClaimState, int] | None, now: int) -> Code | None:
@@ -149,15 +154,25 @@
     return None
 
 
-def _refuse(state: AgentState, packet: Forward, code: Code) -> None:
+def _refuse(state: AgentState, packet: Forward, code: Code, now: int) -> None:
     """Answers a packet that no candidate takes.
 
-    A restarted agent that has not yet heard from its peers may own the flow, so it stays silent.
+    A restarted agent that has not yet heard from its peers may own the flow, and a witness that
+    is silent for a while may know its owner: until that is clear the caller gets no answer.
     """
-    if packet.kind != PacketKind.OPEN and state.phase.recovering:
-        state.counters.add("packets_dropped_in_recovery")
-        return
-    _reset(state, packet, Code.FLOW_REFUSED if packet.kind == PacketKind.OPEN else code)
+    if packet.kind == PacketKind.OPEN:
+        _reset(state, packet, Code.FLOW_REFUSED)
+    elif state.phase.recovering or _has_silent_witness(state, packet.key, now):
+        state.counters.add("packets_dropped_in_doubt")
+    else:
+        _reset(state, packet, code)
+
+
+def _has_silent_witness(state: AgentState, key: int, now: int) -> bool:
+    former = state.placement.former_witnesses(state.service, key)
+    witnesses = (*state.witnesses(key), *former)
+    silences = [state.silence(peer, now) for peer in witnesses if peer != state.own]
+    return any(HEARD_LATELY <= silence < HOLDER_SILENCE for silence in silences)
 
 
 def _begin(state: AgentState, packet: Forward, now: int) -> bool:
@@ -245,15 +260,15 @@
         return
     state.flows.remove(key)
     for packet in packets:
-        _pass_refused(state, packet, code, holder)
+        _pass_refused(state, packet, code, holder, now)
 
 
-def _pass_refused(state: AgentState, packet: Forward, code: int, holder: int) -> None:
+def _pass_refused(state: AgentState, packet: Forward, code: int, holder: int, now: int) -> None:
     if code == Code.HELD and holder != state.own and pass_to(state, packet, holder):
         return
     follower = next_candidate(state, packet)
     if follower is None or not pass_to(state, packet, follower):
-        _refuse(state, packet, Code.NO_SUCH_FLOW)
+        _refuse(state, packet, Code.NO_SUCH_FLOW, now)
 
 
 def _reply(state: AgentState, data: UpstreamData, now: int) -> None:
@@ -344,17 +359,17 @@
 
 
 def _judge_dispute(state: AgentState, key: int, now: int) -> None:
-    """Gives a flow up when too many witnesses have another holder for it.
+    """Gives a flow up when a quorum of witnesses has another holder for it.
 
     This happens to a process that slept beyond its leases. The caller is not told: its flow is
-    alive at the other holder.
+    alive at the other holder. Fewer witnesses may just hold claims that were given up meanwhile.
     """
     flows = state.flows
     row = flows.row(key)
     if row == MISSING:
         return
     witnesses = flows.witnesses[row]
-    if len(witnesses) - flows.votes[row].bit_count() >= quorum(len(witnesses)):
+    if flows.votes[row].bit_count() < quorum(len(witnesses)):
         return
     state.outbox.send(state.config.local, UpstreamClose(key, Code.FLOW_LOST))
     state.counters.add("flows_disputed")
