--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,10 @@
 soak: setup
 	$(BIN)/python -m bench.soak --seeds $(SEEDS)
 
+# The same checks as in the tests with 20,000 examples each; about two minutes.
+fuzz: setup
+	FUZZ_EXAMPLES=20000 $(BIN)/python -m tests BadInput RoundTrip
+
 # One file that needs only a Python 3.11; see docs/binary.md for where it unpacks itself.
 binary: setup
 	$(BIN)/python .ci/collect_packages.py build/binary
--- a/shallotshore/codec.py
+++ b/shallotshore/codec.py
@@ -1,6 +1,14 @@
 """Messages to bytes and back: one byte of kind, then a msgpack array of the fields."""
 
-__all__ = ["MESSAGE_LIMIT", "Transport", "decode", "encode", "transport_of_bytes", "transport_of"]
+__all__ = [
+    "MESSAGE_LIMIT",
+    "WIRE_ADDRESS",
+    "Transport",
+    "decode",
+    "encode",
+    "transport_of_bytes",
+    "transport_of",
+]
 
 import typing
 from collections.abc import Callable
@@ -21,6 +29,9 @@
 # The configuration service holds values up to a megabyte; a delta part carries at least one.
 MESSAGE_LIMIT = 2 * 1024 * 1024
 _HOST_LENGTH = 64  # characters: an IP number in text, with room for a zone index
+WIRE_ADDRESS: Any = tuple[
+    Annotated[str, Meta(max_length=_HOST_LENGTH)], Annotated[int, Meta(ge=0, le=65535)]
+]
 
 # Numbers of kinds are part of the protocol: they are never changed and never given out again.
 _KINDS: dict[int, type[Message]] = {
@@ -141,8 +152,7 @@
     if field_type is Message:
         return bytes
     if field_type == Address:
-        host = Annotated[str, Meta(max_length=_HOST_LENGTH)]
-        return _tuple_of(host, Annotated[int, Meta(ge=0, le=65535)])
+        return WIRE_ADDRESS
     if _is_named_tuple(field_type):
         hints = typing.get_type_hints(field_type)
         return _tuple_of(*map(_wire_type, hints.values()))
--- a/shallotshore/control.py
+++ b/shallotshore/control.py
@@ -48,7 +48,7 @@
 # Renewed certificates are served by a second server on the port, so the port must be shareable.
 _SERVER_OPTIONS = [*_OPTIONS, ("grpc.so_reuseport", 1)]
 
-_BATCH_DECODER = msgspec.msgpack.Decoder(tuple[tuple[str, int], list[bytes]])
+_BATCH_DECODER = msgspec.msgpack.Decoder(tuple[codec.WIRE_ADDRESS, list[bytes]])
 _ENCODER = msgspec.msgpack.Encoder()
 
 Deliver = Callable[[Address, Message], None]
--- a/shallotshore/datagrams.py
+++ b/shallotshore/datagrams.py
@@ -12,7 +12,7 @@
 from shallotshore.codec import Transport
 from shallotshore.codes import Code
 from shallotshore.messages import Address, Message
-from shallotshore.security import MAC_SIZE, MacKeys
+from shallotshore.security import MAC_SIZE, MacKeys, is_ip_number
 from shallotshore.systems import Counters
 
 DATAGRAM_LIMIT = 65_507  # bytes: the most that UDP over IPv4 carries
@@ -116,6 +116,9 @@
             return
         if self._socket is None:
             return
+        if not is_ip_number(destination[0]):
+            self._counters.add("datagrams.unsent.no_ip_number")
+            return
         try:
             self._socket.sendto(sealed.ok_value, destination)
         except OSError:
--- a/shallotshore/security.py
+++ b/shallotshore/security.py
@@ -1,10 +1,19 @@
 """Keys of the datagram MAC and TLS material, both read from files and renewed without restart."""
 
-__all__ = ["MAC_SIZE", "MacKeys", "MaterialError", "TlsFiles", "TlsMaterial", "is_loopback"]
+__all__ = [
+    "MAC_SIZE",
+    "MacKeys",
+    "MaterialError",
+    "TlsFiles",
+    "TlsMaterial",
+    "is_ip_number",
+    "is_loopback",
+]
 
 import hmac
 import ipaddress
 import ssl
+from functools import lru_cache
 from hashlib import blake2b
 from pathlib import Path
 from typing import NamedTuple, Protocol
@@ -28,6 +37,16 @@
         return False
 
 
+@lru_cache(maxsize=4096)
+def is_ip_number(host: str) -> bool:
+    """Returns whether a host is an IP number; a name would make a send wait for a resolver."""
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return False
+    return True
+
+
 class MacKeys:
     """Keys of the MAC on datagrams between the system's processes.
 
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import functools
+import os
 import typing
 import unittest
 from enum import IntEnum
@@ -23,7 +24,9 @@
     key=lambda message_type: message_type.__name__,
 )
 FABRIC_ONLY = [t for t in ALL_TYPES if t.__name__.startswith("Caller")]
-BUDGET = settings(max_examples=500, derandomize=True, deadline=None, database=None)
+# `make fuzz` raises the budget; the choice of examples is the same in every run.
+EXAMPLES = int(os.environ.get("FUZZ_EXAMPLES", "500"))
+BUDGET = settings(max_examples=EXAMPLES, derandomize=True, deadline=None, database=None)
 
 
 def values_of(field_type: typing.Any) -> st.SearchStrategy:
--- a/tests/test_datagrams.py
+++ b/tests/test_datagrams.py
@@ -3,7 +3,10 @@
 import tempfile
 import unittest
 from pathlib import Path
+from unittest import mock
 
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from result import Err
 
 from shallotshore.codes import Code
@@ -58,6 +61,13 @@
         frame = seal_frame(delta, MacKeys((OLD,))).unwrap()
         self.assertEqual(open_frame(frame, MacKeys((OLD,))), Err(Code.MESSAGE_KIND_UNKNOWN))
 
+    @settings(max_examples=500, derandomize=True, deadline=None, database=None)
+    @given(st.binary(max_size=100))
+    def test_random_frames_give_a_code(self, frame: bytes) -> None:
+        opened = open_frame(frame, MacKeys((OLD,)))
+        if isinstance(opened, Err):
+            self.assertEqual(opened.err_value // 100, 6)
+
 
 class KeyFileTest(unittest.TestCase):
     """Guards against a rotation that needs a restart or that a bad file ends."""
@@ -100,6 +110,13 @@
         await until(lambda: len(self.received) == 300)
         self.assertEqual(self.received[299], (first._address, RevisionNotice(299)))
 
+    async def test_names_are_not_resolved(self) -> None:
+        # Resolving blocks the loop, and hosts in messages are chosen by their senders.
+        endpoint = await self.open()
+        with mock.patch("socket.getaddrinfo", side_effect=AssertionError):
+            endpoint.send(("host.invalid", 53), RevisionNotice(1))
+        self.assertEqual(self.counters["datagrams.unsent.no_ip_number"], 1)
+
     async def test_too_large_messages_are_counted_and_not_sent(self) -> None:
         endpoint = await self.open()
         endpoint.send(endpoint._address, CallerData(1, bytes(70_000)))
