--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -6,6 +6,7 @@
 
 from shallotshore.agent import AgentConfig, AgentCore
 from shallotshore.agent_state import ROUND_BITS
+from shallotshore.agent_tables import ClaimState
 from shallotshore.catalog import Catalog
 from shallotshore.claims import REQUEST_LEASE, TOMBSTONE_LEASE, judge_claim, live_holder, take_back
 from shallotshore.codes import Code
@@ -152,6 +153,16 @@
         self.assertIsNotNone(live_holder(self.state, 9, OLD + 58_000))
         self.assertIsNone(live_holder(self.state, 9, OLD + 59_000))
 
+    def test_new_incarnation_of_the_holder_loses_its_flows(self) -> None:
+        """Its releases may be lost, and nobody else can tell the caller."""
+        holder = self.state.peer_ids()[0]
+        self.judge(claim(holder, 1, ClaimKind.FLOW))
+        self.core.tick(OLD)
+        beat = Heartbeat(holder, SERVICE, 1, 2, 1, 1, self.state.load(), 1, 0, 0)  # type: ignore
+        self.core.receive(("10.2.0.1", 4000), beat)
+        self.core.tick(OLD)
+        self.assertEqual(live_holder(self.state, 9, OLD), (ClaimState.LOST, holder))
+
     def test_full_table_refuses_new_keys(self) -> None:
         self.judge(claim(11, 1))
         self.state.claims._limit = 1
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -6,6 +6,7 @@
 from shallotshore.codes import Code
 from shallotshore.hashing import name_id, request_key
 from shallotshore.messages import (
+    Attempt,
     AttemptAnswer,
     CancelAttempt,
     Cancelled,
@@ -13,6 +14,7 @@
     UpstreamAnswer,
     UpstreamCancel,
 )
+from shallotshore.records import DataCentre
 from tests.agents import ACME, GROVE, OTHER_VIP, VIP, YOUTH, FakeUpstream, Fleet, attempt
 
 
@@ -185,6 +187,23 @@
         self.assertEqual(self.codes(), [*expected, Code.UNKNOWN_ADDRESS])
         self.assertEqual(self.started(), 0)
 
+    def test_attempt_is_not_passed_into_a_removed_data_centre(self) -> None:
+        order = self.order(b"a")
+        self.fleet.upstream(order[0]).service_time = 3_000
+        self.fleet.send(order[0], attempt(b"a", order, 1))
+        self.fleet.run(50)
+        centre = self.fleet.agent(order[0]).state.config.data_centre
+        kept = [r for r in self.fleet.records if getattr(r, "name", "") != centre]
+        self.fleet.publish(2, [*kept, DataCentre(centre, "suva", "out")])
+        outside = [u for u in order if self.fleet.agent(u).state.config.data_centre != centre]
+        self.fleet.flown.clear()
+        self.fleet.send(outside[0], attempt(b"a", (outside[0], order[0]), 2))
+        self.fleet.run(400)
+        removed = self.fleet.agent(order[0]).state.config.address
+        passed = [to for to, message in self.fleet.flown if isinstance(message, Attempt)]
+        self.assertNotIn(removed, passed)
+        self.assertEqual(self.started(), 1)
+
     def test_crossed_answers_are_dropped(self) -> None:
         """An answer for another customer, try or incarnation must reach nobody."""
         order = self.order(b"a")
