Correct only witnesses that take an upstream for the owner

Cause: every packet that was passed as to a candidate drew a release. Change: a release answers packets that do not name the upstream as a candidate, and none while it recovers its flows, which would have freed them.

--- a/shallotshore/flows.py
+++ b/shallotshore/flows.py
@@ -48,10 +48,7 @@
         """Runs the step at `now` (ms)."""
         for source, packet in self._state.inbox.take(Forward):
             _take(self._state, packet, now)
-            if packet.hops > 0 and packet.key not in self._state.flows:
-                # The sender may have a claim of this upstream for a flow that is not here.
-                release = Release(packet.key, self._state.own, self._state.next_round())
-                self._state.outbox.send(source, release)
+            _correct(self._state, source, packet)
 
 
 class FlowSystem:
@@ -85,6 +82,14 @@
             _give_up_idle(state, row, now)
 
 
+def _correct(state: AgentState, source: Address, packet: Forward) -> None:
+    """Releases the claim by which a witness has taken this upstream for the owner of a flow."""
+    is_meant_as_owner = packet.hops > 0 and state.own not in packet.candidates
+    if is_meant_as_owner and packet.key not in state.flows and not state.phase.recovering:
+        release = Release(packet.key, state.own, state.next_round())
+        state.outbox.send(source, release)
+
+
 def _take(state: AgentState, packet: Forward, now: int) -> None:
     state.note_revision(packet.balancer, packet.revision)
     refusal = _mismatch(state, packet)
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -127,6 +127,13 @@
         sent = self.run_parent(200, deaf=True)
         self.assertFalse([message for message in sent if isinstance(message, FlowReset)])
 
+    def test_answers_go_to_a_parent_when_the_balancer_is_gone(self) -> None:
+        state = self.core.state
+        self.run_parent(100)
+        state.known_balancers.add(("10.1.0.9", 4000))
+        self.assertEqual(state.live_balancer(("10.1.0.9", 4000)), BALANCER)
+        self.assertEqual(state.live_balancer(("10.1.0.8", 4000)), ("10.1.0.8", 4000))
+
     def test_heartbeats_go_to_the_parents(self) -> None:
         beats = [m for m in self.run_parent(2_000) if isinstance(m, Heartbeat)]
         self.assertGreaterEqual(len(beats), 3)
