Test that a recovering owner frees none of its claims

Cause: the release of a stale claim must not come from an owner that has not recovered its flows yet. Change: a test.

--- a/tests/test_flows.py
+++ b/tests/test_flows.py
@@ -3,7 +3,7 @@
 import unittest
 from dataclasses import replace
 
-from shallotshore.agent_tables import FlowState
+from shallotshore.agent_tables import ClaimState, FlowState
 from shallotshore.claiming import DISPUTE_ROUND
 from shallotshore.claims import drop_flow_claim, judge_claim, live_holder
 from shallotshore.codes import Code
@@ -253,6 +253,21 @@
         )
         self.assertEqual(self.echoes(self.order[2]), 1)
 
+    def test_packets_during_recovery_free_no_claim(self) -> None:
+        """A witness sends them to an owner that does not know its flow yet."""
+        self.open()
+        self.fleet.delay = (30, 30)
+        self.fleet.restart(self.order[0], incarnation=2)
+        self.fleet.run(10)
+        for target in self.order[1:]:
+            self.fleet.send(target, packet(PacketKind.DATA, [target]))
+        self.fleet.run(500)
+        holders = [
+            live_holder(self.fleet.agent(target).state, self.key, self.fleet.now)
+            for target in self.order[1:]
+        ]
+        self.assertEqual(holders, [(ClaimState.HELD, self.order[0])] * 2)
+
 
 if __name__ == "__main__":
     unittest.main()
