Recover flows also when the upstream is heard late, and vouch as new only once

Cause: the 2 s for recovery counted from the start of the agent, so that an upstream heard later lost its flows; a record that was removed and added again made a young witness vouch. Change: recovery counts from when peers and upstream are known; only the first record of a process counts. Measured: the new test fails without the change; 60 tests of the agent pass.

--- a/shallotshore/agent_state.py
+++ b/shallotshore/agent_state.py
@@ -107,6 +107,8 @@
         stopping_since: Start of the graceful stop.
         recovering: Whether peers are still asked for the flows of the upstream.
         handing_over: Whether the process has stopped to be a witness.
+        is_member: Whether the process has seen a record of its upstream.
+        was_absent: Whether it has seen the service's records without one.
     """
 
     started: int = 0
@@ -114,6 +116,8 @@
     stopping_since: int = 0
     recovering: bool = True
     handing_over: bool = False
+    is_member: bool = False
+    was_absent: bool = False
 
 
 @dataclass(slots=True)
@@ -196,12 +200,8 @@
 
     def follow_table(self, now: int) -> None:
         """Takes over what the catalog says of the service, for the tick at `now` (ms)."""
-        was_absent = self.record is None and self.catalog.upstreams_of(self.service)
         self.record = self.catalog.upstream(self.own)
-        if was_absent and self.record is not None and self.may_serve:
-            # A witness that was running before it became one has lost no grant.
-            self.phase.vouched_from = NEVER
-            self.counters.add("vouched_as_new")
+        self._note_entry()
         self.data_centre_in = self.catalog.data_centre_in(self.data_centre)
         self.placement.refresh(now)
         table = self.catalog.membership(self.service)
@@ -209,6 +209,20 @@
         self.table = table
         self._follow_balancers()
 
+    def _note_entry(self) -> None:
+        """Lets a witness vouch at once that was running before its record appeared.
+
+        It has lost no grant, unlike one that was restarted.
+        """
+        if self.phase.is_member:
+            return
+        self.phase.is_member = self.record is not None
+        if self.record is None:
+            self.phase.was_absent = self.may_serve and bool(self.catalog.upstreams_of(self.service))
+        elif self.phase.was_absent:
+            self.phase.vouched_from = NEVER
+            self.counters.add("vouched_as_new")
+
     def load(self) -> Load:
         """Returns the load that rides on answers and heartbeats."""
         waiting = self.work.claiming + self.work.queued
--- a/shallotshore/peers.py
+++ b/shallotshore/peers.py
@@ -33,7 +33,7 @@
 PARENT_INTERVAL = 500  # ms between heartbeats to parent balancers
 PEER_INTERVAL = 1_000  # ms between heartbeats to agents of the service
 RECOVERY_INTERVAL = 100  # ms between questions to a peer that has not answered
-RECOVERY_TIME = 2_000  # ms after which a restarted agent stops asking
+RECOVERY_TIME = 2_000  # ms of asking, counted from when peers and upstream are known
 MISMATCHES_BEFORE_QUERY = 2  # a claim or release in flight makes one heartbeat differ
 QUERY_INTERVAL = 3_000  # ms between list syncs of one peer
 MOVED_FLOWS = 64  # flows whose witnesses are computed anew in one tick, in under 2 ms
@@ -50,6 +50,7 @@
         "_next_parents",
         "_next_peers",
         "_next_query",
+        "_recovery_began",
         "_sequence",
         "_state",
         "_told",
@@ -61,6 +62,7 @@
         self._next_parents = 0
         self._next_peers = 0
         self._next_query = 0
+        self._recovery_began = 0
         self._told = HealthState.DOWN
         self._moving: list[int] = []
         self._gained: set[int] = set()
@@ -125,9 +127,11 @@
         state = self._state
         if not state.phase.recovering or state.upstream.incarnation == 0:
             return
+        if not state.catalog.upstreams_of(state.service):
+            return
+        self._recovery_began = self._recovery_began or now
         silent = [peer for peer in state.peer_ids() if not _has_answered(state, peer)]
-        known = bool(state.catalog.upstreams_of(state.service))
-        if (known and not silent) or now - state.phase.started >= RECOVERY_TIME:
+        if not silent or now - self._recovery_began >= RECOVERY_TIME:
             state.phase.recovering = False
             return
         if now >= self._next_query:
--- a/tests/test_flows.py
+++ b/tests/test_flows.py
@@ -253,6 +253,15 @@
         )
         self.assertEqual(self.echoes(self.order[2]), 1)
 
+    def test_agent_whose_upstream_answers_late_recovers_too(self) -> None:
+        self.open()
+        self.fleet.upstream(self.order[0]).silent = True
+        core = self.fleet.restart(self.order[0], incarnation=2)
+        self.fleet.run(3_000)
+        self.fleet.upstream(self.order[0]).silent = False
+        self.fleet.run(300)
+        self.assertIn(self.key, core.state.flows)
+
     def test_packets_during_recovery_free_no_claim(self) -> None:
         """A witness sends them to an owner that does not know its flow yet."""
         self.open()
