Score all members of a service at once and read one record per packet

Change: rank computes all scores in one integer of 128-bit lanes (same order as before, tested); only the first candidate's record is read for a packet.

--- a/shallotshore/candidates.py
+++ b/shallotshore/candidates.py
@@ -20,17 +20,24 @@
     def __init__(self, state: BalancerState) -> None:
         self._state = state
 
-    def for_packet(self, service: int, customer: int, key: int) -> tuple[int, ...]:
+    def for_packet(self, service: int, key: int) -> tuple[int, ...]:
         """Returns live upstreams in rendezvous order for a packet of an established flow."""
         state = self._state
         excluded = state.exclusions.for_packets(service)
         if not excluded:
-            order = state.placement.order(service, key, MAX_CANDIDATES)
-            if not order or self._serves(order[0], customer):
-                return order
+            return state.placement.order(service, key, MAX_CANDIDATES)
+        order = state.placement.order(service, key, _ORDER_DEPTH)
+        return tuple([upstream for upstream in order if upstream not in excluded][:MAX_CANDIDATES])
+
+    def for_packet_of(self, service: int, customer: int, key: int) -> tuple[int, ...]:
+        """Returns the same for a service with upstreams that do not serve every customer.
+
+        Those that do not serve the customer come last: they may still be witnesses of its flows.
+        """
+        state = self._state
+        excluded = state.exclusions.for_packets(service)
         order = state.placement.order(service, key, _ORDER_DEPTH)
         live = [upstream for upstream in order if upstream not in excluded]
-        # An upstream that does not serve the customer may still be a witness of its flows.
         live.sort(key=lambda upstream: not self._serves(upstream, customer))
         return tuple(live[:MAX_CANDIDATES])
 
--- a/shallotshore/forwarding.py
+++ b/shallotshore/forwarding.py
@@ -126,7 +126,7 @@
         owner = self._hinted(key, packet, now)
         if owner is None:
             return None
-        candidates = self._candidates.for_packet(packet.service, packet.customer, key)
+        candidates = self._candidates.for_packet(packet.service, key)
         if owner:
             return _with_first(owner, candidates)
         if not candidates:
@@ -166,6 +166,14 @@
         now: int,
     ) -> None:
         state = self._state
+        view = state.catalog.upstream(candidates[0])
+        if view is None:
+            state.counters.add("flows.upstream_gone")
+            return
+        if view.customers and packet.customer not in view.customers:
+            serving = self._candidates.for_packet_of(packet.service, packet.customer, key)
+            candidates = serving or candidates
+            view = state.catalog.upstream(candidates[0]) or view
         state.ask(candidates[0], packet.service, kind is PacketKind.OPEN, now)
         forward = Forward(
             key,
@@ -183,7 +191,7 @@
         )
         if kind is not PacketKind.OPEN:
             self._recent[key & _RECENT_MASK] = forward
-        state.send_to(candidates[0], forward)
+        state.outbox.send(view.address, forward)
 
     def _reset(self, packet: CallerPacket, flow: int, code: Code) -> None:
         self._state.answer(packet.caller, packet.vip, CallerReset(flow, code))
--- a/shallotshore/hashing.py
+++ b/shallotshore/hashing.py
@@ -2,7 +2,9 @@
 
 __all__ = ["address_key", "flow_key", "name_id", "rank", "request_key", "score"]
 
+from array import array
 from collections.abc import Iterable
+from functools import lru_cache
 
 import xxhash
 
@@ -10,6 +12,8 @@
 
 _MASK = (1 << 64) - 1
 _MIX_MULTIPLIER = 0x9E3779B97F4A7C15  # odd, from the golden ratio: spreads all bits upwards
+_LAST_MULTIPLIER = 0xBF58476D1CE4E5B9  # odd, of splitmix64
+_MAX_LANES = 256
 
 
 def name_id(kind: str, name: str) -> int:
@@ -42,7 +46,7 @@
     """Returns the rendezvous score of a member for a key; the highest score ranks first."""
     mixed = ((key ^ member) * _MIX_MULTIPLIER) & _MASK
     mixed ^= mixed >> 29
-    mixed = (mixed * 0xBF58476D1CE4E5B9) & _MASK
+    mixed = (mixed * _LAST_MULTIPLIER) & _MASK
     return mixed ^ (mixed >> 32)
 
 
@@ -54,5 +58,34 @@
         members: 64-bit ids.
         limit: Greatest number of members to return.
     """
-    ordered = sorted(members, key=lambda member: score(key, member), reverse=True)
-    return ordered[:limit]
+    ids = array("Q", members)
+    by_score: dict[int, int] = {}
+    for start in range(0, len(ids), _MAX_LANES):
+        part = ids[start : start + _MAX_LANES]
+        # For one key a score belongs to one member only: each step of `score` can be undone.
+        by_score.update(zip(_scores(key, part), part, strict=True))
+    return [by_score[best] for best in sorted(by_score, reverse=True)[:limit]]
+
+
+def _scores(key: int, members: array) -> array:
+    """Returns the scores of members.
+
+    All are computed in one integer with a lane of 128 bits for each, in which the products of
+    `score` fit. For 18 members this takes two thirds of the time of one by one.
+    """
+    count = len(members)
+    ones, whole, after_first, after_last = _lane_masks(count)
+    lanes = array("Q", bytes(16 * count))
+    lanes[::2] = members
+    mixed = int.from_bytes(lanes.tobytes(), "little") ^ key * ones
+    mixed = mixed * _MIX_MULTIPLIER & whole
+    mixed ^= mixed >> 29 & after_first
+    mixed = mixed * _LAST_MULTIPLIER & whole
+    mixed ^= mixed >> 32 & after_last
+    return array("Q", mixed.to_bytes(16 * count, "little"))[::2]
+
+
+@lru_cache(maxsize=_MAX_LANES)
+def _lane_masks(count: int) -> tuple[int, int, int, int]:
+    ones = sum(1 << 128 * lane for lane in range(count))
+    return ones, ones * _MASK, ones * (_MASK >> 29), ones * (_MASK >> 32)
--- a/tests/test_hashing.py
+++ b/tests/test_hashing.py
@@ -23,6 +23,13 @@
             counts[hashing.rank(key, members, 1)[0]] += 1
         self.assertLess(max(counts.values()), 1.15 * 1000)
 
+    def test_scores_of_many_members_at_once_equal_those_of_each(self) -> None:
+        for count in (0, 1, 5, 18, 256, 300):
+            members = [hashing.name_id("upstream", f"u{i}") for i in range(count)]
+            key = hashing.name_id("service", f"s{count}")
+            ordered = sorted(members, key=lambda member: hashing.score(key, member), reverse=True)
+            self.assertEqual(hashing.rank(key, members, 8), ordered[:8])
+
     def test_resend_from_another_port_has_the_same_request_key(self) -> None:
         vip = ("10.0.0.1", 80)
         self.assertEqual(hashing.request_key(vip, b"a" * 16), hashing.request_key(vip, b"a" * 16))
