Make all copies agree on contested addresses and last good records

Cause: random histories showed copies that gave one address to different customers, since the order in which a copy saw the records decided; and readers that missed a revision kept an older good record without notice. Change: readers judge records that claim addresses, in order of publication, and relay the refused ones marked as such; copies follow that. The digest covers the good revision beside the refused one. Two readers' diverging histories are merged, and the record published first owns the address. Repairs that change nothing become rarer, since versions of the program that accept different schemas cannot agree.

--- /dev/null
+++ b/shallotshore/addresses.py
@@ -0,0 +1,60 @@
+"""Which customer and service an address (VIP) belongs to."""
+
+__all__ = ["AddressBook", "Route"]
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+
+class Route(NamedTuple):
+    """The pair to which an address belongs."""
+
+    service: int
+    customer: int
+
+
+class AddressBook:
+    """Owners of addresses by address key.
+
+    Readers refuse a record that claims an address in use. Copies of two readers that saw different
+    histories may hold such records for a moment; all copies then choose the same owner.
+    """
+
+    __slots__ = ("_rivals", "_routes")
+
+    def __init__(self) -> None:
+        self._rivals: dict[int, dict[int, Route]] = {}
+        self._routes: dict[int, Route] = {}
+
+    def get(self, address: int) -> Route | None:
+        """Returns the route of an address, or None."""
+        return self._routes.get(address)
+
+    def bind(self, address: int, route: Route) -> None:
+        """Gives an address to a customer, or makes it a rival of the present owner."""
+        present = self._routes.setdefault(address, route)
+        if present.customer == route.customer:
+            self._routes[address] = route
+            return
+        # The present owner may give the address up later in the same update.
+        rivals = self._rivals.setdefault(address, {present.customer: present})
+        rivals[route.customer] = route
+
+    def unbind(self, address: int, customer: int) -> None:
+        """Takes an address from a customer."""
+        self._rivals.get(address, {}).pop(customer, None)
+        route = self._routes.get(address)
+        if route is not None and route.customer == customer:
+            del self._routes[address]
+
+    def settle(self, precedence: Callable[[int], tuple[int, int]]) -> None:
+        """Chooses the owners of addresses that several customers claim.
+
+        Args:
+            precedence: Of a customer; the lowest one gets the address.
+        """
+        for address, rivals in list(self._rivals.items()):
+            if rivals:
+                self._routes[address] = rivals[min(rivals, key=precedence)]
+            if len(rivals) <= 1:
+                del self._rivals[address]
--- a/shallotshore/catalog.py
+++ b/shallotshore/catalog.py
@@ -9,12 +9,12 @@
 
 from result import Ok, Result
 
+from shallotshore.addresses import AddressBook, Route
 from shallotshore.catalog_tables import (
     INHERITED_LIMIT,
     INHERITED_WARMUP,
     CustomerTable,
     DataCentreTable,
-    Route,
     ServiceTable,
     UpstreamStore,
     UpstreamView,
@@ -55,12 +55,12 @@
     """
 
     __slots__ = (
+        "_addresses",
         "_customers",
         "_data_centres",
         "_epoch",
         "_members",
         "_memberships",
-        "_routes",
         "_services",
         "store",
     )
@@ -77,7 +77,7 @@
         self._services = ServiceTable(SERVICE_LIMIT)
         self._data_centres = DataCentreTable(DATA_CENTRE_LIMIT)
         self._customers = CustomerTable(CUSTOMER_LIMIT)
-        self._routes: dict[int, Route] = {}
+        self._addresses = AddressBook()
         self._epoch = 1
         # Sets of upstreams and their revisions as they will be when the present update is complete.
         self._members: dict[int, array] = {}
@@ -120,7 +120,7 @@
 
     def route(self, vip: Address) -> Route | None:
         """Returns the service and customer of an address, or None."""
-        return self._routes.get(address_key(vip))
+        return self._addresses.get(address_key(vip))
 
     def services(self) -> Iterator[int]:
         """Iterates over the ids of all services that have a record or are named by one."""
@@ -235,19 +235,21 @@
             return Ok(Members(key.removeprefix(_MEMBERS_PREFIX)))
         return read_record(key, text)
 
-    def may_heal(self, key: str) -> bool:
-        """Whether a refused record may be in force later: a customer, once an address is free."""
-        return key.startswith("customer/")
+    def has_room(self, record: object) -> bool:
+        """Whether the tables can take the rows that a record adds."""
+        return all(len(table) + new <= table.limit for table, new in _new_rows(record, self))
+
+    def waits(self, record: object) -> bool:
+        """Whether a record claims addresses, which belong to one customer each."""
+        return isinstance(record, Customer)
 
     def conflict(self, record: object) -> Problem | None:
-        """Returns why a record cannot be in force: a full table or an address in use."""
-        if any(len(table) + new > table.limit for table, new in _new_rows(record, self)):
-            return Problem(Code.TABLE_FULL, key_of(record), "", "too many rows of one table")
+        """Returns why a customer cannot have its addresses."""
         if not isinstance(record, Customer):
             return None
         customer = name_id("customer", record.name)
         for binding in record.bindings:
-            route = self._routes.get(address_key(binding.address))
+            route = self._addresses.get(address_key(binding.address))
             if route is not None and route.customer != customer:
                 host, port = binding.address
                 detail = f"{host}:{port} belongs to {self.name(route.customer)}"
@@ -276,6 +278,8 @@
 
     def close(self, update: Update) -> None:
         """Puts new sets of upstreams in force together with their revisions."""
+        revisions = self.store.record_revision
+        self._addresses.settle(lambda customer: (revisions[self.store.row(customer)], customer))
         services = self._services
         for service, members in self._members.items():
             services.members[services.row(service)] = members
@@ -323,10 +327,11 @@
             self._memberships[service] = max(self._memberships.get(service, 0), revision)
 
     def _unbind(self, customer: int) -> None:
+        customer_id = self._customers.key[customer]
         for address, service in self._customers.bindings[customer]:
-            self._routes.pop(address, None)
+            self._addresses.unbind(address, customer_id)
             row = self._services.row(service)
-            users = set(self._services.customers[row]) - {self._customers.key[customer]}
+            users = set(self._services.customers[row]) - {customer_id}
             self._services.customers[row] = tuple(users)
             self.changed_services.add(service)
         self._customers.bindings[customer] = ()
@@ -387,7 +392,7 @@
         service = catalog._service_row(binding.service)
         service_id = catalog._services.key[service]
         bindings.append((address_key(binding.address), service_id))
-        catalog._routes[bindings[-1][0]] = Route(service_id, catalog.store.key[row])
+        catalog._addresses.bind(bindings[-1][0], Route(service_id, catalog.store.key[row]))
         users = set(catalog._services.customers[service]) | {catalog.store.key[row]}
         catalog._services.customers[service] = tuple(sorted(users))
         catalog.changed_services.add(service_id)
--- a/shallotshore/catalog_tables.py
+++ b/shallotshore/catalog_tables.py
@@ -5,7 +5,6 @@
     "INHERITED_WARMUP",
     "CustomerTable",
     "DataCentreTable",
-    "Route",
     "ServiceTable",
     "UpstreamStore",
     "UpstreamView",
@@ -28,13 +27,6 @@
 _LONG_ADDRESS = 4
 
 
-class Route(NamedTuple):
-    """The pair to which an address belongs."""
-
-    service: int
-    customer: int
-
-
 class UpstreamView(NamedTuple):
     """One upstream by ids; `warmup` is in milliseconds, empty `customers` stands for all."""
 
--- a/shallotshore/intake.py
+++ b/shallotshore/intake.py
@@ -13,6 +13,9 @@
 REQUEST_MS = 300  # time to answer a request; above the round trip between data centres
 REQUEST_MAX_MS = 2400
 REPAIR_MS = 5000  # a repair sends everything, so it is rare
+# Versions of the program that accept different schemas cannot be repaired, so repairs that change
+# nothing become rarer.
+REPAIR_MAX_MS = 600_000
 
 
 class Transfer:
@@ -43,14 +46,15 @@
 class Wish:
     """What is known to be missing from one replica."""
 
-    __slots__ = ("address", "attempts", "next_request", "repaired_at", "revision")
+    __slots__ = ("address", "attempts", "next_repair", "next_request", "repair_wait", "revision")
 
     def __init__(self) -> None:
         self.revision = 0
         self.address: Address | None = None
         self.attempts = 0
         self.next_request = 0
-        self.repaired_at = NEVER
+        self.next_repair = NEVER
+        self.repair_wait = REPAIR_MS
 
 
 class Intake:
@@ -105,8 +109,9 @@
     def repair(self, source: Source, address: Address, now: int) -> None:
         """Asks for everything after a mismatch of digests at equal revisions."""
         wish = self._wishes[source]
-        if now - wish.repaired_at >= REPAIR_MS:
-            wish.repaired_at = now
+        if now >= wish.next_repair:
+            wish.next_repair = now + wish.repair_wait
+            wish.repair_wait = min(wish.repair_wait * 2, REPAIR_MAX_MS)
             self._peering.counters.add("propagation.repairs")
             self._peering.send(address, self._request(source, 0))
 
@@ -162,8 +167,11 @@
         if transfer is None:
             return
         update = transfer.update
-        held = self._peering.replicas[source].revision
+        replica = self._peering.replicas[source]
+        held, digest = replica.revision, replica.digest(0)
         update.step(RECORDS_PER_SLICE if held else RECORDS_PER_FIRST_SLICE)
+        if update.revision == held and replica.digest(0) != digest:
+            self._wishes[source].repair_wait = REPAIR_MS
         if update.result is not None:
             del self._transfers[source]
             self._report(source, update.result)
--- a/shallotshore/membership.py
+++ b/shallotshore/membership.py
@@ -159,10 +159,6 @@
             return Err([Problem(Code.RECORD_KIND_UNKNOWN, key, "", f"{kind} is not vm")])
         return read_object(key, text, _SCHEMA)
 
-    def conflict(self, record: object) -> Problem | None:
-        """Returns None: VMs have no conflicts."""
-        return None
-
     def is_kept(self, record: object) -> bool:
         """Whether an entry is relayed: balancers and leaving agents are."""
         return isinstance(record, Vm) and (record.role == "balancer" or record.state == "leaving")
--- a/shallotshore/relay.py
+++ b/shallotshore/relay.py
@@ -24,7 +24,8 @@
 OFFER_AFTER_PUSH_MS = (200, 600)
 FOLLOWER_SILENCE_MS = 10_000  # an agent that has offered nothing for so long is forgotten
 FOLLOWER_LIMIT = 4096
-FOLLOWER_REPAIR_MS = 2000
+FOLLOWER_REPAIR_MS = 2000  # doubled with each repair that does not help, as between balancers
+FOLLOWER_REPAIR_MAX_MS = 600_000
 SENDING_LIMIT = 4096
 ENTRIES_PER_PART = 256
 ENTRIES_PER_TICK = 512  # an entry takes up to 4 us to select
@@ -36,12 +37,13 @@
 class Follower:
     """An agent that follows this balancer, and the revisions it is known to hold."""
 
-    __slots__ = ("held", "repaired_at", "scopes", "seen")
+    __slots__ = ("held", "next_repair", "repair_wait", "scopes", "seen")
 
     def __init__(self) -> None:
         self.scopes: dict[Source, int] = {}
         self.held: dict[Source, int] = {}
-        self.repaired_at = NEVER
+        self.next_repair = NEVER
+        self.repair_wait = FOLLOWER_REPAIR_MS
         self.seen = 0
 
 
@@ -163,11 +165,14 @@
         elif offer.revision < replica.revision:
             self._start(address, offer.source, offer.service, offer.revision)
         elif offer.revision and offer.digest != replica.digest(offer.service):
-            if follower is not None and now - follower.repaired_at >= FOLLOWER_REPAIR_MS:
-                follower.repaired_at = now
+            if follower is not None and now >= follower.next_repair:
+                follower.next_repair = now + follower.repair_wait
+                follower.repair_wait = min(follower.repair_wait * 2, FOLLOWER_REPAIR_MAX_MS)
                 self._peering.counters.add("propagation.slices_repaired")
                 self._start(address, offer.source, offer.service, 0)
         elif offer.source == Source.CONFIGURATION:
+            if follower is not None:
+                follower.repair_wait = FOLLOWER_REPAIR_MS
             self._peering.send(address, RevisionNotice(replica.revision))
 
     def _answer_request(self, address: Address, request: DeltaRequest, now: int) -> None:
--- a/shallotshore/replica.py
+++ b/shallotshore/replica.py
@@ -6,12 +6,12 @@
 from collections.abc import Iterable, Iterator
 from typing import NamedTuple
 
-from result import Err, Ok, Result
+from result import Err, Result
 
 from shallotshore.codes import Code
 from shallotshore.messages import Entry
 from shallotshore.record_reader import Problem
-from shallotshore.store import RecordStore, id_of
+from shallotshore.store import CONTESTED, RecordStore, id_of
 from shallotshore.tables import MISSING
 from shallotshore.texts import pack, unpack
 
@@ -115,14 +115,12 @@
         self.changed_data_centres.clear()
 
     def _entries(self, key_ids: Iterable[int]) -> Iterator[Entry]:
-        refused = {}
+        refused = []
         for key_id in key_ids:
             yield from self.store.entries_of(key_id)
             if key_id in self.store.refused:
-                refused[key_id] = self.store.refused[key_id]
-        # Texts in force go first, so that a receiver settles conflicts as this process did.
-        for _, entry in sorted(refused.items(), key=_refused_order):
-            yield entry
+                refused.append(key_id)
+        yield from self.store.refused_among(refused)
 
     def slice_ids(self, scope: int) -> Iterable[int]:
         """Returns the ids of all keys in a slice; each id once."""
@@ -140,14 +138,18 @@
         """Reads a text; some kinds exist only between processes of the system."""
         raise NotImplementedError
 
-    def conflict(self, record: object) -> Problem | None:
-        """Returns why a record cannot be in force beside the present ones."""
-        raise NotImplementedError
+    def has_room(self, record: object) -> bool:
+        """Whether the tables can take the rows that a record adds."""
+        return True
 
-    def may_heal(self, key: str) -> bool:
-        """Whether a refused record may be in force once other records have changed."""
+    def waits(self, record: object) -> bool:
+        """Whether a published record may conflict with others, so that its order matters."""
         return False
 
+    def conflict(self, record: object) -> Problem | None:
+        """Returns why a published record cannot be in force beside the present ones."""
+        return None
+
     def is_kept(self, record: object) -> bool:
         """Whether a published record is held and relayed."""
         return True
@@ -169,8 +171,8 @@
         raise NotImplementedError
 
 
-def _refused_order(item: tuple[int, Entry]) -> tuple[int, str]:
-    return item[1].revision, item[1].key
+def _order(entry: Entry) -> tuple[int, str]:
+    return entry.revision, entry.key
 
 
 class Update:
@@ -203,7 +205,7 @@
         self._is_last = False
         self._slices = 0
         self._waiting: deque[Entry] = deque()
-        self._deferred: list[tuple[Entry, object, Problem]] = []
+        self._deferred: list[tuple[Entry, object]] = []
         self._problems: list[Problem] = []
         self._seen: set[int] = set()
         self._work = self._run()
@@ -236,8 +238,8 @@
         """Says that all entries were fed."""
         self._ended = True
         if not self.relayed:
-            # Every reader of a revision must settle conflicts in the same order.
-            self._waiting = deque(sorted(self._waiting, key=lambda entry: entry[:2][::-1]))
+            # Every reader of a revision must come to the same result.
+            self._waiting = deque(sorted(self._waiting, key=_order))
 
     def step(self, limit: int) -> int:
         """Works off entries.
@@ -298,6 +300,10 @@
         if not entry.text:
             self._delete(entry, key_id)
             return
+        if self.relayed and entry.key.startswith(CONTESTED):
+            # The reader's judgement holds, since this process may not have seen all it rests on.
+            store.refuse(entry._replace(key=entry.key.removeprefix(CONTESTED)), contested=True)
+            return
         if not self.relayed:
             entry = entry._replace(text=pack(entry.text))
         read = self._read(entry)
@@ -327,47 +333,69 @@
 
     def _refuse(self, entry: Entry, problems: Iterable[Problem]) -> None:
         self._problems.extend(problems)
-        self._replica.store.refuse(entry)
+        self._replica.store.refuse(entry, contested=False)
 
-    def _put(self, key_id: int, entry: Entry, record: object) -> bool:
+    def _put(self, key_id: int, entry: Entry, record: object) -> None:
         store = self._replica.store
         row = store.row(key_id)
         if row != MISSING and store.record_key(row) != entry.key:
             detail = f"has the same id as {store.record_key(row)}"
             self._problems.append(Problem(Code.RECORD_ID_COLLISION, entry.key, "name", detail))
-            return False
-        problem = self._replica.conflict(record)
-        if problem is not None:
-            self._deferred.append((entry, record, problem))
-            return False
-        row = store.write(key_id, entry)
+            return
+        if not self.relayed and self._replica.waits(record):
+            self._deferred.append((entry, record))
+            return
+        self._write(key_id, entry, record)
+
+    def _write(self, key_id: int, entry: Entry, record: object) -> None:
+        row = MISSING
+        if self._replica.has_room(record):
+            row = self._replica.store.write(key_id, entry)
         if row == MISSING:
-            self._problems.append(Problem(Code.TABLE_FULL, entry.key, "", "too many records"))
-            return False
+            self._refuse(entry, [Problem(Code.TABLE_FULL, entry.key, "", "a table is full")])
+            return
         self._replica.put(row, record, self)
-        return True
 
-    def _retry_refused(self) -> Iterator[None]:
-        """Tries the records again that were refused beside others that may be gone now."""
-        for key_id, entry in sorted(self._replica.store.refused.items(), key=_refused_order):
-            if self._replica.may_heal(entry.key):
-                read = self._read(entry)
-                if isinstance(read, Ok):
-                    self._put(key_id, entry, read.ok_value)
-                yield
+    def _settle(self) -> Iterator[None]:
+        """Puts records that may conflict in force, in order of publication as far as they can be.
 
-    def _sweep(self) -> Iterator[None]:
-        yield from self._retry_refused()
+        Those refused earlier take part, since what they conflicted with may be gone.
+        """
+        waiting = sorted(self._deferred + self._contested(), key=lambda item: _order(item[0]))
         progress = True
-        while progress and self._deferred:
-            deferred, self._deferred = self._deferred, []
+        while progress:
             progress = False
-            for entry, record, _ in deferred:
-                progress = self._put(id_of(entry.key), entry, record) or progress
+            for item in list(waiting):
+                if self._replica.conflict(item[1]) is None:
+                    waiting.remove(item)
+                    self._put_waiting(*item)
+                    progress = True
                 yield
-        for entry, _, problem in self._deferred:
-            if not self._replica.store.is_known(id_of(entry.key), entry.revision):
-                self._refuse(entry, [problem])
+        for entry, record in self._deferred:
+            problem = self._replica.conflict(record)
+            if problem is not None and (entry, record) in waiting:
+                self._problems.append(problem)
+                self._replica.store.refuse(entry, contested=True)
+
+    def _contested(self) -> list[tuple[Entry, object]]:
+        """Returns the records refused in earlier updates, unless this one replaces them."""
+        store = self._replica.store
+        replaced = {entry.key for entry, _ in self._deferred}
+        refused = [store.refused[key_id] for key_id in store.contested]
+        return [
+            (entry, self._read(entry).unwrap()) for entry in refused if entry.key not in replaced
+        ]
+
+    def _put_waiting(self, entry: Entry, record: object) -> None:
+        key_id = id_of(entry.key)
+        if key_id in self._replica.store.contested and (entry, record) not in self._deferred:
+            # A new revision of its own makes the change reach the other processes.
+            entry = entry._replace(revision=self.revision)
+        self._write(key_id, entry, record)
+
+    def _sweep(self) -> Iterator[None]:
+        if not self.relayed:
+            yield from self._settle()
         if self._replace:
             yield from self._drop_unseen()
 
--- a/shallotshore/store.py
+++ b/shallotshore/store.py
@@ -1,6 +1,6 @@
 """Published records as text at a revision: what processes relay to each other."""
 
-__all__ = ["RecordStore", "Tombstone", "id_of", "split_key"]
+__all__ = ["CONTESTED", "RecordStore", "Tombstone", "id_of", "split_key"]
 
 from array import array
 from bisect import bisect_right
@@ -14,6 +14,8 @@
 
 LOG_LIMIT = 8192  # changes; about a day's worth at the size to design for
 
+CONTESTED = "contested/"  # before the key of a relayed text that is refused beside other records
+
 _KINDS = ("", "service", "upstream", "data_centre", "customer", "members", "vm")
 _KIND_NUMBERS = {kind: number for number, kind in enumerate(_KINDS)}
 
@@ -33,21 +35,23 @@
 
 
 def id_of(key: str) -> int:
-    """Returns the 64-bit id of a key."""
-    return name_id(*split_key(key))
+    """Returns the 64-bit id of a key; that of a contested text is the same."""
+    return name_id(*split_key(key.removeprefix(CONTESTED)))
 
 
 class RecordStore(CompactTable):
     """The last good text of every key, and the newest one where it was refused.
 
-    The digest covers the newest revision of each key, refused or not, so that two processes agree
-    on it even when their versions of the program accept different schemas.
+    The digest covers both, since a reader that missed a revision may hold an older good text than
+    others. Versions of the program that accept different schemas disagree on it for as long as
+    they run together.
     """
 
     __slots__ = (
         "_arena",
         "_log_ids",
         "_log_revisions",
+        "contested",
         "digest",
         "horizon",
         "kind",
@@ -73,6 +77,8 @@
         self.horizon = 0
         self.revision = 0
         self.refused: dict[int, Entry] = {}
+        # Those of the refused texts that are good by themselves, but not beside other records.
+        self.contested: set[int] = set()
         self.tombstones: dict[int, Tombstone] = {}
 
     def name(self, row: int) -> str:
@@ -102,12 +108,24 @@
         refused = self.refused.get(key_id)
         return revision if refused is None else max(revision, refused.revision)
 
+    def stamp(self, key_id: int) -> int:
+        """Returns what the digest covers of a key; 0 when the key has no text."""
+        row = self.row(key_id)
+        good = 0 if row == MISSING else self.record_revision[row]
+        refused = self.refused.get(key_id)
+        if refused is None:
+            return good
+        return score(good + 1, refused.revision << 1 | (key_id in self.contested))
+
     def is_known(self, key_id: int, revision: int) -> bool:
-        """Whether the text of a key at a revision, or a higher one, is held already."""
+        """Whether the text of a key at a revision, or a higher one, is held already.
+
+        A contested text is not known for good: another reader may have put it in force.
+        """
         if revision <= self.good_revision(key_id):
             return True
         refused = self.refused.get(key_id)
-        return refused is not None and refused.revision == revision
+        return refused is not None and refused.revision == revision and key_id not in self.contested
 
     def write(self, key_id: int, entry: Entry) -> int:
         """Puts a text in force.
@@ -119,7 +137,7 @@
         Returns:
             The row, or MISSING when the table is at its limit.
         """
-        before = self.newest_revision(key_id)
+        before = self.stamp(key_id)
         row = self.row(key_id)
         if row != MISSING:
             self._arena.free(row)
@@ -133,33 +151,42 @@
         self.record_revision[row] = entry.revision
         self.tombstones.pop(key_id, None)
         self._drop_refused(key_id, entry.revision)
-        self._renew(key_id, before, max(before, entry.revision))
+        self._renew(key_id, before)
         return row
 
-    def refuse(self, entry: Entry) -> None:
-        """Keeps a refused text for relaying; the last good one stays in force."""
+    def refuse(self, entry: Entry, contested: bool) -> None:
+        """Keeps a refused text for relaying; the last good one stays in force.
+
+        Args:
+            entry: Key, revision and compressed text.
+            contested: Whether the text is good by itself, but not beside other records.
+        """
         key_id = id_of(entry.key)
-        before = self.newest_revision(key_id)
-        if entry.revision > before:
+        before = self.stamp(key_id)
+        if entry.revision > self.newest_revision(key_id):
             self.refused[key_id] = entry
-            self._renew(key_id, before, entry.revision)
+            self.contested.discard(key_id)
+            if contested:
+                self.contested.add(key_id)
+            self._renew(key_id, before)
 
     def delete(self, key: str, revision: int, scope: int) -> None:
         """Deletes a key and leaves a tombstone, which the digest leaves out."""
         key_id = id_of(key)
-        before = self.newest_revision(key_id)
+        before = self.stamp(key_id)
         self._drop_refused(key_id, revision)
         self._drop_row(key_id)
         self.tombstones[key_id] = Tombstone(key, revision, scope)
-        self._renew(key_id, before, self.newest_revision(key_id))
+        self._renew(key_id, before)
         self._log(key_id, revision)
 
     def discard(self, key_id: int) -> None:
         """Removes a key without a tombstone."""
-        before = self.newest_revision(key_id)
+        before = self.stamp(key_id)
         self.refused.pop(key_id, None)
+        self.contested.discard(key_id)
         self._drop_row(key_id)
-        self._renew(key_id, before, self.newest_revision(key_id))
+        self._renew(key_id, before)
 
     def entries_of(self, key_id: int) -> Iterator[Entry]:
         """Yields the text in force or the deletion of a key; refused texts come apart."""
@@ -171,6 +198,15 @@
         if tombstone is not None:
             yield Entry(tombstone.key, tombstone.revision, b"")
 
+    def refused_among(self, key_ids: Iterable[int]) -> list[Entry]:
+        """Returns the refused texts of some keys as they are relayed, in order of publication."""
+        found = [(self.refused[key_id], key_id in self.contested) for key_id in key_ids]
+        found.sort(key=lambda item: (item[0].revision, item[0].key))
+        return [
+            entry._replace(key=CONTESTED + entry.key) if is_contested else entry
+            for entry, is_contested in found
+        ]
+
     def changed_since(self, revision: int) -> list[int] | None:
         """Returns the ids of the keys changed after a revision.
 
@@ -194,9 +230,9 @@
         """Returns the digest of some keys."""
         digest = 0
         for key_id in key_ids:
-            revision = self.newest_revision(key_id)
-            if revision:
-                digest ^= score(key_id, revision)
+            stamp = self.stamp(key_id)
+            if stamp:
+                digest ^= score(key_id, stamp)
         return digest
 
     def settle(self, revision: int, logged: bool) -> None:
@@ -227,6 +263,7 @@
         refused = self.refused.get(key_id)
         if refused is not None and refused.revision <= revision:
             del self.refused[key_id]
+            self.contested.discard(key_id)
 
     def _drop_row(self, key_id: int) -> None:
         row = self.row(key_id)
@@ -234,17 +271,18 @@
             self._arena.free(row)
             self.remove(key_id)
 
-    def _renew(self, key_id: int, before: int, after: int) -> None:
+    def _renew(self, key_id: int, before: int) -> None:
+        after = self.stamp(key_id)
         if after == before:
             return
         self._toggle(key_id, before)
         self._toggle(key_id, after)
         if after:
-            self._log(key_id, after)
+            self._log(key_id, self.newest_revision(key_id))
 
-    def _toggle(self, key_id: int, revision: int) -> None:
-        if revision:
-            self.digest ^= score(key_id, revision)
+    def _toggle(self, key_id: int, stamp: int) -> None:
+        if stamp:
+            self.digest ^= score(key_id, stamp)
 
     def _log(self, key_id: int, revision: int) -> None:
         if self.revision == 0:
--- a/tests/test_propagation.py
+++ b/tests/test_propagation.py
@@ -270,6 +270,12 @@
         self.sent(2080)
         self.assertTrue(self.core.guard.may_serve)
 
+    def test_repairs_that_change_nothing_become_rare(self) -> None:
+        offer = RevisionOffer(Source.CONFIGURATION, 5, 1, 0)
+        for now in range(0, 600_000, 500):
+            self.sent(now, offer)
+        self.assertIn(self.core.counters["propagation.repairs"], range(5, 9))
+
     def test_damaged_text_is_counted_and_the_rest_applied(self) -> None:
         entries = (Entry("service/a", 8, b"\xff\xff"), Entry("data_centre/b", 8, b""))
         self.sent(0, Delta(Source.CONFIGURATION, 5, 8, 0, 0, 1, entries))
--- /dev/null
+++ b/tests/test_replica.py
@@ -0,0 +1,108 @@
+"""Random histories: every copy must come to the same state, whenever it joined."""
+
+import random
+import unittest
+
+from shallotshore.catalog import Catalog
+from shallotshore.hashing import name_id
+from shallotshore.messages import Entry
+from shallotshore.records import Binding, Customer, DataCentre, Service, Upstream, key_of, to_text
+
+SERVICES = ("desk", "vault", "late")
+VIPS = [("192.0.2.1", port) for port in range(80, 84)]
+
+
+def random_entry(rng: random.Random, revision: int) -> Entry:
+    """Returns a publication: often good, at times a deletion, malformed or in conflict."""
+    service, centre = rng.choice(SERVICES), f"dc-{rng.randrange(3)}"
+    number = rng.randrange(6)
+    record = rng.choice(
+        [
+            Service(service, rng.randint(1, 3)),
+            DataCentre(centre, "suva", rng.choice(["in", "out"])),
+            Upstream(f"u-{number}", service, centre, ("10.0.0.1", 7000 + number)),
+            Upstream(f"u-{number}", "desk", "dc-0", ("10.0.0.1", 7000), "leaving"),
+            Customer(f"c-{number}", 1, (Binding(service, rng.choice(VIPS)),)),
+            Customer(f"c-{number}", 2, tuple(Binding("desk", vip) for vip in VIPS[:2])),
+        ]
+    )
+    chance = rng.random()
+    text = b"" if chance < 0.15 else b"{" if chance < 0.3 else to_text(record)
+    return Entry(key_of(record), revision, text)
+
+
+def picture(catalog: Catalog) -> dict[str, object]:
+    """Returns everything that a catalog answers."""
+    services = [name_id("service", name) for name in SERVICES]
+    upstreams = [name_id("upstream", f"u-{number}") for number in range(6)]
+    return {
+        "revision": catalog.revision,
+        "digest": catalog.digest(0),
+        "routes": [catalog.route(vip) for vip in VIPS],
+        "members": [list(catalog.upstreams_of(service)) for service in services],
+        "memberships": [catalog.membership(service) for service in services],
+        "upstreams": [catalog.upstream(upstream) for upstream in upstreams],
+        "work": [catalog.takes_new_work(upstream) for upstream in upstreams],
+    }
+
+
+def catch_up(source: Catalog, target: Catalog, scope: int, after: int) -> None:
+    """Sends a delta from one copy to another."""
+    base, entries = source.select(after, scope)
+    replace = base == 0 and (source.revision > target.revision or scope != 0)
+    update = target.begin(source.revision, relayed=True, replace=replace)
+    update.feed(entries)
+    update.end()
+    while update.result is None:
+        update.step(3)
+
+
+class HistoryTest(unittest.TestCase):
+    """Guards against copies that disagree on a route, a set of upstreams or its membership."""
+
+    def test_copies_agree_after_random_histories(self) -> None:
+        for seed in range(60):
+            rng = random.Random(seed)
+            reader, slow, agent = Catalog(), Catalog(), Catalog()
+            desk = name_id("service", "desk")
+            for revision in range(1, 40):
+                entries = [random_entry(rng, revision) for _ in range(rng.randint(1, 5))]
+                reader.apply(revision, {entry.key: entry for entry in entries}.values())
+                if rng.random() < 0.3:
+                    catch_up(reader, slow, 0, slow.revision)
+                if rng.random() < 0.3:
+                    catch_up(reader, agent, desk, agent.revision)
+            newcomer = Catalog()
+            catch_up(reader, newcomer, 0, 0)
+            catch_up(reader, slow, 0, slow.revision)
+            catch_up(reader, agent, desk, 0)
+            expected = picture(reader)
+            for name, copy in (("slow", slow), ("newcomer", newcomer)):
+                with self.subTest(seed=seed, copy=name):
+                    self.assertEqual(picture(copy), expected)
+            with self.subTest(seed=seed, copy="agent"):
+                self.assertEqual(agent.digest(desk), reader.digest(desk))
+                self.assertEqual(agent.membership(desk), reader.membership(desk))
+                self.assertEqual(agent.upstreams_of(desk), reader.upstreams_of(desk))
+
+    def test_readers_that_saw_different_revisions_agree_after_a_repair(self) -> None:
+        for seed in range(60):
+            rng = random.Random(seed)
+            one, other = Catalog(), Catalog()
+            unseen: dict[str, Entry] = {}
+            for revision in range(1, 30):
+                entries = [random_entry(rng, revision) for _ in range(rng.randint(1, 5))]
+                published = {entry.key: entry for entry in entries}
+                unseen |= published
+                one.apply(revision, published.values())
+                if rng.random() < 0.2:
+                    other.apply(revision, unseen.values())
+                    unseen = {}
+            other.apply(30, unseen.values())
+            one.apply(30, [])
+            for _ in range(2):
+                if one.digest(0) != other.digest(0):
+                    catch_up(one, other, 0, 0)
+                    catch_up(other, one, 0, 0)
+            with self.subTest(seed=seed):
+                self.assertEqual(picture(one), picture(other))
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -31,7 +31,7 @@
 
     def test_refused_text_counts_in_digest_and_leaves_the_good_one(self) -> None:
         before = self.store.digest
-        self.store.refuse(entry("a", 2, b"bad"))
+        self.store.refuse(entry("a", 2, b"bad"), contested=False)
         self.assertNotEqual(self.store.digest, before)
         self.assertEqual(self.store.text(self.store.row(id_of("service/a"))), b"x")
         self.assertTrue(self.store.is_known(id_of("service/a"), 2))
