--- a/shallotshore/agent_state.py
+++ b/shallotshore/agent_state.py
@@ -14,6 +14,7 @@
     ClaimingTable,
     ClaimTable,
     FlowTable,
+    HandoverTable,
     PassedTable,
     PeerTable,
     QueueTable,
@@ -31,13 +32,15 @@
 MAX_CLAIMING = 4_096
 MAX_FLOWS = 8_192
 MAX_REQUESTS = 8_192
+MAX_HANDOVERS = 256
 MAX_PASSED = 8_192
 MAX_BALANCERS = 4_096
 MAX_PEERS = 4_096
 MAX_CUSTOMERS = 4_096
 STALLED_AFTER = 1_000  # ms of silence, many probes, so that a late scheduler is no stall
 HOLDER_SILENCE = 10_000  # ms, ten heartbeats; a shorter pause of a process must not end its flows
-HEARD_LATELY = 3_000  # ms
+HEARD_LATELY = 1_500  # ms; one heartbeat and a half
+NEVER = -1_000_000  # ms; older than any request
 ROUND_BITS = 22  # claims per millisecond of incarnation: rounds rise across restarts
 _MASK = (1 << 64) - 1
 
@@ -96,11 +99,25 @@
 
 @dataclass(slots=True)
 class Phase:
-    """Times that bound what the process may do; 0 means not reached."""
+    """Times (ms) that bound what the process may do; 0 means not reached.
+
+    Attributes:
+        started: First tick.
+        vouched_from: Since when no grant of a request that was made here can be missing.
+        stopping_since: Start of the graceful stop.
+        recovering: Whether peers are still asked for the flows of the upstream.
+        handing_over: Whether the process has stopped to be a witness.
+        is_member: Whether the process has seen a record of its upstream.
+        was_absent: Whether it has seen the service's records without one.
+    """
 
     started: int = 0
+    vouched_from: int = 0
     stopping_since: int = 0
     recovering: bool = True
+    handing_over: bool = False
+    is_member: bool = False
+    was_absent: bool = False
 
 
 @dataclass(slots=True)
@@ -166,6 +183,7 @@
     flows: FlowTable = field(default_factory=lambda: FlowTable(MAX_FLOWS))
     requests: RequestTable = field(default_factory=lambda: RequestTable(MAX_REQUESTS))
     queues: QueueTable = field(default_factory=lambda: QueueTable(MAX_CUSTOMERS))
+    handovers: HandoverTable = field(default_factory=lambda: HandoverTable(MAX_HANDOVERS))
     passed: PassedTable = field(default_factory=lambda: PassedTable(MAX_PASSED))
     peers: PeerTable = field(default_factory=lambda: PeerTable(MAX_PEERS))
 
@@ -183,6 +201,7 @@
     def follow_table(self, now: int) -> None:
         """Takes over what the catalog says of the service, for the tick at `now` (ms)."""
         self.record = self.catalog.upstream(self.own)
+        self._note_entry()
         self.data_centre_in = self.catalog.data_centre_in(self.data_centre)
         self.placement.refresh(now)
         table = self.catalog.membership(self.service)
@@ -190,6 +209,20 @@
         self.table = table
         self._follow_balancers()
 
+    def _note_entry(self) -> None:
+        """Lets a witness vouch at once that was running before its record appeared.
+
+        It has lost no grant, unlike one that was restarted.
+        """
+        if self.phase.is_member:
+            return
+        self.phase.is_member = self.record is not None
+        if self.record is None:
+            self.phase.was_absent = self.may_serve and bool(self.catalog.upstreams_of(self.service))
+        elif self.phase.was_absent:
+            self.phase.vouched_from = NEVER
+            self.counters.add("vouched_as_new")
+
     def load(self) -> Load:
         """Returns the load that rides on answers and heartbeats."""
         waiting = self.work.claiming + self.work.queued
@@ -239,6 +272,12 @@
         record = self.catalog.upstream(upstream)
         return record is None or self.catalog.data_centre_in(record.data_centre)
 
+    def silence(self, peer: int, now: int) -> int:
+        """Returns for how long (ms) a peer has not been heard, at most since the own start."""
+        row = self.peers.row(peer)
+        heard_at = 0 if row == MISSING else self.peers.heard[row]
+        return now - max(heard_at, self.phase.started)
+
     def is_lost(self, peer: int, now: int) -> bool:
         """Returns whether a peer is silent for long while most others are heard at `now` (ms).
 
@@ -246,12 +285,10 @@
         comes before its first heartbeat.
         """
         row = self.peers.row(peer)
-        if row == MISSING or not self.peers.heard[row]:
-            return False
-        if now - self.peers.heard[row] < HOLDER_SILENCE:
+        if row == MISSING or not self.peers.heard[row] or self.silence(peer, now) < HOLDER_SILENCE:
             return False
-        others = [self.peers.row(other) for other in self.peer_ids() if other != peer]
-        heard = [o for o in others if o != MISSING and now - self.peers.heard[o] < HEARD_LATELY]
+        others = [other for other in self.peer_ids() if other != peer]
+        heard = [other for other in others if self.silence(other, now) < HEARD_LATELY]
         return 2 * len(heard) > len(others)
 
     def live_balancer(self, balancer: Address) -> Address:
