Lead resends to the run under way and fetch lost parts soon

Cause: over a lossy network a caller's resend through another balancer, or a balancer's second copy of an attempt, started a further run of a repeatable request; lost parts were asked for after 400 ms and more; an answer was forgotten after 2 s although its caller still asked for it. Change: such copies claim the key alone, so that they are passed to its holder; lost parts are asked for after 60 ms at the upstream that answered; answers are kept until 1 s past the deadline.

--- a/shallotshore/dispatch.py
+++ b/shallotshore/dispatch.py
@@ -29,6 +29,7 @@
 
 _HOP_MS = 5  # taken off the budget at each hop: the one-way delay between data centres
 _SILENCE_MS = 400  # far above a round trip; doubles with each resend
+_PARTS_GAP_MS = 60  # above the jitter between parts that were sent together
 _SILENCES_BEFORE_MOVE = 3
 _LINE_INTERVAL_MS = 5
 _LINE_DEPTH = 64  # requests looked at in one service, past those of customers over their share
@@ -244,7 +245,7 @@
             pending.attempt[row],
             pending.service[row],
             pending.customer[row],
-            bool(pending.repeatable[row]),
+            self._may_run_again(row),
             pending.age[row] + held + _HOP_MS,
             max(0, pending.deadline[row] - now - _HOP_MS),
             pending.caller[row],
@@ -260,6 +261,16 @@
         silence = now + (_SILENCE_MS << pending.resends[row])
         pending.schedule(row, min(silence, self._endings.void_at(row)))
 
+    def _may_run_again(self, row: int) -> bool:
+        """Whether an attempt may start a second run beside one that is under way.
+
+        An earlier copy of the request or of the attempt may have been taken by an upstream. A later
+        one claims the key for itself, so that it is led to that run instead of starting another.
+        """
+        pending = self.pending
+        is_first = pending.age[row] == 0 or pending.failures[row] > 1
+        return bool(pending.repeatable[row]) and is_first and not pending.resends[row]
+
     def _try_again(self, row: int, reason: int, now: int) -> None:
         """Plans the next attempt after a refusal, failure or silence, or gives up."""
         pending = self.pending
@@ -324,6 +335,11 @@
         if now >= self._endings.void_at(row):
             self._endings.give_up(row, Code.DEADLINE_EXPIRED, now)
             return
+        if self._endings.has_parts(row):
+            state.counters.add("answers.parts_missing")
+            pending.resends[row] = 1
+            self._send_attempt(row, now)
+            return
         upstream = pending.upstream[row]
         excluded = state.exclusions.for_new_work(pending.service[row])
         if not state.loads.heard_since(upstream, pending.sent_at[row]):
@@ -360,10 +376,19 @@
         ):
             state.counters.add("answers.crossed")
             return
-        if answer.code == Code.OK:
-            self._endings.take_part(row, answer, now)
-        else:
+        if answer.code != Code.OK:
             self._take_failure(row, answer, now)
+        elif not self._endings.take_part(row, answer, now):
+            self._expect_parts(row, answer, now)
+
+    def _expect_parts(self, row: int, answer: AttemptAnswer, now: int) -> None:
+        """Plans to ask the answering upstream again for the parts that got lost."""
+        pending = self.pending
+        if answer.attempt != pending.attempt[row] or pending.state[row] != PendingState.RUNNING:
+            return
+        others = tuple(other for other in pending.named[row] if other != answer.upstream)
+        pending.named[row] = (answer.upstream, *others)
+        pending.schedule(row, min(now + _PARTS_GAP_MS, self._endings.void_at(row)))
 
     def _take_failure(self, row: int, answer: AttemptAnswer, now: int) -> None:
         """Handles an answer that says that the request was started and has failed."""
--- a/shallotshore/endings.py
+++ b/shallotshore/endings.py
@@ -12,7 +12,7 @@
 from shallotshore.verdicts import Verdicts
 
 _CANCEL_RESEND_MS = 100
-_FINISHED_MS = 2_000  # how long a caller's resend still gets the same answer from here
+_FINISHED_MS = 1_000  # past the deadline a caller's late resend still gets the same answer
 _MAX_VOID_MARGIN_MS = 200
 _HELD_BYTES = 8 << 20  # answers kept for resends
 
@@ -52,12 +52,20 @@
         for answer in self.pending.final[row]:
             self._state.answer(caller, self.pending.vip[row], answer)
 
-    def take_part(self, row: int, answer: AttemptAnswer, now: int) -> None:
-        """Takes a part of an answer; ends the request when all parts are there."""
+    def has_parts(self, row: int) -> bool:
+        """Whether some but not all parts of an answer are there."""
+        return self._parts.has_some(self.pending.key[row])
+
+    def take_part(self, row: int, answer: AttemptAnswer, now: int) -> bool:
+        """Takes a part of an answer; ends the request when all parts are there.
+
+        Returns:
+            Whether the request has ended.
+        """
         payloads = self._parts.add(answer)
         if payloads is None:
             self._state.counters.add("answers.parts_held")
-            return
+            return False
         request = self.pending.request[row]
         final = tuple(
             CallerAnswer(
@@ -66,6 +74,7 @@
             for part, payload in enumerate(payloads)
         )
         self._finish(row, final, now)
+        return True
 
     def void_at(self, row: int) -> int:
         """Returns when to start the proof of "not run", so that it ends before the deadline."""
@@ -129,7 +138,7 @@
             return
         self._final_bytes += size
         pending.final[row] = final
-        pending.schedule(row, now + _FINISHED_MS)
+        pending.schedule(row, max(now, pending.deadline[row]) + _FINISHED_MS)
 
     def forget(self, row: int) -> None:
         """Removes a request that has ended."""
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -58,6 +58,23 @@
         self.assertEqual([answer.payload for answer in answers], [b"part 0", b"part 1", b"part 2"])
         self.assertEqual({answer.checksum for answer in answers}, {9})
 
+    def test_missing_part_is_asked_for_soon_at_the_upstream_that_answered(self) -> None:
+        (attempt,) = self.bench.request(repeatable=True)
+        answerer = attempt.candidates[1]
+        sent = self.bench.run(answer_to(attempt, 0, 2, upstream=answerer), wait=80)
+        ((address, again),) = [entry for entry in sent if isinstance(entry[1], Attempt)]
+        self.assertEqual(self.bench.id_at(address), answerer)
+        self.assertEqual((again.attempt, again.repeatable), (attempt.attempt, False))
+        done = self.bench.run(answer_to(attempt, 1, 2, upstream=answerer))
+        self.assertEqual(len(only(done, CallerAnswer)), 2)
+
+    def test_resend_through_another_balancer_does_not_ask_for_a_second_run(self) -> None:
+        resend = CallerRequest((1).to_bytes(16), True, 500, 1500, b"work")
+        (attempt,) = only(self.bench.call(resend), Attempt)
+        self.assertFalse(attempt.repeatable)
+        (again,) = only(self.bench.run(answer_to(attempt, code=Code.UPSTREAM_LOST)), Attempt)
+        self.assertTrue(again.repeatable)
+
     def test_missing_part_ends_as_unknown_and_not_as_an_answer(self) -> None:
         (attempt,) = self.bench.request(budget=1000)
         sent = self.bench.run(answer_to(attempt, 0, 2), wait=1100)
