Free the slot of a request once its answer has begun

Cause: a request that waited for lost parts of its answer still counted as in flight, so that under the fair share a customer's other requests waited behind it. Change: a state ANSWERING of its own, with at most 8 requests for parts before a repeatable request is tried elsewhere.

--- a/shallotshore/dispatch.py
+++ b/shallotshore/dispatch.py
@@ -30,6 +30,9 @@
 _HOP_MS = 5  # taken off the budget at each hop: the one-way delay between data centres
 _SILENCE_MS = 400  # far above a round trip; doubles with each resend
 _PARTS_GAP_MS = 60  # above the jitter between parts that were sent together
+_PARTS_WAIT_MS = 120
+_MAX_PART_REQUESTS = 8
+_ATTEMPTED = (PendingState.RUNNING, PendingState.ANSWERING)
 _SILENCES_BEFORE_MOVE = 3
 _LINE_INTERVAL_MS = 5
 _LINE_DEPTH = 64  # requests looked at in one service, past those of customers over their share
@@ -317,6 +320,8 @@
             self._take_turn(row, now)
         elif state == PendingState.RUNNING:
             self._take_silence(row, now)
+        elif state == PendingState.ANSWERING:
+            self._ask_for_parts(row, now)
         elif now >= self.pending.deadline[row]:
             self._endings.finish_unknown(row, now)
         else:
@@ -335,11 +340,6 @@
         if now >= self._endings.void_at(row):
             self._endings.give_up(row, Code.DEADLINE_EXPIRED, now)
             return
-        if self._endings.has_parts(row):
-            state.counters.add("answers.parts_missing")
-            pending.resends[row] = 1
-            self._send_attempt(row, now)
-            return
         upstream = pending.upstream[row]
         excluded = state.exclusions.for_new_work(pending.service[row])
         if not state.loads.heard_since(upstream, pending.sent_at[row]):
@@ -384,12 +384,29 @@
     def _expect_parts(self, row: int, answer: AttemptAnswer, now: int) -> None:
         """Plans to ask the answering upstream again for the parts that got lost."""
         pending = self.pending
-        if answer.attempt != pending.attempt[row] or pending.state[row] != PendingState.RUNNING:
+        if answer.attempt != pending.attempt[row] or pending.state[row] not in _ATTEMPTED:
             return
+        if pending.state[row] == PendingState.RUNNING:
+            pending.resends[row] = 0
+            self._endings.enter(row, PendingState.ANSWERING)
         others = tuple(other for other in pending.named[row] if other != answer.upstream)
         pending.named[row] = (answer.upstream, *others)
         pending.schedule(row, min(now + _PARTS_GAP_MS, self._endings.void_at(row)))
 
+    def _ask_for_parts(self, row: int, now: int) -> None:
+        """Asks for lost parts; a repeatable request is tried elsewhere when none come."""
+        pending = self.pending
+        if now >= self._endings.void_at(row):
+            self._endings.give_up(row, Code.ANSWER_INCOMPLETE, now)
+        elif pending.resends[row] >= _MAX_PART_REQUESTS and pending.repeatable[row]:
+            pending.tried[row] += pending.named[row][:1]
+            self._try_again(row, Code.ANSWER_INCOMPLETE, now)
+        else:
+            self._state.counters.add("answers.parts_missing")
+            pending.resends[row] = min(pending.resends[row] + 1, _MAX_PART_REQUESTS)
+            self._send_attempt(row, now)
+            pending.schedule(row, min(now + _PARTS_WAIT_MS, self._endings.void_at(row)))
+
     def _take_failure(self, row: int, answer: AttemptAnswer, now: int) -> None:
         """Handles an answer that says that the request was started and has failed."""
         pending = self.pending
@@ -398,7 +415,7 @@
             return
         self._state.counters.add("attempts.failed")
         may_repeat = pending.repeatable[row] and not pending.cancelled[row]
-        if may_repeat and pending.state[row] == PendingState.RUNNING:
+        if may_repeat and pending.state[row] in _ATTEMPTED:
             pending.tried[row] += (answer.upstream,)
             self._try_again(row, answer.code, now)
             return
--- a/shallotshore/endings.py
+++ b/shallotshore/endings.py
@@ -52,10 +52,6 @@
         for answer in self.pending.final[row]:
             self._state.answer(caller, self.pending.vip[row], answer)
 
-    def has_parts(self, row: int) -> bool:
-        """Whether some but not all parts of an answer are there."""
-        return self._parts.has_some(self.pending.key[row])
-
     def take_part(self, row: int, answer: AttemptAnswer, now: int) -> bool:
         """Takes a part of an answer; ends the request when all parts are there.
 
--- a/shallotshore/pending.py
+++ b/shallotshore/pending.py
@@ -21,7 +21,8 @@
     WAITING = 1  # its turn, or the end of a backoff
     RUNNING = 2  # an answer to an attempt
     VOIDING = 3  # proof that it was not run, or a late answer
-    FINISHED = 4  # resends of the caller, which get the same answer again
+    ANSWERING = 4  # the lost parts of an answer; it holds no slot any more
+    FINISHED = 5  # resends of the caller, which get the same answer again
 
 
 class PendingTable(Table):
