--- a/shallotshore/shares.py
+++ b/shallotshore/shares.py
@@ -30,12 +30,14 @@
 class FairShare:
     """Bounds a customer's requests in flight while other customers of the service wait."""
 
-    __slots__ = ("_catalog", "_pairs", "_services")
+    __slots__ = ("_catalog", "_pairs", "_services", "_slots")
 
     def __init__(self, catalog: CatalogView) -> None:
         self._catalog = catalog
         self._pairs = ShareTable(_ROWS)
         self._services: dict[int, set[int]] = {}
+        # Per service: revision and slots at it, since counting them takes a look at each upstream.
+        self._slots: dict[int, tuple[int, int]] = {}
 
     def move(self, customer: int, service: int, in_flight: int, waiting: int) -> None:
         """Adds to the counts of a customer's requests in flight and waiting.
@@ -63,6 +65,7 @@
         self._pairs.remove(pair)
         if not active:
             del self._services[service]
+            self._slots.pop(service, None)
 
     def may_start(self, customer: int, service: int) -> bool:
         """Whether a customer may have one more request in flight."""
@@ -79,13 +82,21 @@
         pairs = self._pairs
         active = {pairs.customer[pairs.row(pair)] for pair in self._services.get(service, set())}
         shares = sum(self._catalog.share(other) for other in active | {customer})
-        slots = 0
-        for upstream in self._catalog.upstreams_of(service):
-            view = self._catalog.upstream(upstream)
-            if view is not None and self._catalog.takes_new_work(upstream):
-                slots += view.slots
+        slots = self._slots_of(service)
         return max(1, _ROOM * slots * self._catalog.share(customer) // max(shares, 1))
 
+    def _slots_of(self, service: int) -> int:
+        catalog = self._catalog
+        revision, slots = self._slots.get(service, (0, 0))
+        if revision != catalog.revision:
+            slots = 0
+            for upstream in catalog.upstreams_of(service):
+                view = catalog.upstream(upstream)
+                if view is not None and catalog.takes_new_work(upstream):
+                    slots += view.slots
+            self._slots[service] = (catalog.revision, slots)
+        return slots
+
     def may_wait(self, customer: int, service: int) -> bool:
         """Whether one more request of a customer may wait for its turn."""
         row = self._pairs.row(score(customer, service))
