Find a running answer to an agent without a pass over all

Cause: a push to 300 followers compared each with all sendings. Change: running answers are kept by address and source.

--- a/shallotshore/relay.py
+++ b/shallotshore/relay.py
@@ -92,6 +92,7 @@
     """System that answers offers and requests and pushes new revisions."""
 
     __slots__ = (
+        "_answering",
         "_followers",
         "_intake",
         "_next_gossip",
@@ -107,6 +108,7 @@
         self._reader = reader
         self._intake = intake
         self._followers: dict[Address, Follower] = {}
+        self._answering: dict[tuple[Address, Source], int] = {}
         self._sendings: deque[Sending] = deque()
         self._offers: list[tuple[int, Source]] = []
         self._pushed = dict.fromkeys(Source, 0)
@@ -203,18 +205,15 @@
 
     def _start(self, address: Address, source: Source, scope: int, after: int) -> None:
         replica = self._peering.replicas[source]
-        for sending in self._sendings:
-            if (
-                sending.addresses == [address]
-                and sending.source == source
-                and sending.revision == replica.revision
-            ):
-                return
+        if self._answering.get((address, source)) == replica.revision:
+            return
+        self._answering[address, source] = replica.revision
         base, entries = replica.select(after, scope)
         self._add(Sending([address], source, scope, base, replica.revision, entries))
 
     def _add(self, sending: Sending) -> None:
         if len(self._sendings) >= SENDING_LIMIT:
+            self._answering.pop((sending.addresses[0], sending.source), None)
             self._peering.counters.add("propagation.sendings_refused")
             return
         self._sendings.append(sending)
@@ -268,3 +267,5 @@
                 self._peering.send(address, delta)
             if delta.parts == 0:
                 self._sendings.append(sending)
+            else:
+                self._answering.pop((sending.addresses[0], sending.source), None)
