Tell callers that a flow ended with its data centre

Cause: a flow whose owner's data centre is out was reset with NO_SUCH_FLOW after the search for another owner. Change: the code DATA_CENTRE_OUT is kept per flow through the search.

--- a/shallotshore/forwarding.py
+++ b/shallotshore/forwarding.py
@@ -51,6 +51,7 @@
         "_handle",
         "_hint_budget",
         "_ingress",
+        "_out_keys",
         "_recent",
         "_search_budget",
         "_state",
@@ -63,6 +64,7 @@
         self._recent: list[Forward | None] = [None] * (1 << _RECENT_BITS)
         self._exhausted = array("Q", bytes(8 << _RECENT_BITS))
         self._exhausted_at = array("q", bytes(8 << _RECENT_BITS))
+        self._out_keys = array("Q", bytes(8 << _RECENT_BITS))
         self._search_budget = TokenBucket(_SEARCHES_PER_MS, _SEARCH_BURST)
         self._hint_budget = TokenBucket(_HINTS_PER_MS, _HINT_BURST)
         # Bound once: a singledispatchmethod builds a new function at each access.
@@ -244,7 +246,10 @@
             return
         state.hints.drop(reset.key)
         state.counters.add("flows.reset")
-        state.answer(reset.caller, reset.vip, CallerReset(reset.flow, reset.code))
+        code = reset.code
+        if code == Code.NO_SUCH_FLOW and self._out_keys[reset.key & _RECENT_MASK] == reset.key:
+            code = Code.DATA_CENTRE_OUT
+        state.answer(reset.caller, reset.vip, CallerReset(reset.flow, code))
 
     def _is_inconclusive(self, reset: FlowReset, now: int) -> bool:
         """Whether other upstreams than the one that answered may own the flow.
@@ -289,6 +294,8 @@
             return reset.code == Code.NO_SUCH_FLOW
         if self._exhausted[slot] == reset.key and now - self._exhausted_at[slot] < _SEARCH_PAUSE_MS:
             return False
+        if reset.code == Code.DATA_CENTRE_OUT:
+            self._out_keys[slot] = reset.key
         untried = self._candidates.after(service, reset.key, reset.upstream, _SEARCH_DEPTH)
         if not untried:
             self._exhausted[slot] = reset.key
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -136,6 +136,13 @@
         word = reset(self.order[1], Code.DATA_CENTRE_OUT)
         self.assertEqual(len(only(self.bench.run(word), CallerReset)), 1)
 
+    def test_flow_lost_with_its_data_centre_is_reset_with_that_code(self) -> None:
+        self.data()
+        sent = self.bench.run(reset(self.order[0], Code.DATA_CENTRE_OUT, revision=2))
+        while only(sent, Forward):
+            sent = self.bench.run(reset(only(sent, Forward)[0].candidates[-1]))
+        self.assertEqual([r.code for r in only(sent, CallerReset)], [Code.DATA_CENTRE_OUT])
+
     def test_reset_that_names_another_flow_is_dropped(self) -> None:
         self.data()
         wrong = reset(self.order[0], Code.FLOW_LOST)
