Test the records page and its examples

Cause: the page and the example directories can fall behind the schemas. Change: every field of every schema must be on the page, and the example directories must have no problems.

--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -1,7 +1,10 @@
 """Tests of the schemas and their upgrade."""
 
+import re
 import unittest
+from pathlib import Path
 
+from shallotshore.check import check_directory
 from shallotshore.record_reader import read_record
 from shallotshore.records import (
     SCHEMAS,
@@ -22,6 +25,7 @@
     to_text,
 )
 
+DOCS = Path(__file__).parent.parent / "docs"
 AGENT = ("10.0.0.1", 7000)
 VIP = ("fd00::1", 80)
 
@@ -68,3 +72,23 @@
     def test_every_known_schema_is_covered(self) -> None:
         known = {schema.record_class for kind in SCHEMAS.values() for schema in kind.values()}
         self.assertEqual(known, {type(written) for written, _ in PAIRS})
+
+
+class PageTest(unittest.TestCase):
+    """Guards docs/records.md, from which operators write records."""
+
+    def setUp(self) -> None:
+        self.page = (DOCS / "records.md").read_text("utf-8")
+
+    def test_every_field_of_every_schema_is_described(self) -> None:
+        described = set(re.findall(r"`([a-z_]+)`", self.page)) | {"name"}
+        fields = {
+            name for kind in SCHEMAS.values() for each in kind.values() for name in each.rules
+        }
+        self.assertEqual(fields - described, set())
+
+    def test_example_directories_have_no_problems(self) -> None:
+        for name in ("examples", "examples-out"):
+            report = check_directory(DOCS / name)
+            self.assertGreater(report.records, 0)
+            self.assertEqual(report.problems, [])
