--- a/bench/plain_balancer.py
+++ b/bench/plain_balancer.py
@@ -7,12 +7,13 @@
 
 __all__ = ["Flows", "Load", "PlainBalancer", "PlainCast"]
 
-import json
 import random
 from collections.abc import Callable
 from enum import Enum
 from functools import partial
 
+from result import Ok
+
 from shallotshore.codes import Code, outcome_of
 from shallotshore.hashing import flow_key, name_id, rank, request_key
 from shallotshore.messages import (
@@ -34,6 +35,8 @@
     UpstreamOpen,
     UpstreamRequest,
 )
+from shallotshore.record_reader import read_record
+from shallotshore.records import Customer, DataCentre, Upstream
 from shallotshore.systems import Core
 from standins.deployments import SERVER_PORT, Server
 from standins.processes import Site
@@ -102,6 +105,14 @@
         self._rng = rng
         self._systems = [_Reader(self, configuration), _Inward(self), _Outward(self, fabric)]
 
+    @property
+    def stopped(self) -> bool:
+        """Always true: such a balancer has nothing to finish."""
+        return True
+
+    def stop(self, now: int) -> None:
+        """Does nothing: callers' packets go elsewhere."""
+
     def owner(self, key: int, service: str, opens: bool) -> Address | None:
         """Returns where a flow's packet goes."""
         newest = _first(key, self.members.get(service, {}))
@@ -124,24 +135,24 @@
 
     def rebuild(self) -> None:
         """Makes new tables from the records."""
-        records = [json.loads(text) for text in self.texts.values() if text]
-        out = {r["name"] for r in records if r["kind"] == "data_centre" and r.get("state") == "out"}
+        read = [read_record(key, text) for key, text in self.texts.items() if text]
+        records = [each.ok_value for each in read if isinstance(each, Ok)]
+        out = {r.name for r in records if isinstance(r, DataCentre) and r.state == "out"}
         members: dict[str, dict[int, Address]] = {}
         for record in records:
-            if record["kind"] == "upstream" and _takes_work(record, out):
-                group = members.setdefault(record["service"], {})
-                group[name_id("upstream", record["name"])] = (record["host"], SERVER_PORT)
-            elif record["kind"] == "customer":
-                for binding in record.get("bindings", ()):
-                    vip = (binding["host"], binding["port"])
-                    customer = name_id("customer", record["name"])
-                    self.routes[vip] = (customer, binding["service"])
+            if isinstance(record, Upstream) and _takes_work(record, out):
+                group = members.setdefault(record.service, {})
+                group[name_id("upstream", record.name)] = (record.address[0], SERVER_PORT)
+            elif isinstance(record, Customer):
+                for binding in record.bindings:
+                    customer = name_id("customer", record.name)
+                    self.routes[binding.address] = (customer, binding.service)
         if members != self.members:
             self.earlier, self.members = self.members, members
 
 
-def _takes_work(record: dict, out: set[str]) -> bool:
-    return record["data_centre"] not in out and record.get("state", "active") == "active"
+def _takes_work(record: Upstream, out: set[str]) -> bool:
+    return record.data_centre not in out and record.state == "active"
 
 
 def _first(key: int, members: dict[int, Address]) -> Address | None:
