Bring the drained upstream back before the demo takes a data centre out

Without the drained upstream and the removed data centre, the usual load used 98% of the slots that were left; the demo then showed overload and not the removal.

--- a/standins/demo.py
+++ b/standins/demo.py
@@ -31,7 +31,8 @@
 from standins.ports import HOST, Ports
 from standins.scenario import Line, Scenario
 
-# Upstreams that have just met their agents are taken for cold, so the usual load comes late.
+# Upstreams that have just met their agents are taken for cold, so the usual load comes late. The
+# drained upstream comes back before a data centre goes: without both, the rest would run at 98%.
 SCRIPT = f"""
 0    deployment {KOLTSEGTER} {VATULELE}
 0    load $main * feeds=20 rate=3
@@ -41,6 +42,7 @@
 15   add_balancer $dc1
 17   drain $main-1
 20   add_upstream $main $dc1
+22   undrain $main-1
 24   data_centre $dc2 out
 31   data_centre $dc2 in
 36   load * * rate=0
