Judge the health of many upstreams in slices

Cause: with 7,902 upstreams in the health table, as after the loss of a data centre, one judgement of all took 34 to 48 ms (trial), ten times a second. Change: rows are judged 256 at a time and services rebuilt 32 at a time, and a round starts at most once a millisecond per 8 rows.

--- a/shallotshore/health.py
+++ b/shallotshore/health.py
@@ -3,7 +3,7 @@
 __all__ = ["AnswerWindow", "Exclusions", "HealthTable"]
 
 from array import array
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from typing import Protocol
 
 from shallotshore.messages import HealthState
@@ -17,6 +17,9 @@
 _MAX_HOLD_MS = 60_000
 _FLAPS_FORGOTTEN_MS = 300_000
 _ROWS = 16_384  # upstreams with a recent event, suspicion or watch
+_ROWS_PER_SLICE = 256  # a row takes some microseconds, and a slice at most 2 ms
+_SERVICES_PER_SLICE = 32
+_DONE = object()
 _DOWN_SEVERITY = 1_000.0
 _OPENING_WINDOW_MS = 1_000  # the time in which an opening is answered even over a lossy link
 _PACKET_WINDOW_MS = 3_000  # packets need no answer, but upstreams of live flows send now and then
@@ -224,7 +227,7 @@
     DOWN events say: a wrong verdict on many would otherwise push all load onto the rest.
     """
 
-    __slots__ = ("_catalog", "_health", "_new", "_packets", "_signatures")
+    __slots__ = ("_catalog", "_health", "_new", "_packets", "_signatures", "_work")
 
     def __init__(self, catalog: ServiceSets, health: HealthTable) -> None:
         self._catalog = catalog
@@ -232,6 +235,7 @@
         self._new: dict[int, frozenset[int]] = {}
         self._packets: dict[int, frozenset[int]] = {}
         self._signatures: dict[int, tuple[object, ...]] = {}
+        self._work: Iterator[None] | None = None
 
     def for_new_work(self, service: int) -> frozenset[int]:
         """Returns the upstreams of a service that get no openings and requests."""
@@ -241,27 +245,40 @@
         """Returns the upstreams of a service that get no packets of established flows."""
         return self._packets.get(service, _NONE)
 
+    @property
+    def is_refreshing(self) -> bool:
+        """Whether a refresh has rows left to judge."""
+        return self._work is not None
+
     def refresh(self, now: int) -> None:
-        """Judges all rows and rebuilds the sets of services where a verdict changed."""
-        troubled = self._judge_rows(now)
-        for service in set(self._signatures) - set(troubled):
-            del self._signatures[service], self._new[service], self._packets[service]
-        for service, rows in troubled.items():
-            signature = (self._catalog.revision, *map(self._verdict, rows))
-            if self._signatures.get(service) != signature:
-                self._signatures[service] = signature
-                self._rebuild(service, rows, now)
+        """Judges a slice of the rows; the last one rebuilds the sets where a verdict changed."""
+        if self._work is None:
+            self._work = self._judge_all(now)
+        if next(self._work, _DONE) is _DONE:
+            self._work = None
 
-    def _judge_rows(self, now: int) -> dict[int, list[int]]:
+    def _judge_all(self, now: int) -> Iterator[None]:
         health = self._health
         troubled: dict[int, list[int]] = {}
-        for row in health.rows():
+        for count, row in enumerate(health.rows(), 1):
+            if not health.service[row]:
+                continue  # removed since the first slice
             health.judge(row, now)
             if health.severity(row, now) or health.refuses_new(row):
                 troubled.setdefault(health.service[row], []).append(row)
             elif health.is_idle(row, now):
                 health.remove(health.key[row])
-        return troubled
+            if count % _ROWS_PER_SLICE == 0:
+                yield
+        for service in set(self._signatures) - set(troubled):
+            del self._signatures[service], self._new[service], self._packets[service]
+        for count, (service, rows) in enumerate(troubled.items(), 1):
+            signature = (self._catalog.revision, *map(self._verdict, rows))
+            if self._signatures.get(service) != signature:
+                self._signatures[service] = signature
+                self._rebuild(service, rows, now)
+            if count % _SERVICES_PER_SLICE == 0:
+                yield
 
     def _verdict(self, row: int) -> tuple[int, int, int, int]:
         health = self._health
--- a/shallotshore/watching.py
+++ b/shallotshore/watching.py
@@ -11,6 +11,7 @@
 
 _SILENT_MS = 1_500  # three heartbeats
 _CHECK_MS = 100
+_ROWS_PER_MS = 8  # judged; thousands, as after the loss of a data centre, once a second
 _DOUBT_MS = 5_000  # how long an observer that lost most of what it watches suspects itself
 _SMALL_WATCH = 2  # so few that the loss of one is already the loss of half
 _RELAYS_PER_MS = 0.2  # 200 events a second: 16 children then cost a few kilobytes a second each
@@ -42,6 +43,7 @@
     __slots__ = (
         "_checked_at",
         "_doubt_since",
+        "_judged_at",
         "_pruned_at",
         "_relay_budget",
         "_relays",
@@ -55,6 +57,7 @@
         self._relays: dict[int, bool] = {}
         self._relay_budget = TokenBucket(_RELAYS_PER_MS, _RELAY_BURST)
         self._checked_at = 0
+        self._judged_at = 0
         self._pruned_at = 0
         self._doubt_since = MISSING
 
@@ -79,7 +82,12 @@
         if now - self._checked_at >= _CHECK_MS:
             self._checked_at = now
             self._check_silence(now)
-            self._state.exclusions.refresh(now)
+        exclusions = self._state.exclusions
+        if exclusions.is_refreshing:
+            exclusions.refresh(now)
+        elif now - self._judged_at >= max(_CHECK_MS, len(self._state.health) // _ROWS_PER_MS):
+            self._judged_at = now
+            exclusions.refresh(now)
         if now - self._pruned_at >= _PRUNE_MS:
             self._pruned_at = now
             self._state.loads.prune(now)
