Start no transfer on late parts of a whole state

Change: a whole state at the revision held is taken only after asking for a repair; a relay tells an agent its digest, and the agent asks. The new test fails without the change.

--- a/shallotshore/following.py
+++ b/shallotshore/following.py
@@ -26,11 +26,19 @@
         for address, offer in self._peering.inbox.take(RevisionOffer):
             self._peering.hear(address, now, offer.revision > 0)
             self._intake.want(offer.source, offer.revision, address)
+            self._compare(address, offer, now)
         self._peering.inbox.take(DeltaRequest)  # an agent has no whole state to send
         if now >= self._next_offer:
             self._next_offer = now + OFFER_MS
             self.ask(now)
 
+    def _compare(self, address: Address, offer: RevisionOffer, now: int) -> None:
+        replica, scope = self._peering.replicas[offer.source], self._peering.scopes[offer.source]
+        if offer.service != scope or offer.revision != replica.revision:
+            return
+        if offer.revision and offer.digest != replica.digest(scope):
+            self._intake.repair(offer.source, address, now)
+
     def ask(self, now: int) -> None:
         """Offers the revisions held to the parents, and to a fallback while they are silent."""
         for address in self._targets(now):
--- a/shallotshore/intake.py
+++ b/shallotshore/intake.py
@@ -46,7 +46,15 @@
 class Wish:
     """What is known to be missing from one replica."""
 
-    __slots__ = ("address", "attempts", "next_repair", "next_request", "repair_wait", "revision")
+    __slots__ = (
+        "address",
+        "attempts",
+        "next_repair",
+        "next_request",
+        "repair_until",
+        "repair_wait",
+        "revision",
+    )
 
     def __init__(self) -> None:
         self.revision = 0
@@ -54,6 +62,7 @@
         self.attempts = 0
         self.next_request = 0
         self.next_repair = NEVER
+        self.repair_until = NEVER
         self.repair_wait = REPAIR_MS
 
 
@@ -111,6 +120,7 @@
         wish = self._wishes[source]
         if now >= wish.next_repair:
             wish.next_repair = now + wish.repair_wait
+            wish.repair_until = now + REPAIR_MS
             wish.repair_wait = min(wish.repair_wait * 2, REPAIR_MAX_MS)
             self._peering.counters.add("propagation.repairs")
             self._peering.send(address, self._request(source, 0))
@@ -136,7 +146,9 @@
         if delta.service != self._peering.scopes[delta.source]:
             self._peering.counters.add("propagation.wrong_slice")
             return
-        if delta.revision < replica.revision or (delta.base and delta.revision == replica.revision):
+        # A second parent sends the whole state late; only a repair needs it at the held revision.
+        is_repair = delta.base == 0 and now < self._wishes[delta.source].repair_until
+        if delta.revision < replica.revision + (not is_repair):
             self._peering.counters.add("propagation.old_deltas")
             return
         if delta.base > replica.revision:
--- a/shallotshore/relay.py
+++ b/shallotshore/relay.py
@@ -15,7 +15,7 @@
     RevisionOffer,
     Source,
 )
-from shallotshore.peering import NEVER, Peering
+from shallotshore.peering import Peering
 from shallotshore.platform_reader import PlatformReader
 
 GOSSIP_MS = 1000
@@ -24,8 +24,6 @@
 OFFER_AFTER_PUSH_MS = (200, 600)
 FOLLOWER_SILENCE_MS = 10_000  # an agent that has offered nothing for so long is forgotten
 FOLLOWER_LIMIT = 4096
-FOLLOWER_REPAIR_MS = 2000  # doubled with each repair that does not help, as between balancers
-FOLLOWER_REPAIR_MAX_MS = 600_000
 SENDING_LIMIT = 4096
 ENTRIES_PER_PART = 128
 ENTRIES_PER_TICK = 200  # an entry takes up to 6 us to select; a slice of work takes at most 2 ms
@@ -37,13 +35,11 @@
 class Follower:
     """An agent that follows this balancer, and the revisions it is known to hold."""
 
-    __slots__ = ("held", "next_repair", "repair_wait", "scopes", "seen")
+    __slots__ = ("held", "scopes", "seen")
 
     def __init__(self) -> None:
         self.scopes: dict[Source, int] = {}
         self.held: dict[Source, int] = {}
-        self.next_repair = NEVER
-        self.repair_wait = FOLLOWER_REPAIR_MS
         self.seen = 0
 
 
@@ -140,10 +136,10 @@
                 self.offer_to(address, Source.CONFIGURATION)
         self._send_parts()
 
-    def offer_to(self, address: Address, source: Source) -> None:
-        """Sends the revision held and its digest."""
+    def offer_to(self, address: Address, source: Source, scope: int = 0) -> None:
+        """Sends the revision held and its digest, or that of a slice."""
         replica = self._peering.replicas[source]
-        offer = RevisionOffer(source, replica.revision, replica.digest(0), 0)
+        offer = RevisionOffer(source, replica.revision, replica.digest(scope), scope)
         self._peering.send(address, offer)
 
     def _answer_balancer(self, address: Address, offer: RevisionOffer, now: int) -> None:
@@ -167,14 +163,9 @@
         elif offer.revision < replica.revision:
             self._start(address, offer.source, offer.service, offer.revision)
         elif offer.revision and offer.digest != replica.digest(offer.service):
-            if follower is not None and now >= follower.next_repair:
-                follower.next_repair = now + follower.repair_wait
-                follower.repair_wait = min(follower.repair_wait * 2, FOLLOWER_REPAIR_MAX_MS)
-                self._peering.counters.add("propagation.slices_repaired")
-                self._start(address, offer.source, offer.service, 0)
+            # The agent asks for a repair; it knows how often it has done so in vain.
+            self.offer_to(address, offer.source, offer.service)
         elif offer.source == Source.CONFIGURATION:
-            if follower is not None:
-                follower.repair_wait = FOLLOWER_REPAIR_MS
             self._peering.send(address, RevisionNotice(replica.revision))
 
     def _answer_request(self, address: Address, request: DeltaRequest, now: int) -> None:
--- a/tests/test_propagation.py
+++ b/tests/test_propagation.py
@@ -249,6 +249,13 @@
         self.sent(720, Delta(Source.CONFIGURATION, 5, 8, 0, 0, 0, ()))
         self.assertEqual(self.core.catalog.revision, 8)
 
+    def test_late_part_of_a_whole_state_starts_no_transfer(self) -> None:
+        late = Delta(Source.CONFIGURATION, 0, 5, 0, 1, 2, (Entry("service/a", 5, b""),))
+        sent = self.sent(0, late)
+        sent += [message for now in range(20, 2000, 20) for message in self.sent(now)]
+        self.assertNotIn(DeltaRequest(Source.CONFIGURATION, 0, 0), sent)
+        self.assertEqual(self.core.counters["propagation.transfer_retries"], 0)
+
     def test_equal_revisions_with_other_digests_are_merged(self) -> None:
         other = SpreadCore(PropagationConfig(self.peer, "dc-0"), random.Random(2))
         text = b'{"kind":"service","schema":3,"name":"a"}'
