--- a/shallotshore/balancer.py
+++ b/shallotshore/balancer.py
@@ -82,7 +82,15 @@
     candidates are chosen; proofs are complete before requests are ended.
     """
 
-    __slots__ = ("_config", "_dispatch", "_stopped", "_stopping_since", "_watching", "state")
+    __slots__ = (
+        "_config",
+        "_dispatch",
+        "_propagation",
+        "_stopped",
+        "_stopping_since",
+        "_watching",
+        "state",
+    )
 
     def __init__(
         self,
@@ -115,6 +123,7 @@
         self._watching = Watching(state)
         self._dispatch = Dispatch(state, ingress, candidates, verdicts)
         propagation = self._propagation_of(config, rng, membership)
+        self._propagation = propagation
         guard = WakeupGuard(self, _nothing, _never)
         if propagation is not None:
             guard = WakeupGuard(self, propagation.ask_peers, propagation.confirmed_since)
@@ -143,6 +152,11 @@
         peers = ListedPeers(config.address, config.data_centre, membership)
         return cls(config, rng, Catalog(), peers, membership)
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether an update waits to be worked off, so that the next tick should follow at once."""
+        return self._propagation is not None and self._propagation.is_busy
+
     @property
     def stopped(self) -> bool:
         """Whether a graceful stop is complete."""
--- a/shallotshore/operator_commands.py
+++ b/shallotshore/operator_commands.py
@@ -85,7 +85,8 @@
         reply = await client.status(settings.address, StatusRequest(settings.detail))
     finally:
         await client.close()
-    print(reply.text.decode() if settings.format == "json" else render_text(reply))
+    as_json = settings.json or settings.format == "json"
+    print(reply.text.decode() if as_json else render_text(reply))
     return 0
 
 
--- a/shallotshore/settings.py
+++ b/shallotshore/settings.py
@@ -29,6 +29,7 @@
 STATUS = "status"
 _LOG_LEVELS = ("debug", "info", "warning", "error")
 _FORMATS = ("text", "json")
+_BARE_SWITCHES = ("--json", "--plain_text")
 
 Parser = Callable[[str], Result[Any, str]]
 
@@ -66,6 +67,7 @@
     log_level: str = "info"
     seed: int | None = None
     format: str = "text"
+    json: bool = False
     detail: int = 1
 
 
@@ -147,6 +149,7 @@
     _Spec("log_level", _one_of(*_LOG_LEVELS), f"One of {', '.join(_LOG_LEVELS)}."),
     _Spec("seed", _parse_number, "Seed of random choices, for tests."),
     _Spec("format", _one_of(*_FORMATS), "Format of the status report: text or json."),
+    _Spec("json", _parse_switch, "Print the status report as JSON, as --format=json does."),
     _Spec("detail", _parse_number, "Detail of the status report; 0 leaves counters out."),
 )
 
@@ -164,7 +167,9 @@
     Returns:
         The settings, or every problem found.
     """
-    given, problems = _given(arguments, environment)
+    # A switch may stand alone, as is usual: `--json` means `--json=true`.
+    words = [f"{word}=true" if word in _BARE_SWITCHES else word for word in arguments]
+    given, problems = _given(words, environment)
     values: dict[str, Any] = {}
     for spec in _SPECS:
         if spec.name in given:
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -1,14 +1,60 @@
-"""Runs all tests but those listed in KNOWN-RED.txt, which it prints, and gives one closing line."""
+"""Runs all tests but those listed in KNOWN-RED.txt, which it prints, and gives one closing line.
 
+Modules that take long run beside the others, each in a process of its own.
+"""
+
+import os
+import subprocess
 import sys
 import time
 import unittest
 from collections.abc import Iterator
+from dataclasses import dataclass
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 KNOWN_RED_PREFIX = "test: "
+LONG_MODULES = ("tests.test_scenarios.", "tests.test_mutations.", "tests.test_soak.")
+IS_CHILD = "SHALLOTSHORE_TESTS_CHILD"  # set in the environment of the processes started here
+
+
+@dataclass(slots=True)
+class Tally:
+    """Counts of a run."""
+
+    passed: int = 0
+    failed: int = 0
+    skipped: int = 0
+
+    @classmethod
+    def from_result(cls, result: unittest.TestResult) -> "Tally":
+        """Counts tests; several failed sub-tests of one test are one failure."""
+        bad = {_test_of(case).id() for case, _ in result.failures + result.errors}
+        failed = len(bad) + len(result.unexpectedSuccesses)
+        skipped = len(result.skipped)
+        return cls(max(0, result.testsRun - failed - skipped), failed, skipped)
+
+    @classmethod
+    def from_line(cls, line: str) -> "Tally":
+        """Reads the closing line of another process; anything else counts as one failure."""
+        words = line.replace(",", "").split()
+        if words[1::2] != ["passed", "failed", "skipped"]:
+            return cls(failed=1)
+        return cls(*(int(word) for word in words[::2]))
+
+    def add(self, other: "Tally") -> None:
+        """Adds the counts of another run."""
+        self.passed += other.passed
+        self.failed += other.failed
+        self.skipped += other.skipped
+
+    def __str__(self) -> str:
+        return f"{self.passed} passed, {self.failed} failed, {self.skipped} skipped"
+
+
+def _test_of(case: unittest.TestCase) -> unittest.TestCase:
+    return getattr(case, "test_case", case)
 
 
 def known_red() -> set[str]:
@@ -32,29 +78,59 @@
             yield test
 
 
+def start_long_modules() -> list[subprocess.Popen[str]]:
+    """Starts a process for each module that takes long."""
+    environment = os.environ | {IS_CHILD: "1"}
+    return [
+        subprocess.Popen(
+            [sys.executable, "-m", "tests", module],
+            cwd=ROOT,
+            env=environment,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+            text=True,
+        )
+        for module in LONG_MODULES
+    ]
+
+
+def finish(child: subprocess.Popen[str]) -> Tally:
+    """Waits for a process, prints what it printed and returns its counts."""
+    output, _ = child.communicate()
+    lines = output.splitlines()
+    print("\n".join(lines[:-1]), flush=True)
+    tally = Tally.from_line(lines[-1] if lines else "")
+    if child.returncode and not tally.failed:
+        tally.failed = 1
+    return tally
+
+
 def main(patterns: list[str]) -> int:
     """Runs the tests whose id contains one of the patterns, or all of them.
 
     Returns:
         The exit status: 0 only when at least one test ran and none failed.
     """
-    found = list(
-        flatten(unittest.defaultTestLoader.discover(str(ROOT / "tests"), top_level_dir=str(ROOT)))
-    )
-    chosen = [test for test in found if not patterns or any(p in test.id() for p in patterns)]
+    start = time.monotonic()
+    children = [] if patterns else start_long_modules()
+    suite = unittest.defaultTestLoader.discover(str(ROOT / "tests"), top_level_dir=str(ROOT))
+    chosen = [
+        test for test in flatten(suite) if not patterns or any(p in test.id() for p in patterns)
+    ]
+    if children:
+        chosen = [test for test in chosen if not test.id().startswith(LONG_MODULES)]
     red = known_red()
     run = unittest.TestSuite(test for test in chosen if test.id() not in red)
-    start = time.monotonic()
-    result = unittest.TextTestRunner(verbosity=1).run(run)
+    tally = Tally.from_result(unittest.TextTestRunner(stream=sys.stdout).run(run))
     for test in chosen:
         if test.id() in red:
             print(f"known red, not run: {test.id()}")
-    failed = len(result.failures) + len(result.errors) + len(result.unexpectedSuccesses)
-    skipped = len(result.skipped)
-    passed = result.testsRun - failed - skipped
-    print(f"time: {time.monotonic() - start:.1f} s")
-    print(f"{passed} passed, {failed} failed, {skipped} skipped")
-    return 0 if passed and not failed else 1
+    for child in children:
+        tally.add(finish(child))
+    if not os.environ.get(IS_CHILD):
+        print(f"time: {time.monotonic() - start:.1f} s")
+    print(tally)
+    return 0 if tally.passed and not tally.failed else 1
 
 
 if __name__ == "__main__":
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -1,5 +1,6 @@
 """Runs every scenario for every user that it names; each guards the promises that it lists."""
 
+import os
 import unittest
 from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
@@ -7,7 +8,7 @@
 from standins.scenario import Scenario
 
 FOLDER = Path(__file__).parent / "scenarios"
-WORKERS = 3  # processes; one run takes a few seconds of one core
+WORKERS = min(5, os.cpu_count() or 1)  # processes; one run takes a few seconds of one core
 
 Job = tuple[str, str]
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -46,6 +46,10 @@
         self.assertEqual(self.problems("balancer", arguments), missing)
         self.assertTrue(read_settings("balancer", [*arguments, "--plain_text=true"], {}).is_ok())
 
+    def test_json_may_stand_alone_as_operators_expect(self) -> None:
+        settings = read_settings("status", ["--json", "--address=127.0.0.1:7000"], {}).unwrap()
+        self.assertTrue(settings.json)
+
     def test_addresses_of_both_families(self) -> None:
         self.assertEqual(parse_address("[::1]:80"), Ok(("::1", 80)))
         for wrong in ("localhost:80", "1.2.3.4", "1.2.3.4:0", "1.2.3.4:65536", ":1"):
