End a search that agents pass back to one asked before

Change: at most 64 steps for one packet; after them the caller's next packet goes on, and no reset is sent.

--- a/shallotshore/forwarding.py
+++ b/shallotshore/forwarding.py
@@ -29,6 +29,7 @@
 _RECENT_BITS = 11  # 2,048 packets: the traffic of some round trips between data centres
 _RECENT_MASK = (1 << _RECENT_BITS) - 1
 _SEARCH_DEPTH = 64  # upstreams asked for one flow; past them it counts as lost
+_SEARCH_STEPS = _SEARCH_DEPTH  # of one packet; a correct search needs one step per upstream
 _SEARCH_PAUSE_MS = 1_000
 _SEARCHES_PER_MS = 0.5  # packets of flows that do not exist must not multiply without bound
 _SEARCH_BURST = 500.0
@@ -54,6 +55,7 @@
         "_out_keys",
         "_recent",
         "_search_budget",
+        "_search_steps",
         "_state",
     )
 
@@ -65,6 +67,7 @@
         self._exhausted = array("Q", bytes(8 << _RECENT_BITS))
         self._exhausted_at = array("q", bytes(8 << _RECENT_BITS))
         self._out_keys = array("Q", bytes(8 << _RECENT_BITS))
+        self._search_steps = array("B", bytes(1 << _RECENT_BITS))
         self._search_budget = TokenBucket(_SEARCHES_PER_MS, _SEARCH_BURST)
         self._hint_budget = TokenBucket(_HINTS_PER_MS, _HINT_BURST)
         # Bound once: a singledispatchmethod builds a new function at each access.
@@ -193,6 +196,7 @@
         )
         if kind is not PacketKind.OPEN:
             self._recent[key & _RECENT_MASK] = forward
+            self._search_steps[key & _RECENT_MASK] = 0
         state.outbox.send(view.address, forward)
 
     def _reset(self, packet: CallerPacket, flow: int, code: Code) -> None:
@@ -301,10 +305,15 @@
             self._exhausted[slot] = reset.key
             self._exhausted_at[slot] = now
             return False
+        if self._search_steps[slot] >= _SEARCH_STEPS:
+            # Agents passed it to one that was asked before; only the caller's next packet goes on.
+            state.counters.add("flows.search_ended")
+            return True
         if not self._search_budget.take(now):
             # The caller sends again; a reset without a full search could end a live flow.
             state.counters.add("flows.search_refused")
             return True
+        self._search_steps[slot] += 1
         state.counters.add("flows.searched")
         state.send_to(untried[0], _readdressed(forward, untried[:MAX_CANDIDATES]))
         return True
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -176,6 +176,21 @@
         self.assertLessEqual(len(only(sent, Forward)), 500)
         self.assertEqual(only(sent, CallerReset), [])
 
+    def test_a_search_ends_when_agents_pass_it_back_to_one_asked_before(self) -> None:
+        self.bench.core.receive(CALLER, FabricPacket(CALLER, VIP, CallerData(1, b"")))
+        sent = self.bench.run()
+        steps = 0
+        while forwards := only(sent, Forward):
+            steps += 1
+            self.assertLessEqual(steps, 65)
+            key, first = forwards[0].key, forwards[0].candidates[0]
+            if steps == 1:
+                asked_before = first
+            reset = FlowReset(key, 1, CALLER, VIP, asked_before, Code.NO_SUCH_FLOW, 1)
+            self.bench.core.receive(CALLER, reset)
+            sent = self.bench.run()
+        self.assertEqual(only(sent, CallerReset), [])
+
 
 class HintTableTest(unittest.TestCase):
     """Guards the bounded cache against wrong owners."""
