Decline accepted requests that their leaving upstream has not started

Change: after 1.5 s of leaving by record, requests not yet started are declined, so that a balancer tries elsewhere.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -45,6 +45,17 @@
 class Fleet:
     """Balancers and agents in some data centres, with the platform's two services."""
 
+    __slots__ = (
+        "centres",
+        "configuration",
+        "cores",
+        "lines",
+        "pump",
+        "rng",
+        "settings",
+        "vm_list",
+    )
+
     def __init__(self, balancers: int, agents: int, centres: int, seed: int, loss: float) -> None:
         self.rng = random.Random(seed)
         network = Network(random.Random(seed + 1))
--- a/shallotshore/agent_state.py
+++ b/shallotshore/agent_state.py
@@ -105,6 +105,7 @@
         started: First tick.
         vouched_from: Since when no grant of a request that was made here can be missing.
         stopping_since: Start of the graceful stop.
+        leaving_since: When a record first said that the upstream leaves.
         recovering: Whether peers are still asked for the flows of the upstream.
         handing_over: Whether the process has stopped to be a witness.
         is_member: Whether the process has seen a record of its upstream.
@@ -114,6 +115,7 @@
     started: int = 0
     vouched_from: int = 0
     stopping_since: int = 0
+    leaving_since: int = 0
     recovering: bool = True
     handing_over: bool = False
     is_member: bool = False
@@ -203,12 +205,19 @@
         self.record = self.catalog.upstream(self.own)
         self._note_entry()
         self.data_centre_in = self.catalog.data_centre_in(self.data_centre)
+        self._note_leaving(now)
         self.placement.refresh(now)
         table = self.catalog.membership(self.service)
         self.table_changed = table != self.table
         self.table = table
         self._follow_balancers()
 
+    def _note_leaving(self, now: int) -> None:
+        if self.record is None or not self.record.leaving:
+            self.phase.leaving_since = 0
+        elif not self.phase.leaving_since:
+            self.phase.leaving_since = now
+
     def _note_entry(self) -> None:
         """Lets a witness vouch at once that was running before its record appeared.
 
--- a/shallotshore/requests.py
+++ b/shallotshore/requests.py
@@ -28,6 +28,7 @@
 from shallotshore.upstream_link import restart_ramp
 
 MAX_LIFETIME = 10_000  # ms; age plus budget of a request
+LEAVING_GRACE = 1_500  # ms to start accepted requests; with the spread of a revision below 3 s
 MAX_ASKERS = 16  # balancers' attempts attached to one request
 MAX_STORED = 16 << 20  # bytes of stored answers
 CANCEL_INTERVAL = 250  # ms between cancellations of a request that ran past its deadline
@@ -202,6 +203,9 @@
     elif not state.data_centre_in:
         decline(state, row, Code.DATA_CENTRE_OUT)
         abandon(state, row, now)
+    elif state.phase.leaving_since and now - state.phase.leaving_since > LEAVING_GRACE:
+        decline(state, row, Code.UPSTREAM_LEAVING)
+        abandon(state, row, now)
     elif requests.state[row] == RequestState.CLAIMING:
         _settle(state, row, now)
 
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -14,7 +14,7 @@
     UpstreamAnswer,
     UpstreamCancel,
 )
-from shallotshore.records import DataCentre
+from shallotshore.records import DataCentre, Upstream
 from tests.agents import ACME, GROVE, OTHER_VIP, VIP, YOUTH, FakeUpstream, Fleet, attempt
 
 
@@ -63,6 +63,23 @@
         self.assertEqual(len(self.fleet.answers(AttemptAnswer)), 9)
         self.assertEqual(self.codes(), [Code.OVERLOADED])
 
+    def test_queued_request_is_not_started_long_after_its_upstream_began_to_leave(self) -> None:
+        """An upstream that leaves must get no new work after 3 s, whatever waits at its agent."""
+        last = self.order(b"a")[:1]
+        self.fleet.upstream(last[0]).service_time = 4_000
+        for number, name in enumerate((b"a", b"b")):
+            self.fleet.send(last[0], replace(attempt(name, last, number), budget=8_000))
+        self.fleet.run(100)
+        name = self.fleet.agent(last[0]).state.config.upstream
+        changed = [
+            replace(r, state="leaving") if isinstance(r, Upstream) and r.name == name else r
+            for r in self.fleet.records
+        ]
+        self.fleet.publish(2, changed)
+        self.fleet.run(5_000)
+        self.assertEqual(self.started(), 1)
+        self.assertEqual(self.codes(), [Code.UPSTREAM_LEAVING])
+
     def test_expired_request_is_never_started(self) -> None:
         """Queueing counts against the budget."""
         last = self.order(b"a")[:1]
