--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,9 @@
 bench: setup
 	$(BIN)/python -m bench
 
+report: setup
+	$(BIN)/python -m bench.report
+
 soak: setup
 	$(BIN)/python -m bench.soak --seeds $(SEEDS)
 
--- /dev/null
+++ b/bench/report.py
@@ -0,0 +1,91 @@
+"""Draws plots for those who would rather look than read: `make report` writes build/report/*.png.
+
+Service while a data centre leaves and returns, and the load across upstreams, for both users on the
+virtual clock.
+"""
+
+__all__ = ["main"]
+
+import sys
+from collections import Counter
+from pathlib import Path
+
+import matplotlib
+
+matplotlib.use("Agg")  # no display is needed
+
+from matplotlib import pyplot
+
+from shallotshore.codes import Outcome
+from standins.deployments import KOLTSEGTER, VATULELE
+from standins.scenario import Scenario
+from standins.world import World
+
+FOLDER = Path("build/report")
+OUT_S, IN_S, END_S = 20, 28, 38
+USED_FROM_S = 12  # upstreams are warm
+_TEXT = f"""
+0 deployment {KOLTSEGTER} {VATULELE}
+3 load * * half
+{OUT_S} data_centre $dc2 out
+{IN_S} data_centre $dc2 in
+{END_S} end
+"""
+_LABELS = {
+    Outcome.DONE: "done",
+    Outcome.NOT_RUN: "not run",
+    Outcome.UNKNOWN: "unknown",
+}
+
+
+def _draw_service(world: World, user: str) -> None:
+    """Draws the outcomes of requests by the second in which they ended."""
+    ends = [end for log in world.caller_logs for end in log.requests if not end.cancelled]
+    seconds = range(END_S)
+    figure, axes = pyplot.subplots(figsize=(8, 3))
+    for outcome, label in _LABELS.items():
+        counts = Counter(end.ended // 1000 for end in ends if end.outcome == outcome)
+        axes.plot(seconds, [counts[second] for second in seconds], label=label)
+    axes.axvspan(OUT_S, IN_S, alpha=0.2, label="data centre out")
+    axes.set(xlabel="time (s)", ylabel="requests a second", title=f"{user}: outcomes")
+    axes.legend(loc="upper left")
+    _save(figure, f"service_{user}.png")
+
+
+def _draw_load(world: World, user: str) -> None:
+    """Draws the share of its slots that each upstream used before the change."""
+    start, end = USED_FROM_S * 1000, OUT_S * 1000
+    shares = {}
+    for name, log in sorted(world.logs.items()):
+        used = sum(
+            min(run.ended or end, end) - max(run.started, start)
+            for run in log.runs
+            if run.started < end and (run.ended or end) > start
+        )
+        shares[name] = used / (end - start) / world.server(name).settings.slots
+    figure, axes = pyplot.subplots(figsize=(8, 3))
+    axes.barh(list(shares), list(shares.values()))
+    axes.set(xlabel="share of slots in use", title=f"{user}: load across upstreams", xlim=(0, 1))
+    _save(figure, f"load_{user}.png")
+
+
+def _save(figure: "pyplot.Figure", name: str) -> None:
+    figure.tight_layout()
+    figure.savefig(FOLDER / name)
+    pyplot.close(figure)
+    print(FOLDER / name)
+
+
+def main() -> int:
+    """Runs both users' deployments once and draws their plots."""
+    FOLDER.mkdir(parents=True, exist_ok=True)
+    scenario = Scenario.from_text(_TEXT)
+    for user in (KOLTSEGTER, VATULELE):
+        world = scenario.run(user).world
+        _draw_service(world, user)
+        _draw_load(world, user)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
