Compute the use of slots in one place, and run the message sizes with make bench

Cause: bench/report repeated the sum of measures.imbalance; make bench left out bench/messages, whose figures docs/CAPACITY.md names; Relay.followers was used nowhere. Change: measures.slot_use serves both; bench/messages is in the list; the property is gone. An empty window still counts as no use.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -8,7 +8,16 @@
 
 from bench.targets import TARGETS, verdict
 
-MODULES = ("decision", "forwarding", "catalog", "propagation", "memory", "agent", "policies")
+MODULES = (
+    "decision",
+    "forwarding",
+    "catalog",
+    "propagation",
+    "memory",
+    "agent",
+    "messages",
+    "policies",
+)
 RESULTS = Path("build/bench.json")
 
 
--- a/bench/report.py
+++ b/bench/report.py
@@ -18,6 +18,7 @@
 
 from shallotshore.codes import Outcome
 from standins.deployments import KOLTSEGTER, VATULELE
+from standins.measures import slot_use
 from standins.scenario import Scenario
 from standins.world import World
 
@@ -55,14 +56,7 @@
 def _draw_load(world: World, user: str) -> None:
     """Draws the share of its slots that each upstream used before the change."""
     start, end = USED_FROM_S * 1000, OUT_S * 1000
-    shares = {}
-    for name, log in sorted(world.logs.items()):
-        used = sum(
-            min(run.ended or end, end) - max(run.started, start)
-            for run in log.runs
-            if run.started < end and (run.ended or end) > start
-        )
-        shares[name] = used / (end - start) / world.server(name).settings.slots
+    shares = {name: slot_use(world, name, start, end) for name in sorted(world.logs)}
     figure, axes = pyplot.subplots(figsize=(8, 3))
     axes.barh(list(shares), list(shares.values()))
     axes.set(xlabel="share of slots in use", title=f"{user}: load across upstreams", xlim=(0, 1))
--- a/shallotshore/relay.py
+++ b/shallotshore/relay.py
@@ -110,11 +110,6 @@
         self._pushed = dict.fromkeys(Source, 0)
         self._next_gossip = peering.rng.randrange(GOSSIP_MS)
 
-    @property
-    def followers(self) -> int:
-        """Number of agents that follow this balancer."""
-        return len(self._followers)
-
     def run(self, now: int) -> None:
         """Answers what arrived, reads the platform, pushes new revisions and gossips."""
         self._reader.run(now)
--- a/standins/measures.py
+++ b/standins/measures.py
@@ -1,6 +1,6 @@
 """Figures of a run: outcomes, latency, imbalance and hops, from what callers and upstreams saw."""
 
-__all__ = ["figures_of", "imbalance", "percentile"]
+__all__ = ["figures_of", "imbalance", "percentile", "slot_use"]
 
 from collections.abc import Sequence
 
@@ -15,6 +15,23 @@
     return ordered[min(len(ordered) - 1, int(share * len(ordered)))] if ordered else 0.0
 
 
+def slot_use(world: World, name: str, start: int, end: int) -> float:
+    """Returns the share of its slots that an upstream used.
+
+    Args:
+        world: A deployment that has run.
+        name: Name of the upstream.
+        start: Begin of the window in ms.
+        end: End of the window in ms.
+    """
+    used = sum(
+        min(run.ended or end, end) - max(run.started, start)
+        for run in world.logs[name].runs
+        if run.started < end and (run.ended or end) > start
+    )
+    return used / max(1, end - start) / world.server(name).settings.slots
+
+
 def imbalance(world: World, service: str, start: int, end: int) -> float:
     """Returns the greatest over the mean use of slots among a service's upstreams.
 
@@ -24,16 +41,11 @@
         start: Begin of the window in ms.
         end: End of the window in ms.
     """
-    used = []
-    for name, log in world.logs.items():
-        settings = world.server(name).settings
-        if settings.service == service:
-            spans = [
-                min(run.ended or end, end) - max(run.started, start)
-                for run in log.runs
-                if run.started < end and (run.ended or end) > start
-            ]
-            used.append(sum(spans) / settings.slots)
+    used = [
+        slot_use(world, name, start, end)
+        for name in world.logs
+        if world.server(name).settings.service == service
+    ]
     mean = sum(used) / len(used) if used else 0.0
     return max(used) / mean if mean else 0.0
 
