--- a/Makefile
+++ b/Makefile
@@ -55,3 +55,4 @@
 lock: setup
 	$(BIN)/uv pip compile -q --generate-hashes -p 3.11 -o requirements/run.txt requirements/run.in
 	$(BIN)/uv pip compile -q --generate-hashes -p 3.11 -o requirements/dev.txt requirements/dev.in
+	$(BIN)/uv pip compile -q --generate-hashes -p 3.11 -o requirements/platform.txt requirements/platform.in
--- a/shallotshore/hashing.py
+++ b/shallotshore/hashing.py
@@ -1,14 +1,18 @@
 """64-bit keys and rendezvous scores on top of xxhash."""
 
+from __future__ import annotations
+
 __all__ = ["address_key", "flow_key", "name_id", "rank", "request_key", "score"]
 
 from array import array
 from collections.abc import Iterable
 from functools import lru_cache
+from typing import TYPE_CHECKING
 
 import xxhash
 
-from shallotshore.messages import Address
+if TYPE_CHECKING:
+    from shallotshore.messages import Address
 
 _MASK = (1 << 64) - 1
 _MIX_MULTIPLIER = 0x9E3779B97F4A7C15  # odd, from the golden ratio: spreads all bits upwards
--- /dev/null
+++ b/shallotshore/packets/agent_state.py
@@ -0,0 +1,213 @@
+"""What the systems of a packet agent share."""
+
+from __future__ import annotations
+
+__all__ = ["AgentSettings", "AgentState"]
+
+import random
+from typing import TYPE_CHECKING
+
+from shallotshore.hashing import name_id
+from shallotshore.packets.agent_tables import FlowStage, FlowTable, SubscriberTable
+from shallotshore.packets.event_log import EventLog
+from shallotshore.packets.feeds import Feeds
+from shallotshore.packets.hosts import host_text
+from shallotshore.packets.latencies import Latencies
+from shallotshore.packets.node_messages import NodeMessage, UpstreamHealth
+from shallotshore.packets.openings_limit import OpeningsLimit
+from shallotshore.packets.packet import ToUpstream
+from shallotshore.tables import MISSING
+
+if TYPE_CHECKING:
+    from shallotshore.messages import Address
+    from shallotshore.systems import Counters, Inbox, Outbox
+
+
+class AgentSettings:
+    """Settings of one agent.
+
+    Attributes:
+        host: Own IP number, and that of the upstream.
+        data_centre: Name of its data centre.
+        service: Name of the upstream's service.
+        upstream: Address at which the upstream takes packets.
+        node_port: Port at which all processes of the system listen to each other.
+        seeds: Hosts that may run balancers.
+        is_first_start: Whether the whole system starts for the first time.
+        cold_over: Factor on what a cold upstream bears a second.
+        cold_slack: Flows a second beyond that.
+        flow_life_ms: Age after which a flow may be discarded.
+    """
+
+    __slots__ = (
+        "cold_over",
+        "cold_slack",
+        "data_centre",
+        "flow_life_ms",
+        "host",
+        "is_first_start",
+        "node_port",
+        "seeds",
+        "service",
+        "upstream",
+    )
+
+    def __init__(
+        self,
+        host: int,
+        data_centre: str,
+        service: str,
+        upstream: Address,
+        node_port: int,
+        seeds: tuple[int, ...] = (),
+        is_first_start: bool = False,
+        cold_over: float = 1.0,
+        cold_slack: int = 0,
+        flow_life_ms: int = 60_000,
+    ) -> None:
+        self.host = host
+        self.data_centre = data_centre
+        self.service = service
+        self.upstream = upstream
+        self.node_port = node_port
+        self.seeds = seeds
+        self.is_first_start = is_first_start
+        self.cold_over = cold_over
+        self.cold_slack = cold_slack
+        self.flow_life_ms = flow_life_ms
+
+
+class AgentState:
+    """Tables, mailboxes and beliefs of one agent.
+
+    Attributes:
+        is_leaving: Whether the upstream takes no new flows.
+        is_out: Whether the data centre is out.
+        health: What the agent sees of its upstream.
+        heard_at: When the upstream last sent a packet, in ms.
+        in_flight: Flows with data of the client that is not answered yet.
+        open_flows: Flows that are open and have not ended.
+        recent_offers: When the latest opening packets were handed over, in ms.
+        is_dirty: Whether subscribers should hear of a change.
+        unanswered_opening_at: When the upstream was first handed an opening packet since it last
+            sent anything, in ms; 0 when it owes no answer.
+        unanswered_data_at: The same for data.
+        started_at: When the agent started, in ms; MISSING before the first tick.
+    """
+
+    __slots__ = (
+        "counters",
+        "data_centre",
+        "feeds",
+        "flows",
+        "health",
+        "heard_at",
+        "in_flight",
+        "inbox",
+        "incarnation",
+        "is_dirty",
+        "is_leaving",
+        "is_out",
+        "limit",
+        "latencies",
+        "log",
+        "open_flows",
+        "outbox",
+        "recent_offers",
+        "service",
+        "settings",
+        "started_at",
+        "subscribers",
+        "unanswered_data_at",
+        "unanswered_opening_at",
+    )
+
+    def __init__(
+        self,
+        settings: AgentSettings,
+        inbox: Inbox,
+        outbox: Outbox,
+        counters: Counters,
+        rng: random.Random,
+    ) -> None:
+        self.settings = settings
+        self.inbox = inbox
+        self.outbox = outbox
+        self.counters = counters
+        self.log = EventLog()
+        self.latencies = Latencies()
+        self.feeds = Feeds()
+        self.flows = FlowTable()
+        self.subscribers = SubscriberTable()
+        self.limit = OpeningsLimit(settings.cold_over, settings.cold_slack)
+        self.service = name_id("service", settings.service)
+        self.data_centre = name_id("data_centre", settings.data_centre)
+        self.incarnation = rng.getrandbits(62) + 1
+        self.started_at = MISSING
+        self.is_leaving = False
+        self.is_out = False
+        self.health = UpstreamHealth.ANSWERS
+        self.heard_at = 0
+        self.unanswered_opening_at = 0
+        self.unanswered_data_at = 0
+        self.in_flight = 0
+        self.open_flows = 0
+        self.recent_offers: list[int] = []
+        self.is_dirty = True
+
+    def send(self, host: int, message: NodeMessage) -> None:
+        """Sends a message to the process of the system on a VM."""
+        self.outbox.send((host_text(host), self.settings.node_port), message)
+
+    def deliver(self, frame: bytes) -> None:
+        """Hands a client's packet to the upstream."""
+        self.outbox.send(self.settings.upstream, ToUpstream(frame))
+
+    def is_certain(self, now: int) -> bool:
+        """Whether a flow that the table lacks cannot live at the upstream."""
+        return self.settings.is_first_start or now - self.started_at > self.settings.flow_life_ms
+
+    def set_stage(self, row: int, stage: FlowStage) -> None:
+        """Moves a flow to a stage and keeps the count of open flows."""
+        flows = self.flows
+        was_open = flows.stage[row] == FlowStage.OPEN
+        flows.stage[row] = stage
+        self.open_flows += (stage == FlowStage.OPEN) - was_open
+        self.is_dirty = True
+
+    def set_awaits(self, row: int, awaits: bool) -> None:
+        """Notes whether the client waits for an answer, and keeps the count of those flows."""
+        flows = self.flows
+        if flows.awaits[row] != awaits:
+            self.in_flight += 1 if awaits else -1
+            flows.awaits[row] = awaits
+            self.is_dirty = True
+
+    def note_open(self, row: int) -> None:
+        """Opens a flow, and tells the balancers of the data centre that its client enters by."""
+        flows = self.flows
+        self.set_stage(row, FlowStage.OPEN)
+        self.counters.add("flows.opened")
+        self._tell(flows.origin[row], flows.key[row], "opened")
+
+    def forget(self, row: int) -> None:
+        """Removes a flow; balancers that know it are told when it was open."""
+        flows = self.flows
+        key = flows.key[row]
+        if flows.stage[row] == FlowStage.OPEN:
+            self._tell(flows.origin[row], key, "closed")
+        self.set_awaits(row, False)
+        self.set_stage(row, FlowStage.FOREIGN)
+        flows.remove(key)
+
+    def _tell(self, origin: int, key: int, column: str) -> None:
+        subscribers = self.subscribers
+        told = subscribers.row(origin)
+        if told == MISSING:
+            return
+        packed = key.to_bytes(8, "little")
+        column_values = getattr(subscribers, column)
+        for row in subscribers.rows():
+            if subscribers.data_centre[row] == subscribers.data_centre[told]:
+                column_values[row] += packed
+        self.is_dirty = True
--- /dev/null
+++ b/shallotshore/packets/agent_tables.py
@@ -0,0 +1,111 @@
+"""The tables of a packet agent: flows of its upstream, and balancers that want reports."""
+
+from __future__ import annotations
+
+__all__ = ["FlowStage", "FlowTable", "SubscriberTable"]
+
+from array import array
+from enum import IntEnum
+
+from shallotshore.cursor import Cursor
+from shallotshore.tables import Table
+
+FLOW_LIMIT = 20_000  # rows; ten times the connections of one upstream
+SUBSCRIBER_LIMIT = 1_000
+SUBSCRIPTION_MS = 3_000  # a balancer renews it every 800 ms
+FORMER_KEPT_MS = 60_000  # a balancer that restarts without a store is told what the agent holds
+SWEPT_ROWS = 16
+
+
+class FlowStage(IntEnum):
+    """What an agent knows of a flow."""
+
+    OFFERED = 1  # the opening packet went to the upstream
+    ACCEPTED = 2  # the upstream has accepted it
+    OPEN = 3  # the client goes on with it here
+    PROBED = 4  # unknown since the agent's start; the upstream has been asked with a packet
+    FOREIGN = 5  # the upstream does not hold it
+
+
+class FlowTable(Table):
+    """Flows by key.
+
+    Columns: `stage` is a FlowStage; `answer_sequence` is the number that the upstream chose when it
+    accepted; `client_next` is the number after the client's last byte; `awaits` is 1 while the
+    client's data is not answered; `ends` is 1 when the client has ended, 2 when the upstream
+    has, 3 for both; `touched` is the time of its last packet and `awaited_at` when the client
+    began to wait, in ms; `origin` is the balancer that delivered the last packet; `candidates`
+    are the hosts that an opening packet can be passed on to, `hops` how often it was.
+    """
+
+    __slots__ = (
+        "_cursor",
+        "answer_sequence",
+        "awaited_at",
+        "awaits",
+        "candidates",
+        "client_next",
+        "ends",
+        "hops",
+        "origin",
+        "stage",
+        "touched",
+    )
+
+    COLUMNS = {
+        "stage": "B",
+        "answer_sequence": "L",
+        "client_next": "L",
+        "awaits": "B",
+        "ends": "B",
+        "touched": "q",
+        "awaited_at": "q",
+        "origin": "Q",
+        "hops": "B",
+    }
+    OBJECT_COLUMNS = {"candidates": ()}
+
+    stage: array[int]
+    answer_sequence: array[int]
+    client_next: array[int]
+    awaits: array[int]
+    ends: array[int]
+    touched: array[int]
+    awaited_at: array[int]
+    origin: array[int]
+    hops: array[int]
+    candidates: list[tuple[int, ...]]
+
+    def __init__(self) -> None:
+        super().__init__(FLOW_LIMIT)
+        self._cursor = Cursor()
+
+    def swept(self) -> list[int]:
+        """Returns the next rows to look at."""
+        return self._cursor.take(self, SWEPT_ROWS)
+
+
+class SubscriberTable(Table):
+    """Balancers by host.
+
+    Columns: `data_centre` is an id; `renewed_at` and `sent_at` are times in ms; `opened` and
+    `closed` collect keys of flows for the next report.
+    """
+
+    __slots__ = ("closed", "data_centre", "opened", "renewed_at", "sent_at")
+
+    COLUMNS = {"data_centre": "Q", "renewed_at": "q", "sent_at": "q"}
+    OBJECT_COLUMNS = {"opened": b"", "closed": b""}
+
+    data_centre: array[int]
+    renewed_at: array[int]
+    sent_at: array[int]
+    opened: list[bytes]
+    closed: list[bytes]
+
+    def __init__(self) -> None:
+        super().__init__(SUBSCRIBER_LIMIT)
+
+    def is_live(self, row: int, now: int) -> bool:
+        """Whether a subscription is in force."""
+        return now - self.renewed_at[row] < SUBSCRIPTION_MS
--- /dev/null
+++ b/shallotshore/packets/application.py
@@ -0,0 +1,284 @@
+"""The application object of the packet front end: one core, its sockets and its timers."""
+
+from __future__ import annotations
+
+__all__ = ["Adapter", "PacketApplication", "clock"]
+
+import asyncio
+import os
+import signal
+import time
+from collections.abc import Callable
+from functools import singledispatchmethod
+from typing import TYPE_CHECKING, Protocol
+
+from result import Err, Result
+
+from shallotshore.codes import Code
+from shallotshore.packets import node_messages
+from shallotshore.packets.agent import PacketAgent
+from shallotshore.packets.balancer import PacketBalancer
+from shallotshore.packets.datagram_port import DatagramPort
+from shallotshore.packets.feeds import STORE
+from shallotshore.packets.http_server import Page, serve_pages
+from shallotshore.packets.log_writer import LogWriter
+from shallotshore.packets.node_settings import NodeSettings
+from shallotshore.packets.packet import Packet, ResetPacket, ToClient, ToUpstream
+from shallotshore.packets.peer_copies import fetch_copy, serve_copies
+from shallotshore.packets.store_messages import FetchFeed, ReadFeed, WatchFeed
+from shallotshore.packets.view import Feed, FeedState
+
+if TYPE_CHECKING:
+    from shallotshore.messages import Address
+
+TICK_MS = 20  # between ticks when nothing arrives
+LOG_FLUSH_MS = 250
+FIRST_FLUSH_MS = 1_500  # logs of a start wait until packets flow
+FAILED_TICKS = 100  # in a row, after which the process ends so that it can be replaced
+_ANY_HOST = ""
+
+
+class StoreReader(Protocol):
+    """Runs reads and watches of the platform's store."""
+
+    def call(self, request: ReadFeed | WatchFeed) -> None:
+        """Starts one; its answer is delivered later."""
+
+    def close(self) -> None:
+        """Gives up all calls."""
+
+
+class Adapter(Protocol):
+    """What the platform's adapter provides."""
+
+    ready_path: str
+    metrics_path: str
+    metrics_port: int
+
+    def decode(self, frame: bytes, is_from_upstream: bool = False) -> Result[Packet, Code]:
+        """Reads a datagram of a client or upstream."""
+
+    def encode_reset(self, reset: ResetPacket) -> bytes:
+        """Returns the datagram of a reset."""
+
+    def store(self, address: Address, deliver: Callable[[object], None]) -> StoreReader:
+        """Returns a client of the platform's store."""
+
+
+def clock() -> int:
+    """Returns milliseconds of a clock that goes on while the VM is suspended."""
+    return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
+
+
+class PacketApplication:
+    """Owns the sockets, timers and tasks around one core.
+
+    Life cycle: `run` opens everything, serves until a stop is complete and closes everything.
+    """
+
+    def __init__(
+        self, core: PacketBalancer | PacketAgent, settings: NodeSettings, adapter: Adapter
+    ) -> None:
+        """Creates an application that has opened nothing yet."""
+        self._core = core
+        self._settings = settings
+        self._adapter = adapter
+        self._writer = LogWriter(core.log, settings.name)
+        self._ports: list[DatagramPort] = []
+        self._servers: list[asyncio.AbstractServer] = []
+        self._fetches: set[asyncio.Task[None]] = set()
+        self._timers: dict[str, asyncio.TimerHandle] = {}
+        self._store: StoreReader | None = None
+        self._tick_handle: asyncio.Handle | None = None
+        self._ended: asyncio.Future[int] | None = None
+        self._failed_ticks = 0
+
+    async def run(self) -> int:
+        """Runs until a signal has stopped the core.
+
+        Returns:
+            The exit status.
+
+        Raises:
+            OSError: An address cannot be bound.
+        """
+        self._loop = asyncio.get_running_loop()
+        self._ended = self._loop.create_future()
+        try:
+            await self._open()
+            return await self._ended
+        finally:
+            self._close()
+
+    async def _open(self) -> None:
+        core, settings = self._core, self._settings
+        self._loop.add_signal_handler(signal.SIGTERM, self._stop)
+        self._loop.add_signal_handler(signal.SIGINT, self._stop)
+        self._loop.add_signal_handler(signal.SIGHUP, self._note_hangup)
+        node_address = (settings.host, settings.node_port)
+        self._node_port = self._bind(node_address, "nodes", self._take_node_message)
+        if isinstance(core, PacketBalancer):
+            self._store = self._adapter.store(settings.store_address, self._take_answer)
+            self._client_port = self._bind(settings.client_address, "clients", self._take_client)
+        else:
+            self._client_port = self._bind(
+                settings.outbound_address, "upstream", self._take_upstream
+            )
+        core.log.write(clock(), "started", host=settings.host, pid=os.getpid())
+        self._on_timer()
+        self._servers.append(await serve_copies(node_address, self._copy_of))
+        pages = {self._adapter.ready_path: self._ready_page}
+        if settings.ready_address is not None:
+            self._servers.append(await serve_pages(settings.ready_address, pages))
+        metrics_address = (settings.host, self._adapter.metrics_port)
+        metrics_pages = {self._adapter.metrics_path: self._metrics_page}
+        self._servers.append(await serve_pages(metrics_address, metrics_pages))
+        self._timers["flush"] = self._loop.call_later(FIRST_FLUSH_MS / 1000, self._flush)
+
+    def _bind(
+        self, address: Address, name: str, deliver: Callable[[bytes, Address], None]
+    ) -> DatagramPort:
+        port = DatagramPort(address, name, self._core.counters, deliver)
+        self._ports.append(port)
+        return port
+
+    def _close(self) -> None:
+        for timer in self._timers.values():
+            timer.cancel()
+        for task in self._fetches:
+            task.cancel()
+        if self._store is not None:
+            self._store.close()
+        for server in self._servers:
+            server.close()
+        for port in self._ports:
+            port.close()
+        self._core.log.write(clock(), "ended", counters=self._core.counters.snapshot())
+        self._writer.flush()
+
+    def _stop(self) -> None:
+        self._core.log.write(clock(), "stopping")
+        self._core.stop(clock())
+        self._wake()
+
+    def _note_hangup(self) -> None:
+        """Settings name only addresses of this VM, which do not change while a process runs."""
+        self._core.log.write(clock(), "reload_requested", is_needed=False)
+
+    def _take_client(self, frame: bytes, source: Address) -> None:
+        self._take_packet(self._adapter.decode(frame), source)
+
+    def _take_upstream(self, frame: bytes, source: Address) -> None:
+        self._take_packet(self._adapter.decode(frame, is_from_upstream=True), source)
+
+    def _take_packet(self, packet: Result[Packet, Code], source: Address) -> None:
+        if isinstance(packet, Err):
+            self._core.counters.add(f"packets.refused.{packet.err_value.name.lower()}")
+            return
+        self._deliver(source, packet.ok_value)
+
+    def _take_node_message(self, frame: bytes, source: Address) -> None:
+        message = node_messages.decode(frame)
+        if isinstance(message, Err):
+            self._core.counters.add(f"messages.refused.{message.err_value.name.lower()}")
+            return
+        self._deliver(source, message.ok_value)
+
+    def _take_answer(self, answer: object) -> None:
+        self._deliver(STORE, answer)
+
+    def _deliver(self, source: Address, message: object) -> None:
+        self._core.receive(source, message)
+        self._wake()
+
+    def _wake(self) -> None:
+        if self._tick_handle is None:
+            self._tick_handle = self._loop.call_soon(self._tick)
+
+    def _on_timer(self) -> None:
+        self._timers["tick"] = self._loop.call_later(TICK_MS / 1000, self._on_timer)
+        self._wake()
+
+    def _tick(self) -> None:
+        self._tick_handle = None
+        core = self._core
+        try:
+            core.tick(clock())
+            self._failed_ticks = 0
+        except Exception as error:
+            # A fault in one message must not end the flows of all the others.
+            self._note_failed_tick(error)
+        for destination, message in core.outbox.drain():
+            self._send(message, destination)
+        if core.stopped:
+            self._end(0)
+
+    def _note_failed_tick(self, error: Exception) -> None:
+        self._failed_ticks += 1
+        self._core.counters.add("application.failed_ticks")
+        if self._failed_ticks == 1:
+            import traceback
+
+            text = "".join(traceback.format_exception(error))
+            self._core.log.write(clock(), "tick_failed", error=text)
+        if self._failed_ticks >= FAILED_TICKS:
+            self._end(1)
+
+    def _end(self, status: int) -> None:
+        if self._ended is not None and not self._ended.done():
+            self._ended.set_result(status)
+
+    @singledispatchmethod
+    def _send(self, message: object, destination: Address) -> None:
+        """Sends what a core has put into its outbox; other processes' messages by default."""
+        self._node_port.send(node_messages.encode(message), destination)  # type: ignore[arg-type]
+
+    @_send.register(ToUpstream)
+    def _(self, message: ToUpstream, destination: Address) -> None:
+        self._client_port.send(message.frame, destination)
+
+    @_send.register(ToClient)
+    def _(self, message: ToClient, destination: Address) -> None:
+        self._client_port.send(message.frame, self._client_of(destination))
+
+    @_send.register(ResetPacket)
+    def _(self, message: ResetPacket, destination: Address) -> None:
+        frame = self._adapter.encode_reset(message)
+        self._client_port.send(frame, self._client_of(destination))
+
+    @_send.register(ReadFeed)
+    @_send.register(WatchFeed)
+    def _(self, message: ReadFeed | WatchFeed, destination: Address) -> None:
+        assert self._store is not None
+        self._store.call(message)
+
+    @_send.register(FetchFeed)
+    def _(self, message: FetchFeed, destination: Address) -> None:
+        task = asyncio.ensure_future(self._fetch(message.feed, destination))
+        self._fetches.add(task)
+        task.add_done_callback(self._fetches.discard)
+
+    async def _fetch(self, feed: Feed, source: Address) -> None:
+        answer = await fetch_copy(source, feed)
+        self._deliver(source, answer)
+
+    def _client_of(self, client: Address) -> Address:
+        """Returns where the fabric takes packets for a client."""
+        return (client[0], self._settings.client_address[1])
+
+    def _copy_of(self, feed: Feed) -> FeedState:
+        return self._core.feeds.copy(feed).state()
+
+    def _ready_page(self) -> Page:
+        if self._core.is_ready:
+            return Page(200, "ready\n")
+        return Page(503, "not ready\n")
+
+    def _metrics_page(self) -> Page:
+        from shallotshore.packets.exposition import metrics_text
+
+        return Page(200, metrics_text(self._core))
+
+    def _flush(self) -> None:
+        self._timers["flush"] = self._loop.call_later(LOG_FLUSH_MS / 1000, self._flush)
+        self._writer.flush()
--- /dev/null
+++ b/shallotshore/packets/balancer.py
@@ -0,0 +1,109 @@
+"""The core of a packet balancer: tables and the ordered systems that run over them each tick."""
+
+from __future__ import annotations
+
+__all__ = ["PacketBalancer"]
+
+import random
+
+from shallotshore.packets.balancer_state import BalancerSettings, BalancerState
+from shallotshore.packets.directory import DirectorySystem
+from shallotshore.packets.event_log import EventLog
+from shallotshore.packets.feeds import Feeds, FeedSystem
+from shallotshore.packets.members import MemberSystem, SubscriptionSystem
+from shallotshore.packets.openings import OpeningSystem
+from shallotshore.packets.ownership import Decode, OwnershipSystem
+from shallotshore.packets.packet import Packet
+from shallotshore.packets.routing import RoutingSystem
+from shallotshore.systems import Core
+
+PAUSE_MS = 1_000  # a longer gap between ticks means that the VM stood still
+# The routers probe twice a second and move on after two misses; stragglers follow.
+STOP_MS = 1_700
+
+
+class PacketBalancer(Core):
+    """A balancer without sockets, wall time or encodings.
+
+    The order of the systems matters: what is published comes into force before packets are
+    routed by it, and the owners that agents name are known before packets are sent to them.
+    """
+
+    __slots__ = ("_feed_system", "_last_tick", "_members", "_stopping_since", "state")
+
+    def __init__(self, settings: BalancerSettings, rng: random.Random, decode: Decode) -> None:
+        """Creates a balancer.
+
+        Args:
+            settings: Settings.
+            rng: Source of random numbers; a seed makes the balancer's choices repeatable.
+            decode: Reads a client's packet that an agent gives back.
+        """
+        super().__init__()
+        state = BalancerState(settings, self.inbox, self.outbox, self.counters, rng)
+        self.state = state
+        self._feed_system = FeedSystem(
+            state.feeds, self.inbox, self.outbox, self.counters, state.log, rng, reads_store=True
+        )
+        self._members = MemberSystem(state)
+        self._last_tick = -1
+        self._stopping_since = -1
+        self._systems = [
+            self._feed_system,
+            DirectorySystem(state),
+            self._members,
+            OwnershipSystem(state, decode),
+            SubscriptionSystem(state),
+            RoutingSystem(state),
+            OpeningSystem(state),
+        ]
+
+    @property
+    def log(self) -> EventLog:
+        """Log lines to write."""
+        return self.state.log
+
+    @property
+    def feeds(self) -> Feeds:
+        """What is published, for other processes to fetch."""
+        return self.state.feeds
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the routers should send packets here."""
+        return self._stopping_since < 0 and self.state.is_configured
+
+    @property
+    def stopped(self) -> bool:
+        """Whether a graceful stop is complete."""
+        return self._stopping_since >= 0 and self._last_tick - self._stopping_since >= STOP_MS
+
+    def stop(self, now: int) -> None:
+        """Starts a graceful stop: packets are forwarded until the routers have moved on."""
+        if self._stopping_since < 0:
+            self._stopping_since = now
+            self._members.say_goodbye()
+
+    def tick(self, now: int) -> None:
+        """Runs every system in order.
+
+        Args:
+            now: Time in ms, of a clock that goes on while the VM is suspended.
+        """
+        if self._last_tick >= 0 and now - self._last_tick > PAUSE_MS:
+            self._note_pause(now)
+        self._last_tick = now
+        super().tick(now)
+
+    def _note_pause(self, now: int) -> None:
+        """Drops opening packets that waited meanwhile: their clients have sent copies since."""
+        packets = self.inbox.take(Packet)
+        kept = [(source, packet) for source, packet in packets if not packet.is_opening]
+        for source, packet in kept:
+            self.inbox.put(source, packet)
+        self.counters.add("pauses")
+        self.counters.add("pauses.dropped_packets", len(packets) - len(kept))
+        self.log.write(
+            now, "paused", gap_ms=now - self._last_tick, dropped=len(packets) - len(kept)
+        )
+        self._feed_system.reread(now)
--- /dev/null
+++ b/shallotshore/packets/directory.py
@@ -0,0 +1,53 @@
+"""Brings routes and upstreams in force when a feed has changed."""
+
+from __future__ import annotations
+
+__all__ = ["DirectorySystem"]
+
+from shallotshore.hashing import name_id
+from shallotshore.packets.balancer_state import BalancerState, RouteView
+from shallotshore.packets.view import Feed
+from shallotshore.tables import MISSING
+
+REOPENED_COLD_MS = 3_000  # upstreams of a returning data centre are cold before they say so
+SWEEP_MS = 1_000
+
+
+class DirectorySystem:
+    """Copies what the feeds say into the routes and the table of upstreams."""
+
+    __slots__ = ("_state", "_swept_at")
+
+    def __init__(self, state: BalancerState) -> None:
+        self._state = state
+        self._swept_at = 0
+
+    def run(self, now: int) -> None:
+        """Runs the step at `now` (ms)."""
+        state = self._state
+        if Feed.OPERATOR in state.feeds.changed:
+            self._take_configuration(now)
+        if Feed.UPSTREAMS in state.feeds.changed:
+            state.upstreams.list_all(state.feeds.upstreams.content.upstreams.values(), now)
+        if now - self._swept_at >= SWEEP_MS:
+            self._swept_at = now
+            state.upstreams.sweep(now)
+
+    def _take_configuration(self, now: int) -> None:
+        state = self._state
+        content = state.feeds.operator.content
+        state.routes = {
+            (route.host, route.port): RouteView(route) for route in content.configuration.routes
+        }
+        out = {name_id("data_centre", name) for name in content.data_centres_out}
+        for data_centre in state.data_centres_out - out:
+            self._note_returned(data_centre, now)
+        state.data_centres_out = out
+
+    def _note_returned(self, data_centre: int, now: int) -> None:
+        upstreams = self._state.upstreams
+        for host in upstreams.keys():
+            row = upstreams.row(host)
+            if row != MISSING and upstreams.data_centre[row] == data_centre:
+                until = max(upstreams.cold_until[row], now + REOPENED_COLD_MS)
+                upstreams.cold_until[row] = until
--- /dev/null
+++ b/shallotshore/packets/feed_content.py
@@ -0,0 +1,133 @@
+"""What a feed holds, and how each kind of change alters it."""
+
+from __future__ import annotations
+
+__all__ = [
+    "Change",
+    "ConfigurationChange",
+    "DataCentreChange",
+    "FeedContent",
+    "UnreadableEntry",
+    "UpstreamChange",
+    "apply_change",
+]
+
+from functools import singledispatch
+
+from shallotshore.packets.view import Configuration, Feed, FeedState, Upstream
+
+
+class Change:
+    """One entry of the store as it is now.
+
+    Attributes:
+        key: Id of the upstream, name of the data centre, or the entry's own key.
+        revision: Revision of the store at which it changed.
+        is_gone: Whether the entry was removed.
+    """
+
+    __slots__ = ("is_gone", "key", "revision")
+
+    def __init__(self, key: str, revision: int, is_gone: bool = False) -> None:
+        self.key = key
+        self.revision = revision
+        self.is_gone = is_gone
+
+
+class ConfigurationChange(Change):
+    """A new version of the configuration."""
+
+    __slots__ = ("configuration",)
+
+    def __init__(self, key: str, revision: int, configuration: Configuration) -> None:
+        super().__init__(key, revision)
+        self.configuration = configuration
+
+
+class DataCentreChange(Change):
+    """A data centre is out, or in again when the entry is gone."""
+
+    __slots__ = ()
+
+
+class UpstreamChange(Change):
+    """An upstream's record; None when the entry is gone."""
+
+    __slots__ = ("upstream",)
+
+    def __init__(self, key: str, revision: int, upstream: Upstream | None) -> None:
+        super().__init__(key, revision, upstream is None)
+        self.upstream = upstream
+
+
+class UnreadableEntry(Change):
+    """An entry that cannot be read; it names nothing to use."""
+
+    __slots__ = ("reason",)
+
+    def __init__(self, key: str, revision: int, reason: str) -> None:
+        super().__init__(key, revision)
+        self.reason = reason
+
+
+class FeedContent:
+    """The records of one feed; each feed uses the attributes that concern it."""
+
+    __slots__ = ("configuration", "data_centres_out", "upstreams")
+
+    def __init__(self) -> None:
+        self.configuration = Configuration()
+        self.data_centres_out: set[str] = set()
+        self.upstreams: dict[str, Upstream] = {}
+
+    @classmethod
+    def from_state(cls, state: FeedState) -> FeedContent:
+        """Returns what another process has handed over."""
+        content = cls()
+        content.configuration = state.configuration
+        content.data_centres_out = set(state.data_centres_out)
+        content.upstreams = {upstream.id: upstream for upstream in state.upstreams}
+        return content
+
+    def state(self, feed: Feed, revision: int) -> FeedState:
+        """Returns a copy to hand to another process."""
+        return FeedState(
+            feed,
+            revision,
+            self.configuration,
+            sorted(self.data_centres_out),
+            list(self.upstreams.values()),
+        )
+
+
+@singledispatch
+def apply_change(change: Change, content: FeedContent) -> None:
+    """Alters the content of a feed by one change."""
+    raise TypeError(f"no rule for {type(change).__name__}")
+
+
+@apply_change.register
+def _(change: ConfigurationChange, content: FeedContent) -> None:
+    if change.configuration.version >= content.configuration.version:
+        content.configuration = change.configuration
+
+
+@apply_change.register
+def _(change: DataCentreChange, content: FeedContent) -> None:
+    if change.is_gone:
+        content.data_centres_out.discard(change.key)
+    else:
+        content.data_centres_out.add(change.key)
+
+
+@apply_change.register
+def _(change: UpstreamChange, content: FeedContent) -> None:
+    if change.upstream is None:
+        content.upstreams.pop(change.key, None)
+    else:
+        content.upstreams[change.key] = change.upstream
+
+
+@apply_change.register
+def _(change: UnreadableEntry, content: FeedContent) -> None:
+    content.upstreams.pop(change.key, None)
--- /dev/null
+++ b/shallotshore/packets/feeds.py
@@ -0,0 +1,322 @@
+"""Follows what is published: reads and watches the store, or takes copies of other processes."""
+
+from __future__ import annotations
+
+__all__ = ["STORE", "FeedCopy", "FeedSystem", "Feeds"]
+
+import random
+from typing import TYPE_CHECKING
+
+from shallotshore.codes import Code
+from shallotshore.packets.event_log import EventLog
+from shallotshore.packets.feed_content import (
+    Change,
+    FeedContent,
+    UnreadableEntry,
+    apply_change,
+)
+from shallotshore.packets.store_messages import (
+    FetchedFeed,
+    FetchFailed,
+    FetchFeed,
+    ReadFeed,
+    StoreChanges,
+    StoreFailed,
+    StoreSnapshot,
+    WatchFeed,
+)
+from shallotshore.packets.view import Feed, FeedState
+from shallotshore.systems import Counters, Inbox, Outbox
+
+if TYPE_CHECKING:
+    from shallotshore.messages import Address
+
+WATCH_MS = 4_000  # a connection that fell silent must be noticed within a stable window of 4 s
+RETRY_MS = 60  # first pause after a failed call; doubles
+RETRY_LIMIT_MS = 500  # longest pause: the store's return must be noticed well within 2 s
+OFFER_PATIENCE_MS = (
+    400  # a reader of the store waits so long for its own watch before it asks a peer
+)
+FETCH_RETRY_MS = 100
+NEVER = -(1 << 40)
+STORE: Address = ("", 0)  # the edge knows the store's address
+
+
+class FeedCopy:
+    """What this process holds of one feed, and how it stays up to date.
+
+    Attributes:
+        feed: Which feed.
+        revision: Revision of the newest change held; 0 when nothing was ever read.
+        confirmed_at: When the store last answered, in ms.
+        failing_since: When calls to the store began to fail, or NEVER.
+        content: The records.
+    """
+
+    __slots__ = (
+        "after",
+        "best_offer",
+        "best_offer_at",
+        "best_offer_from",
+        "confirmed_at",
+        "content",
+        "failing_since",
+        "failures",
+        "feed",
+        "is_asking",
+        "is_complete",
+        "is_fetching",
+        "next_call_at",
+        "next_fetch_at",
+        "revision",
+        "stale_read_allowed",
+    )
+
+    def __init__(self, feed: Feed) -> None:
+        self.feed = feed
+        self.revision = 0
+        self.after = 0
+        self.confirmed_at = NEVER
+        self.failing_since = NEVER
+        self.failures = 0
+        self.is_asking = False
+        self.is_complete = False
+        self.stale_read_allowed = True
+        self.next_call_at = NEVER
+        self.is_fetching = False
+        self.next_fetch_at = NEVER
+        self.best_offer = 0
+        self.best_offer_at = NEVER
+        self.best_offer_from: Address | None = None
+        self.content = FeedContent()
+
+    def state(self) -> FeedState:
+        """Returns a copy to hand to another process."""
+        return self.content.state(self.feed, self.revision)
+
+
+class Feeds:
+    """Both feeds of a process, with the offers of other processes."""
+
+    __slots__ = ("changed", "operator", "upstreams")
+
+    def __init__(self) -> None:
+        self.operator = FeedCopy(Feed.OPERATOR)
+        self.upstreams = FeedCopy(Feed.UPSTREAMS)
+        self.changed: set[Feed] = set()
+
+    def copy(self, feed: Feed) -> FeedCopy:
+        """Returns the copy of a feed."""
+        return self.operator if feed is Feed.OPERATOR else self.upstreams
+
+    def offer(self, source: Address, operator: int, upstreams: int, now: int) -> None:
+        """Notes which revisions another process holds."""
+        for copy, revision in ((self.operator, operator), (self.upstreams, upstreams)):
+            if revision <= copy.revision:
+                continue
+            if copy.best_offer <= copy.revision:
+                copy.best_offer_at = now
+            if revision >= copy.best_offer:
+                copy.best_offer = revision
+                copy.best_offer_from = source
+
+
+class FeedSystem:
+    """Keeps the copies up to date; `Feeds.changed` names those that changed in this tick."""
+
+    __slots__ = ("_counters", "_feeds", "_inbox", "_log", "_outbox", "_reads_store", "_rng")
+
+    def __init__(
+        self,
+        feeds: Feeds,
+        inbox: Inbox,
+        outbox: Outbox,
+        counters: Counters,
+        log: EventLog,
+        rng: random.Random,
+        reads_store: bool,
+    ) -> None:
+        """Creates the system.
+
+        Args:
+            feeds: The copies.
+            inbox: Answers of the store and of other processes.
+            outbox: Calls to them.
+            counters: Event counts.
+            log: Log lines.
+            rng: Jitter of pauses.
+            reads_store: Whether this process reads the store, or only other processes' copies.
+        """
+        self._feeds = feeds
+        self._inbox = inbox
+        self._outbox = outbox
+        self._counters = counters
+        self._log = log
+        self._rng = rng
+        self._reads_store = reads_store
+
+    def run(self, now: int) -> None:
+        """Takes answers and makes the next calls."""
+        self._feeds.changed.clear()
+        for _, snapshot in self._inbox.take(StoreSnapshot):
+            self._take_snapshot(snapshot, now)
+        for _, changes in self._inbox.take(StoreChanges):
+            self._take_changes(changes, now)
+        for _, failed in self._inbox.take(StoreFailed):
+            self._take_failure(failed, now)
+        for _, fetched in self._inbox.take(FetchedFeed):
+            self._take_copy(fetched.state, now)
+        for _, unfetched in self._inbox.take(FetchFailed):
+            copy = self._feeds.copy(unfetched.feed)
+            copy.is_fetching = False
+            copy.next_fetch_at = now + FETCH_RETRY_MS
+            copy.best_offer, copy.best_offer_from = 0, None
+            self._log.write(now, "peer_copy_failed", feed=copy.feed.name, reason=unfetched.reason)
+        for copy in (self._feeds.operator, self._feeds.upstreams):
+            self._call(copy, now)
+            self._fetch(copy, now)
+
+    def reread(self, now: int) -> None:
+        """Reads everything anew, after a pause in which changes may have been missed."""
+        for copy in (self._feeds.operator, self._feeds.upstreams):
+            copy.is_complete = False
+            copy.stale_read_allowed = False
+            copy.next_call_at = now
+
+    def _call(self, copy: FeedCopy, now: int) -> None:
+        if not self._reads_store or copy.is_asking or now < copy.next_call_at:
+            return
+        copy.is_asking = True
+        if copy.is_complete:
+            self._outbox.send(STORE, WatchFeed(copy.feed, copy.after, WATCH_MS))
+        else:
+            self._outbox.send(STORE, ReadFeed(copy.feed, copy.stale_read_allowed))
+        self._counters.add("store.calls")
+
+    def _fetch(self, copy: FeedCopy, now: int) -> None:
+        source = copy.best_offer_from
+        if copy.is_fetching or source is None or copy.best_offer <= copy.revision:
+            return
+        patience = OFFER_PATIENCE_MS if self._reads_store and copy.revision else 0
+        if now < copy.next_fetch_at or now - copy.best_offer_at < patience:
+            return
+        copy.is_fetching = True
+        self._outbox.send(source, FetchFeed(copy.feed))
+        self._counters.add("peers.copies_fetched")
+
+    def _answered(self, copy: FeedCopy, now: int) -> None:
+        if copy.failing_since != NEVER:
+            self._log.write(
+                now, "store_regained", feed=copy.feed.name, after_ms=now - copy.failing_since
+            )
+        copy.is_asking = False
+        copy.failures = 0
+        copy.failing_since = NEVER
+        copy.confirmed_at = now
+        copy.next_call_at = now
+
+    def _take_snapshot(self, snapshot: StoreSnapshot, now: int) -> None:
+        copy = self._feeds.copy(snapshot.feed)
+        self._answered(copy, now)
+        copy.after = snapshot.revision
+        copy.is_complete = True
+        if snapshot.revision < copy.revision:
+            # Older than what a peer has handed over: the watch brings what is missing.
+            self._counters.add("store.old_snapshots")
+            return
+        content = FeedContent()
+        for change in snapshot.changes:
+            apply_change(change, content)
+        self._log_unreadable(snapshot.changes, now)
+        self._adopt(copy, content, snapshot.revision, "store", now)
+
+    def _take_changes(self, changes: StoreChanges, now: int) -> None:
+        copy = self._feeds.copy(changes.feed)
+        self._answered(copy, now)
+        copy.after = max(copy.after, changes.revision)
+        self._log_unreadable(changes.changes, now)
+        for change in changes.changes:
+            if change.revision > copy.revision:
+                copy.revision = change.revision
+                self._apply(copy, change, now)
+
+    def _take_failure(self, failed: StoreFailed, now: int) -> None:
+        copy = self._feeds.copy(failed.feed)
+        copy.is_asking = False
+        copy.failures += 1
+        self._counters.add(f"store.failed.{failed.code.name.lower()}")
+        if failed.code is Code.SERVICE_STALE:
+            # The history is gone: only a current read tells what was removed meanwhile.
+            copy.is_complete = False
+            copy.stale_read_allowed = False
+            copy.next_call_at = now
+            self._log.write(now, "store_history_lost", feed=copy.feed.name, after=copy.after)
+            return
+        if copy.failing_since == NEVER:
+            copy.failing_since = now
+            age = now - copy.confirmed_at if copy.confirmed_at != NEVER else None
+            self._log.write(
+                now,
+                "store_lost",
+                feed=copy.feed.name,
+                code=int(failed.code),
+                reason=failed.reason,
+                revision=copy.revision,
+                age_ms=age,
+            )
+        pause = min(RETRY_LIMIT_MS, RETRY_MS << min(copy.failures - 1, 8))
+        copy.next_call_at = now + int(pause * (0.75 + self._rng.random() / 2))
+
+    def _take_copy(self, state: FeedState, now: int) -> None:
+        copy = self._feeds.copy(state.feed)
+        copy.is_fetching = False
+        copy.next_fetch_at = now
+        if state.revision > copy.revision:
+            content = FeedContent.from_state(state)
+            self._adopt(copy, content, state.revision, "peer", now)
+
+    def _adopt(
+        self, copy: FeedCopy, content: FeedContent, revision: int, source: str, now: int
+    ) -> None:
+        """Replaces a copy; a configuration is kept when the other one is older."""
+        if content.configuration.version < copy.content.configuration.version:
+            content.configuration = copy.content.configuration
+        copy.content = content
+        copy.revision = revision
+        self._feeds.changed.add(copy.feed)
+        self._log.write(
+            now,
+            "feed_adopted",
+            feed=copy.feed.name,
+            source=source,
+            revision=revision,
+            version=content.configuration.version,
+            out=sorted(content.data_centres_out),
+            upstreams=len(content.upstreams),
+        )
+
+    def _apply(self, copy: FeedCopy, change: Change, now: int) -> None:
+        apply_change(change, copy.content)
+        self._feeds.changed.add(copy.feed)
+        self._log.write(
+            now,
+            "feed_changed",
+            feed=copy.feed.name,
+            kind=type(change).__name__,
+            key=change.key,
+            revision=change.revision,
+            version=copy.content.configuration.version,
+            is_gone=change.is_gone,
+        )
+
+    def _log_unreadable(self, changes: list[Change], now: int) -> None:
+        for change in changes:
+            if isinstance(change, UnreadableEntry):
+                self._counters.add("store.unreadable_entries")
+                self._log.write(
+                    now,
+                    "entry_unreadable",
+                    key=change.key,
+                    code=int(Code.RECORD_UNREADABLE),
+                    reason=change.reason,
+                )
--- /dev/null
+++ b/shallotshore/packets/flow_cache.py
@@ -0,0 +1,136 @@
+"""A balancer's table of flows: where it believes that each one lives."""
+
+from __future__ import annotations
+
+__all__ = ["FlowCache", "FlowStage"]
+
+from array import array
+from enum import IntEnum
+
+from shallotshore.cursor import Cursor
+from shallotshore.packets.packet import Packet
+from shallotshore.tables import MISSING, Table
+
+FLOW_LIMIT = 300_000  # rows; a full table loses no flow, since owners are found by a search
+FLOW_KEPT_MS = 75_000  # after the last packet; flows may be 60 s old
+SWEPT_ROWS = 32  # rows looked at in one tick
+TRIED_LIMIT = 3  # upstreams that one flow may be offered to
+
+
+class FlowStage(IntEnum):
+    """What a balancer knows of a flow."""
+
+    OPENING = 1  # offered to the upstreams that were tried
+    OWNED = 2  # an agent has named itself the owner
+    SEARCHING = 3  # all agents of the service are asked
+    LOST = 4  # its upstream holds it no more; the client is told
+
+
+class FlowCache(Table):
+    """Flows by key.
+
+    Columns: `stage` is a FlowStage; `owner` is a host and `service` what it served
+    when the flow was found there; `first`, `second` and `third` are the
+    hosts that were offered the flow; `touched` and `asked_at` are times in ms; `rounds` counts
+    searches without an owner; `offers` counts how often the flow was offered. `opening` keeps the
+    client's opening packet, `denied` the hosts that do not hold the flow.
+    """
+
+    __slots__ = (
+        "_cursor",
+        "_opening_rows",
+        "asked_at",
+        "denied",
+        "first",
+        "offers",
+        "opening",
+        "owner",
+        "rounds",
+        "second",
+        "service",
+        "stage",
+        "third",
+        "touched",
+    )
+
+    COLUMNS = {
+        "stage": "B",
+        "owner": "Q",
+        "service": "Q",
+        "first": "Q",
+        "second": "Q",
+        "third": "Q",
+        "touched": "q",
+        "asked_at": "q",
+        "rounds": "B",
+        "offers": "B",
+    }
+    OBJECT_COLUMNS = {"opening": None, "denied": None}
+
+    stage: array[int]
+    owner: array[int]
+    service: array[int]
+    first: array[int]
+    second: array[int]
+    third: array[int]
+    touched: array[int]
+    asked_at: array[int]
+    rounds: array[int]
+    offers: array[int]
+    opening: list[Packet | None]
+    denied: list[dict[int, int] | None]
+
+    def __init__(self) -> None:
+        super().__init__(FLOW_LIMIT)
+        self._cursor = Cursor()
+        self._opening_rows: list[int] = []
+
+    def watch_opening(self, row: int) -> None:
+        """Names a row for the next `take_opening`."""
+        self._opening_rows.append(row)
+
+    def take_opening(self) -> list[int]:
+        """Returns the rows named since the last call."""
+        rows = self._opening_rows
+        self._opening_rows = []
+        return rows
+
+    def tried(self, row: int) -> list[int]:
+        """Returns the hosts that were offered a flow."""
+        hosts = (self.first[row], self.second[row], self.third[row])
+        return [host for host in hosts if host]
+
+    def note_tried(self, row: int, host: int) -> None:
+        """Adds a host to those that were offered a flow."""
+        if host in self.tried(row):
+            return
+        if not self.first[row]:
+            self.first[row] = host
+        elif not self.second[row]:
+            self.second[row] = host
+        else:
+            self.third[row] = host
+
+    def own(self, key: int, host: int, service: int, now: int) -> bool:
+        """Notes the owner of a flow.
+
+        Returns:
+            Whether this was new.
+        """
+        row = self.add(key)
+        if row == MISSING:
+            return False
+        is_new = self.stage[row] != FlowStage.OWNED or self.owner[row] != host
+        self.stage[row] = FlowStage.OWNED
+        self.owner[row] = host
+        self.service[row] = service
+        self.touched[row] = now
+        self.opening[row] = None
+        self.denied[row] = None
+        return is_new
+
+    def sweep(self, now: int) -> None:
+        """Forgets flows without packets, a few rows at a time."""
+        for row in self._cursor.take(self, SWEPT_ROWS):
+            if now - self.touched[row] > FLOW_KEPT_MS:
+                self.remove(self.key[row])
--- /dev/null
+++ b/shallotshore/packets/http_client.py
@@ -0,0 +1,157 @@
+"""An HTTP connection that is kept open between requests, each with a timeout of its own."""
+
+from __future__ import annotations
+
+__all__ = ["HttpConnection", "HttpError"]
+
+import asyncio
+import errno
+import socket
+from typing import TYPE_CHECKING
+
+import httptools
+
+if TYPE_CHECKING:
+    from shallotshore.messages import Address
+
+CONNECT_TIMEOUT_MS = 400  # data centres are a few ms apart
+_OK = 200
+
+
+class HttpError(Exception):
+    """A request without a usable answer.
+
+    Attributes:
+        status: Status of the answer; 0 when there was none.
+    """
+
+    def __init__(self, status: int, reason: str) -> None:
+        super().__init__(reason)
+        self.status = status
+
+
+class HttpConnection:
+    """One connection that serves one request at a time."""
+
+    __slots__ = ("_address", "_limit", "_protocol")
+
+    def __init__(self, address: Address, limit: int) -> None:
+        """Creates a closed connection.
+
+        Args:
+            address: IP number and port of the server.
+            limit: Greatest size of a body in bytes.
+        """
+        self._address = address
+        self._limit = limit
+        self._protocol: _Protocol | None = None
+
+    async def get(self, path: str, timeout: int) -> bytes:
+        """Returns the body of a successful answer.
+
+        Args:
+            path: Path and query.
+            timeout: Time for the whole answer in ms.
+
+        Raises:
+            HttpError: There was no answer, or one with another status than 200.
+        """
+        try:
+            async with asyncio.timeout(timeout / 1000):
+                protocol = await self._connected()
+                status, body = await protocol.request(path, self._address)
+        except TimeoutError:
+            self.close()
+            raise HttpError(0, f"no answer within {timeout} ms") from None
+        except asyncio.CancelledError:
+            self.close()
+            raise
+        except (OSError, httptools.HttpParserError) as error:
+            self.close()
+            raise HttpError(0, repr(error)) from None
+        if status != _OK:
+            raise HttpError(status, f"status {status}")
+        return body
+
+    def close(self) -> None:
+        """Closes the connection; the next request opens a new one."""
+        if self._protocol is not None:
+            self._protocol.abort()
+            self._protocol = None
+
+    async def _connected(self) -> _Protocol:
+        if self._protocol is None or self._protocol.is_closed:
+            self.close()
+            loop = asyncio.get_running_loop()
+            async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000):
+                _, self._protocol = await loop.create_connection(
+                    lambda: _Protocol(self._limit), *self._address, family=socket.AF_INET
+                )
+        return self._protocol
+
+
+class _Protocol(asyncio.Protocol):
+    """Collects one answer at a time."""
+
+    __slots__ = ("_body", "_done", "_limit", "_parser", "_transport", "is_closed")
+
+    def __init__(self, limit: int) -> None:
+        self._limit = limit
+        self._transport: asyncio.Transport | None = None
+        self._parser: httptools.HttpResponseParser | None = None
+        self._body = bytearray()
+        self._done: asyncio.Future[tuple[int, bytes]] | None = None
+        self.is_closed = False
+
+    async def request(self, path: str, address: Address) -> tuple[int, bytes]:
+        """Sends a request and returns the status and the body of its answer."""
+        assert self._transport is not None
+        self._parser = httptools.HttpResponseParser(self)
+        self._body.clear()
+        self._done = asyncio.get_running_loop().create_future()
+        head = f"GET {path} HTTP/1.1\r\nHost: {address[0]}:{address[1]}\r\n\r\n"
+        self._transport.write(head.encode("ascii"))
+        return await self._done
+
+    def abort(self) -> None:
+        """Drops the connection without waiting for the peer."""
+        self.is_closed = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Takes the transport."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        """Parses what has arrived."""
+        if self._parser is None:
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            self._fail(error)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fails the open request."""
+        self.is_closed = True
+        self._fail(exc or ConnectionResetError(errno.ECONNRESET, "connection closed"))
+
+    def on_body(self, body: bytes) -> None:
+        """Adds a part of the body."""
+        self._body += body
+        if len(self._body) > self._limit:
+            self._fail(OSError(errno.EMSGSIZE, f"body above {self._limit} bytes"))
+            self.abort()
+
+    def on_message_complete(self) -> None:
+        """Ends the request."""
+        if self._done is not None and not self._done.done() and self._parser is not None:
+            self._done.set_result((self._parser.get_status_code(), bytes(self._body)))
+            if not self._parser.should_keep_alive():
+                self.abort()
+
+    def _fail(self, error: Exception) -> None:
+        if self._done is not None and not self._done.done():
+            self._done.set_exception(error)
--- /dev/null
+++ b/shallotshore/packets/http_server.py
@@ -0,0 +1,95 @@
+"""A small HTTP server for probes and metrics: GET of fixed paths."""
+
+from __future__ import annotations
+
+__all__ = ["Page", "serve_pages"]
+
+import asyncio
+from collections.abc import Callable, Mapping
+from typing import TYPE_CHECKING, NamedTuple
+
+import httptools
+
+if TYPE_CHECKING:
+    from shallotshore.messages import Address
+
+REQUEST_LIMIT = 8_192  # bytes; a probe sends less than 200
+_REASONS = {200: "OK", 404: "Not Found", 503: "Service Unavailable"}
+
+
+class Page(NamedTuple):
+    """An answer."""
+
+    status: int
+    text: str
+
+
+async def serve_pages(
+    address: Address, pages: Mapping[str, Callable[[], Page]]
+) -> asyncio.AbstractServer:
+    """Starts a server.
+
+    Args:
+        address: IP number and port to listen on.
+        pages: What makes the answer for each path.
+
+    Raises:
+        OSError: The address cannot be bound.
+    """
+    loop = asyncio.get_running_loop()
+    return await loop.create_server(lambda: _Protocol(pages), *address)
+
+
+class _Protocol(asyncio.Protocol):
+    __slots__ = ("_pages", "_parser", "_path", "_received", "_transport")
+
+    def __init__(self, pages: Mapping[str, Callable[[], Page]]) -> None:
+        self._pages = pages
+        self._parser = httptools.HttpRequestParser(self)
+        self._path = b""
+        self._received = 0
+        self._transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Takes the transport."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        """Parses what has arrived; anything but short requests ends the connection."""
+        assert self._transport is not None
+        self._received += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError:
+            self._transport.abort()
+            return
+        if self._received > REQUEST_LIMIT:
+            self._transport.abort()
+
+    def on_message_begin(self) -> None:
+        """Starts a new request."""
+        self._path = b""
+
+    def on_url(self, url: bytes) -> None:
+        """Adds a part of the path."""
+        self._path += url
+
+    def on_message_complete(self) -> None:
+        """Answers the request."""
+        assert self._transport is not None
+        self._received = 0
+        path = self._path.partition(b"?")[0].decode("latin-1")
+        make = self._pages.get(path)
+        page = make() if make is not None else Page(404, "unknown path\n")
+        body = page.text.encode()
+        keep = self._parser.should_keep_alive()
+        head = (
+            f"HTTP/1.1 {page.status} {_REASONS[page.status]}\r\n"
+            "Content-Type: text/plain; version=0.0.4; charset=utf-8\r\n"
+            f"Content-Length: {len(body)}\r\n"
+            f"Connection: {'keep-alive' if keep else 'close'}\r\n\r\n"
+        )
+        self._transport.write(head.encode("ascii") + body)
+        if not keep:
+            self._transport.close()
--- /dev/null
+++ b/shallotshore/packets/node_settings.py
@@ -0,0 +1,178 @@
+"""Settings of a process of the packet front end: a JSON file, checked as a whole."""
+
+from __future__ import annotations
+
+__all__ = ["AGENT", "BALANCER", "NodeSettings", "read_node_settings"]
+
+import socket
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+import msgspec
+from result import Err, Ok, Result
+
+from shallotshore.codes import Code
+from shallotshore.packets.hosts import host_number
+
+BALANCER = "balancer"
+AGENT = "agent"
+_BOTH = (BALANCER, AGENT)
+
+
+class NodeSettings:
+    """All settings, checked.
+
+    Attributes:
+        name: Name of the VM, for logs.
+        data_centre: Name of its data centre.
+        host: Own IP number.
+        client_address: Where a balancer takes the packets of clients. Clients are reached at the
+            same port.
+        upstream_address: Where an agent's upstream takes packets.
+        outbound_address: Where an agent takes the packets of its upstream.
+        service: Name of the upstream's service.
+        ready_address: Where readiness is asked for.
+        node_port: Port at which the processes of the system listen to each other.
+        seeds: Hosts that may run balancers.
+        store_address: Where the platform's store is.
+        first_start: Whether the whole system starts for the first time.
+        cold_over: Factor on what a cold upstream bears a second.
+        cold_slack: Flows a second beyond that.
+        flow_life_s: Age in seconds after which a flow may be discarded.
+    """
+
+    __slots__ = (
+        "client_address",
+        "cold_over",
+        "cold_slack",
+        "data_centre",
+        "first_start",
+        "flow_life_s",
+        "host",
+        "name",
+        "node_port",
+        "outbound_address",
+        "ready_address",
+        "seeds",
+        "service",
+        "store_address",
+        "upstream_address",
+    )
+
+    def __init__(self, **values: Any) -> None:
+        for spec in _SPECS:
+            setattr(self, spec.name, values.get(spec.name, spec.default))
+
+    name: str
+    data_centre: str
+    host: str
+    client_address: tuple[str, int]
+    upstream_address: tuple[str, int]
+    outbound_address: tuple[str, int]
+    service: str
+    ready_address: tuple[str, int]
+    node_port: int
+    seeds: tuple[int, ...]
+    store_address: tuple[str, int]
+    first_start: bool
+    cold_over: float
+    cold_slack: int
+    flow_life_s: float
+
+
+def read_node_settings(role: str, text: bytes) -> Result[NodeSettings, list[str]]:
+    """Reads the settings of a role.
+
+    Returns:
+        The settings, or every problem found, each with its result code.
+    """
+    try:
+        given = msgspec.json.decode(text)
+    except msgspec.MsgspecError as error:
+        return Err([_problem(Code.SETTING_TYPE, "settings", str(error))])
+    if not isinstance(given, dict):
+        return Err([_problem(Code.SETTING_TYPE, "settings", "must be an object")])
+    values: dict[str, Any] = {}
+    problems = []
+    for spec in _SPECS:
+        value = given.get(spec.name)
+        if value is None or value == "":
+            if role in spec.required_by:
+                problems.append(_problem(Code.SETTING_MISSING, spec.name, "must be given"))
+            continue
+        try:
+            values[spec.name] = spec.parse(value)
+        except (ValueError, TypeError, OSError) as error:
+            problems.append(_problem(Code.SETTING_VALUE, spec.name, str(error)))
+    return Err(problems) if problems else Ok(NodeSettings(**values))
+
+
+def _problem(code: Code, setting: str, text: str) -> str:
+    return f"{code.value} {code.name}: {setting}: {text}"
+
+
+def _parse_text(value: object) -> str:
+    if not isinstance(value, str):
+        raise ValueError(f"{value!r} is no text")
+    return value
+
+
+def _parse_host(value: object) -> str:
+    text = _parse_text(value)
+    socket.inet_aton(text)
+    return text
+
+
+def _parse_address(value: object) -> tuple[str, int]:
+    host, _, port = _parse_text(value).rpartition(":")
+    return (_parse_host(host), _parse_port(int(port)))
+
+
+def _parse_port(value: object) -> int:
+    if not isinstance(value, int) or not 0 < value < 65_536:
+        raise ValueError(f"{value!r} is no port")
+    return value
+
+
+def _parse_hosts(value: object) -> tuple[int, ...]:
+    if not isinstance(value, list):
+        raise ValueError(f"{value!r} is no list of addresses")
+    return tuple(host_number(_parse_address(address)[0]) for address in value)
+
+
+def _parse_switch(value: object) -> bool:
+    if not isinstance(value, bool):
+        raise ValueError(f"{value!r} is neither true nor false")
+    return value
+
+
+def _parse_number(value: object) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float) or value < 0:
+        raise ValueError(f"{value!r} is no number of 0 or more")
+    return value
+
+
+class _Spec(NamedTuple):
+    name: str
+    parse: Callable[[object], Any]
+    required_by: tuple[str, ...]
+    default: Any = None
+
+
+_SPECS = (
+    _Spec("name", _parse_text, (), "unnamed"),
+    _Spec("data_centre", _parse_text, _BOTH),
+    _Spec("host", _parse_host, _BOTH),
+    _Spec("client_address", _parse_address, _BOTH),
+    _Spec("upstream_address", _parse_address, (AGENT,)),
+    _Spec("outbound_address", _parse_address, (AGENT,)),
+    _Spec("service", _parse_text, (AGENT,)),
+    _Spec("ready_address", _parse_address, ()),
+    _Spec("node_port", _parse_port, _BOTH),
+    _Spec("seeds", _parse_hosts, (), ()),
+    _Spec("store_address", _parse_address, (BALANCER,)),
+    _Spec("first_start", _parse_switch, (), False),
+    _Spec("cold_over", _parse_number, (), 1.0),
+    _Spec("cold_slack", _parse_number, (), 0),
+    _Spec("flow_life_s", _parse_number, (), 60),
+)
--- /dev/null
+++ b/shallotshore/packets/openings_limit.py
@@ -0,0 +1,60 @@
+"""Bounds the flows that a cold upstream is given in any second."""
+
+from __future__ import annotations
+
+__all__ = ["OpeningsLimit"]
+
+WINDOW_MS = 1_000
+MARGIN = 1  # flows; packets on their way to the upstream may arrive closer together than sent
+
+
+class OpeningsLimit:
+    """Counts the opening packets handed to an upstream, exactly and over any second.
+
+    An agent that has just started may have handed over some just before, in an earlier life: it
+    counts a whole second as used.
+    """
+
+    __slots__ = ("_cold_until", "_over", "_per_s", "_slack", "_taken")
+
+    def __init__(self, over: float, slack: int) -> None:
+        """Creates a limit that holds until `set_cold` says otherwise.
+
+        Args:
+            over: Factor on what the upstream bears a second.
+            slack: Flows a second beyond that.
+        """
+        self._over = over
+        self._slack = slack
+        self._per_s = 0.0
+        self._cold_until = 1 << 62
+        self._taken: list[int] = []
+
+    @property
+    def allowed(self) -> int:
+        """Flows that a cold upstream may be given in a second."""
+        return max(1, int(self._per_s * self._over + self._slack) - MARGIN)
+
+    def start(self, now: int) -> None:
+        """Counts the second before the start as used."""
+        self._taken = [now] * self.allowed
+
+    def set_cold(self, until: int, per_s: float) -> None:
+        """Notes until when the upstream is cold (ms) and what it bears a second."""
+        self._cold_until = until
+        self._per_s = per_s
+
+    def cold_ms(self, now: int) -> int:
+        """Returns how much longer the limit holds."""
+        return max(0, self._cold_until - now)
+
+    def take(self, now: int) -> bool:
+        """Counts one flow, if the upstream may be given one now."""
+        if self._cold_until > now:
+            self._taken = [taken for taken in self._taken if now - taken <= WINDOW_MS]
+            if len(self._taken) >= self.allowed:
+                return False
+        elif len(self._taken) > 1_000:
+            self._taken = [taken for taken in self._taken if now - taken <= WINDOW_MS]
+        self._taken.append(now)
+        return True
--- /dev/null
+++ b/shallotshore/packets/own_upstream.py
@@ -0,0 +1,144 @@
+"""What is published of the agent's own upstream, and what its packets show of its health."""
+
+from __future__ import annotations
+
+__all__ = ["HealthSystem", "OwnUpstreamSystem"]
+
+from shallotshore.packets.agent_state import AgentState
+from shallotshore.packets.agent_tables import FlowStage
+from shallotshore.packets.hosts import host_text
+from shallotshore.packets.node_messages import UpstreamHealth
+from shallotshore.packets.view import Upstream
+
+REOPENED_COLD_MS = 3_000  # the upstream of a returning data centre is cold before it says so
+# Without a record an upstream is taken to be cold for so long: it starts together with its agent.
+UNKNOWN_COLD_MS = 4_000
+SILENT_AFTER_MS = 120  # an upstream accepts or returns an opening packet within a millisecond
+SILENT_DATA_MS = 800  # it acknowledges every second packet of data, and answers others in time
+PROBATION_MS = 1_000  # new flows are tried again so long after the last sign of silence
+ENDED_KEPT_MS = 3_000  # late packets of a flow that has ended still go to the upstream
+FOREIGN_KEPT_MS = 2_000
+
+
+class OwnUpstreamSystem:
+    """Follows the upstream's record, the data centre's state and the service's limits."""
+
+    __slots__ = ("_cold_until", "_record", "_state")
+
+    def __init__(self, state: AgentState) -> None:
+        self._state = state
+        self._record: Upstream | None = None
+        self._cold_until = 0
+
+    def run(self, now: int) -> None:
+        """Runs the step at `now` (ms)."""
+        state = self._state
+        if state.started_at < 0:
+            state.started_at = now
+            self._cold_until = now + UNKNOWN_COLD_MS
+            state.limit.start(now)
+            self._set_limit()
+        if state.feeds.changed:
+            self._follow(now)
+
+    def _follow(self, now: int) -> None:
+        state = self._state
+        record = self._own_record()
+        if record is not None and record != self._record:
+            if self._record is None:
+                self._cold_until = now + record.cold_ms
+            elif record.cold_ms:
+                self._cold_until = max(self._cold_until, now + record.cold_ms)
+            if state.is_leaving != record.is_leaving or self._record is None:
+                state.log.write(
+                    now,
+                    "upstream_record",
+                    upstream=record.id,
+                    revision=record.revision,
+                    is_leaving=record.is_leaving,
+                    cold_ms=record.cold_ms,
+                )
+            self._record = record
+            state.is_leaving = record.is_leaving
+        is_out = state.settings.data_centre in state.feeds.operator.content.data_centres_out
+        if state.is_out and not is_out:
+            self._cold_until = max(self._cold_until, now + REOPENED_COLD_MS)
+        if state.is_out != is_out:
+            state.is_out = is_out
+            state.log.write(now, "data_centre", name=state.settings.data_centre, is_out=is_out)
+        self._set_limit()
+        state.is_dirty = True
+
+    def _own_record(self) -> Upstream | None:
+        state = self._state
+        host = host_text(state.settings.host)
+        own = [
+            upstream
+            for upstream in state.feeds.upstreams.content.upstreams.values()
+            if upstream.host == host and upstream.service == state.settings.service
+        ]
+        return max(own, key=lambda upstream: upstream.revision, default=None)
+
+    def _set_limit(self) -> None:
+        state = self._state
+        services = state.feeds.operator.content.configuration.services
+        per_s = [limits.cold_per_s for limits in services if limits.name == state.settings.service]
+        state.limit.set_cold(self._cold_until, per_s[0] if per_s else 0.0)
+
+
+class HealthSystem:
+    """Judges the upstream by its silence, and forgets flows that have ended."""
+
+    __slots__ = ("_silent_until", "_state")
+
+    def __init__(self, state: AgentState) -> None:
+        self._state = state
+        self._silent_until = 0
+
+    def run(self, now: int) -> None:
+        """Runs the step at `now` (ms)."""
+        state = self._state
+        self._judge(now)
+        flows = state.flows
+        for row in flows.swept():
+            if now - flows.touched[row] > self._kept(row):
+                state.forget(row)
+
+    def _kept(self, row: int) -> int:
+        flows = self._state.flows
+        if flows.stage[row] == FlowStage.FOREIGN:
+            return FOREIGN_KEPT_MS
+        if flows.stage[row] != FlowStage.OPEN or flows.ends[row] == 3:
+            return ENDED_KEPT_MS
+        return self._state.settings.flow_life_ms
+
+    def _judge(self, now: int) -> None:
+        state = self._state
+        health = self._observed(now)
+        if health != state.health:
+            state.log.write(
+                now,
+                "upstream_health",
+                health=health.name,
+                was=state.health.name,
+                silent_ms=now - state.heard_at,
+            )
+            state.health = health
+            state.is_dirty = True
+
+    def _observed(self, now: int) -> UpstreamHealth:
+        state = self._state
+        if state.is_leaving or state.is_out:
+            return UpstreamHealth.LEAVING
+        is_silent = (
+            state.unanswered_opening_at and now - state.unanswered_opening_at > SILENT_AFTER_MS
+        ) or (state.unanswered_data_at and now - state.unanswered_data_at > SILENT_DATA_MS)
+        if is_silent and not self._silent_until:
+            self._silent_until = now + PROBATION_MS
+        if not is_silent:
+            self._silent_until = 0
+        elif now >= self._silent_until:
+            state.unanswered_opening_at = state.unanswered_data_at = 0
+            self._silent_until = 0
+            return UpstreamHealth.ANSWERS
+        return UpstreamHealth.SILENT if is_silent else UpstreamHealth.ANSWERS
--- /dev/null
+++ b/shallotshore/packets/peer_copies.py
@@ -0,0 +1,85 @@
+"""Hands copies of feeds from one process to another over TCP."""
+
+from __future__ import annotations
+
+__all__ = ["fetch_copy", "serve_copies"]
+
+import asyncio
+import socket
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from shallotshore.packets.store_messages import FetchedFeed, FetchFailed
+from shallotshore.packets.view import Feed, FeedState
+
+if TYPE_CHECKING:
+    from shallotshore.messages import Address
+
+FETCH_TIMEOUT_MS = 600  # data centres are a few ms apart; a copy of 350 routes has 20 KB
+COPY_LIMIT = 32 << 20  # bytes; 150,000 upstreams take about 15 MB
+_CHUNK = 65_536
+_REQUESTS = {bytes((feed,)): feed for feed in Feed}
+
+_decoder = msgspec.msgpack.Decoder(FeedState)
+
+
+async def serve_copies(
+    address: Address, state_of: Callable[[Feed], FeedState]
+) -> asyncio.AbstractServer:
+    """Starts a server that answers one byte, the feed, with a copy and closes.
+
+    Raises:
+        OSError: The address cannot be bound.
+    """
+    loop = asyncio.get_running_loop()
+    return await loop.create_server(lambda: _CopyProtocol(state_of), *address)
+
+
+async def fetch_copy(source: Address, feed: Feed) -> FetchedFeed | FetchFailed:
+    """Returns another process's copy of a feed."""
+    try:
+        async with asyncio.timeout(FETCH_TIMEOUT_MS / 1000):
+            return FetchedFeed(_decoder.decode(await _read_all(source, bytes((feed,)))))
+    except TimeoutError:
+        return FetchFailed(feed, f"{source[0]}: no answer within {FETCH_TIMEOUT_MS} ms")
+    except (OSError, msgspec.MsgspecError) as error:
+        return FetchFailed(feed, f"{source[0]}: {error!r}")
+
+
+async def _read_all(source: Address, request: bytes) -> bytes:
+    loop = asyncio.get_running_loop()
+    received = bytearray()
+    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as connection:
+        connection.setblocking(False)
+        await loop.sock_connect(connection, source)
+        await loop.sock_sendall(connection, request)
+        while chunk := await loop.sock_recv(connection, _CHUNK):
+            received += chunk
+            if len(received) > COPY_LIMIT:
+                raise OSError(f"copy above {COPY_LIMIT} bytes")
+    return bytes(received)
+
+
+class _CopyProtocol(asyncio.Protocol):
+    __slots__ = ("_state_of", "_transport")
+
+    def __init__(self, state_of: Callable[[Feed], FeedState]) -> None:
+        self._state_of = state_of
+        self._transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Takes the transport."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        """Answers a request; anything else ends the connection."""
+        assert self._transport is not None
+        feed = _REQUESTS.get(data)
+        if feed is None:
+            self._transport.abort()
+            return
+        self._transport.write(msgspec.msgpack.encode(self._state_of(feed)))
+        self._transport.close()
--- /dev/null
+++ b/shallotshore/packets/reports.py
@@ -0,0 +1,117 @@
+"""Keeps the balancers that use an upstream informed of its load, its flows and its agent."""
+
+from __future__ import annotations
+
+__all__ = ["ReportSystem"]
+
+from typing import TYPE_CHECKING
+
+from shallotshore.packets.agent_state import AgentState
+from shallotshore.packets.agent_tables import (
+    FORMER_KEPT_MS,
+    FlowStage,
+)
+from shallotshore.packets.hosts import host_number
+from shallotshore.packets.node_messages import Report, Subscribe
+from shallotshore.tables import MISSING
+
+if TYPE_CHECKING:
+    from shallotshore.messages import Address
+
+REPORT_MS = 250  # heartbeat
+CHANGE_GAP_MS = 40  # shortest time between two reports of changes
+OFFERS_COUNTED_MS = 50  # the client's request follows its opening packet well within it
+KEYS_IN_REPORT = 120  # keys of 8 bytes; a report stays within one packet of 1,400 bytes
+FORMER_REPORT_MS = 500  # reports to balancers whose subscription has ended; they may have restarted
+
+
+class ReportSystem:
+    """Takes subscriptions and sends reports."""
+
+    __slots__ = ("_next_at", "_state")
+
+    def __init__(self, state: AgentState) -> None:
+        self._state = state
+        self._next_at = 0
+
+    def run(self, now: int) -> None:
+        """Runs the step at `now` (ms)."""
+        state = self._state
+        for source, subscribe in state.inbox.take(Subscribe):
+            self._take(source, subscribe, now)
+        if now < self._next_at:
+            return
+        state.recent_offers = [at for at in state.recent_offers if now - at < OFFERS_COUNTED_MS]
+        self._send_due(now)
+        state.is_dirty = False
+        self._next_at = now + CHANGE_GAP_MS
+
+    def _take(self, source: Address, subscribe: Subscribe, now: int) -> None:
+        state = self._state
+        subscribers = state.subscribers
+        host = host_number(source[0])
+        row = subscribers.row(host)
+        if row == MISSING or not subscribers.is_live(row, now):
+            state.log.write(now, "balancer_subscribed", balancer=source[0])
+        row = subscribers.add(host)
+        if row == MISSING:
+            state.counters.add("subscribers.table_full")
+            return
+        subscribers.data_centre[row] = subscribe.data_centre
+        subscribers.renewed_at[row] = now
+        state.feeds.offer(source, subscribe.operator_revision, subscribe.upstreams_revision, now)
+        if subscribe.incarnation != state.incarnation:
+            subscribers.opened[row] = self._open_keys(subscribe.data_centre)
+            subscribers.sent_at[row] = 0
+            self._next_at = now
+
+    def _open_keys(self, data_centre: int) -> bytes:
+        """Returns the keys of open flows whose clients enter by a data centre."""
+        state = self._state
+        flows, subscribers = state.flows, state.subscribers
+        found = bytearray()
+        for row in flows.rows():
+            if flows.stage[row] != FlowStage.OPEN:
+                continue
+            origin = subscribers.row(flows.origin[row])
+            if origin == MISSING or subscribers.data_centre[origin] == data_centre:
+                found += flows.key[row].to_bytes(8, "little")
+        return bytes(found)
+
+    def _send_due(self, now: int) -> None:
+        state = self._state
+        subscribers = state.subscribers
+        for row in subscribers.rows():
+            if subscribers.is_live(row, now):
+                patience = 0 if state.is_dirty or subscribers.opened[row] else REPORT_MS
+            elif now - subscribers.renewed_at[row] > FORMER_KEPT_MS:
+                subscribers.remove(subscribers.key[row])
+                continue
+            else:
+                patience = FORMER_REPORT_MS
+            if now - subscribers.sent_at[row] >= patience:
+                self._send(row, now)
+
+    def _send(self, row: int, now: int) -> None:
+        state = self._state
+        subscribers = state.subscribers
+        opened, closed = subscribers.opened[row], subscribers.closed[row]
+        limit = KEYS_IN_REPORT * 8
+        subscribers.opened[row] = opened[limit:]
+        subscribers.closed[row] = closed[limit:]
+        subscribers.sent_at[row] = now
+        report = Report(
+            state.incarnation,
+            state.service,
+            state.data_centre,
+            state.settings.upstream[1],
+            state.health,
+            state.limit.cold_ms(now),
+            state.in_flight + len(state.recent_offers),
+            state.open_flows,
+            state.feeds.operator.revision,
+            state.feeds.upstreams.revision,
+            opened[:limit],
+            closed[:limit],
+        )
+        state.send(subscribers.key[row], report)
--- /dev/null
+++ b/shallotshore/packets/routing.py
@@ -0,0 +1,223 @@
+"""Routes the packets of clients: new flows to a chosen upstream, others to their owner."""
+
+from __future__ import annotations
+
+__all__ = ["RoutingSystem", "offer_flow", "reset_client", "search_owner"]
+
+from shallotshore.codes import Code
+from shallotshore.packets.balancer_state import BalancerState, RouteView
+from shallotshore.packets.flow_cache import TRIED_LIMIT, FlowStage
+from shallotshore.packets.hosts import host_text
+from shallotshore.packets.node_messages import Carry, CarryKind
+from shallotshore.packets.packet import RESETS, Packet, ResetPacket
+from shallotshore.packets.selection import note_opened, pick_service, rank_upstreams
+from shallotshore.tables import MISSING
+
+ASKED_LIMIT = 200  # agents asked for a flow whose own service does not know it
+PASSED_ON = 2  # candidates named for an agent that cannot take an opening packet
+
+
+class RoutingSystem:
+    """Takes the packets of clients."""
+
+    __slots__ = ("_state",)
+
+    def __init__(self, state: BalancerState) -> None:
+        self._state = state
+
+    def run(self, now: int) -> None:
+        """Runs the step at `now` (ms)."""
+        for _, packet in self._state.inbox.take(Packet):
+            self._take(packet, now)
+
+    def _take(self, packet: Packet, now: int) -> None:
+        state = self._state
+        route = state.routes.get(packet.vip)
+        if route is None:
+            _refuse_route(state, packet, now)
+        elif packet.is_opening:
+            _open(state, packet, route, now)
+        else:
+            _follow(state, packet, route, now)
+
+
+def _refuse_route(state: BalancerState, packet: Packet, now: int) -> None:
+    """Resets a flow without a route; before the first configuration nothing is known."""
+    state.counters.add("packets.no_route")
+    if not state.is_configured:
+        return
+    state.flows.remove(packet.key)
+    reset_client(state, packet, Code.UNKNOWN_ADDRESS, now)
+
+
+def reset_client(state: BalancerState, packet: Packet, code: Code, now: int) -> None:
+    """Tells a client that its flow is gone; a reset is never answered by another."""
+    if packet.flags & RESETS:
+        return
+    state.outbox.send(packet.client, ResetPacket(packet.client, packet.vip, packet.acknowledged))
+    state.counters.add(f"resets.{code.name.lower()}")
+    if state.log.admits(now):
+        operator = state.feeds.operator
+        state.log.write(
+            now,
+            "flow_reset",
+            flow=packet.name,
+            code=int(code),
+            version=operator.content.configuration.version,
+            age_ms=now - operator.confirmed_at,
+        )
+
+
+def _open(state: BalancerState, packet: Packet, route: RouteView, now: int) -> None:
+    flows = state.flows
+    row = flows.row(packet.key)
+    if row == MISSING:
+        row = flows.add(packet.key)
+        state.counters.add("flows.opening")
+    if row == MISSING:
+        state.counters.add("flows.table_full")
+    elif flows.stage[row] == FlowStage.OWNED:
+        # A late copy of the opening packet of a flow that is open.
+        _carry(state, flows.owner[row], CarryKind.OWNED, flows.service[row], packet)
+        return
+    else:
+        flows.stage[row] = FlowStage.OPENING
+        flows.touched[row] = now
+        if flows.opening[row] is None:
+            flows.watch_opening(row)
+        flows.opening[row] = packet
+    offer_flow(state, packet, route, row, now)
+
+
+def offer_flow(state: BalancerState, packet: Packet, route: RouteView, row: int, now: int) -> None:
+    """Sends an opening packet to an upstream that was not tried before, else to the last one."""
+    flows = state.flows
+    tried = flows.tried(row) if row != MISSING else []
+    service = pick_service(state, route)
+    hosts = rank_upstreams(state, service, tried if len(tried) < TRIED_LIMIT else [], now)
+    if len(tried) >= TRIED_LIMIT:
+        hosts = [host for host in tried if host in hosts]
+    if not hosts:
+        hosts = [host for host in rank_upstreams(state, service, [], now) if host in tried]
+    if not hosts:
+        state.counters.add("flows.no_upstream")
+        if state.log.admits(now):
+            state.log.write(
+                now,
+                "flow_not_offered",
+                flow=packet.name,
+                code=int(Code.NO_UPSTREAM),
+                route=route.name,
+                revision=state.feeds.upstreams.revision,
+            )
+        return
+    host = hosts[0]
+    if row != MISSING:
+        flows.note_tried(row, host)
+        flows.asked_at[row] = now
+        flows.offers[row] += 1
+    note_opened(state, host, now)
+    _log_offer(state, packet, route, host, len(tried), now)
+    state.send(
+        host,
+        Carry(
+            CarryKind.OPEN,
+            service,
+            state.feeds.operator.revision,
+            tuple(hosts[1 : 1 + PASSED_ON]),
+            0,
+            state.settings.host,
+            packet.frame,
+        ),
+    )
+
+
+def _log_offer(
+    state: BalancerState, packet: Packet, route: RouteView, host: int, tried: int, now: int
+) -> None:
+    if not state.log.admits(now):
+        return
+    upstreams = state.upstreams
+    row = upstreams.row(host)
+    state.log.write(
+        now,
+        "flow_offered",
+        flow=packet.name,
+        route=route.name,
+        version=state.feeds.operator.content.configuration.version,
+        upstream=host_text(host),
+        tried_before=tried,
+        in_flight=upstreams.in_flight[row],
+        flows=upstreams.flows[row],
+        report_age_ms=now - upstreams.reported_at[row],
+    )
+
+
+def _follow(state: BalancerState, packet: Packet, route: RouteView, now: int) -> None:
+    """Sends a packet of an open flow to its owner, or to all that may own it."""
+    flows = state.flows
+    row = flows.row(packet.key)
+    if row == MISSING:
+        row = flows.add(packet.key)
+        if row != MISSING:
+            flows.stage[row] = FlowStage.SEARCHING
+        state.counters.add("flows.searched")
+        _log_search(state, packet, now)
+    if row == MISSING:
+        search_owner(state, packet, route)
+        return
+    flows.touched[row] = now
+    stage = flows.stage[row]
+    if stage == FlowStage.OWNED:
+        _carry(state, flows.owner[row], CarryKind.OWNED, flows.service[row], packet)
+    elif stage == FlowStage.OPENING:
+        flows.opening[row] = None
+        tried = flows.tried(row)
+        kind = CarryKind.OWNED if len(tried) == 1 else CarryKind.SEARCH
+        for host in tried:
+            _carry(state, host, kind, _service_of(state, host), packet)
+    elif stage == FlowStage.LOST:
+        reset_client(state, packet, Code.FLOW_LOST, now)
+    else:
+        flows.asked_at[row] = now
+        search_owner(state, packet, route, flows.rounds[row])
+
+
+def search_owner(state: BalancerState, packet: Packet, route: RouteView, rounds: int = 0) -> None:
+    """Sends a packet to all agents that may know its owner; only the owner takes it.
+
+    Args:
+        state: The balancer's tables.
+        packet: A client's packet.
+        route: Its route. A flow may be older than the route's present services, so that from the
+            second round on all agents are asked.
+        rounds: Searches of this flow that found no owner.
+    """
+    upstreams = state.upstreams
+    if rounds and len(upstreams) <= ASKED_LIMIT:
+        hosts = list(upstreams.keys())
+    else:
+        hosts = [host for service in route.services for host in upstreams.of_service(service)]
+    for host in hosts:
+        _carry(state, host, CarryKind.SEARCH, _service_of(state, host), packet)
+
+
+def _service_of(state: BalancerState, host: int) -> int:
+    row = state.upstreams.row(host)
+    return state.upstreams.service[row] if row != MISSING else 0
+
+
+def _carry(state: BalancerState, host: int, kind: CarryKind, service: int, packet: Packet) -> None:
+    carry = Carry(kind, service, 0, (), 0, state.settings.host, packet.frame)
+    state.send(host, carry)
+
+
+def _log_search(state: BalancerState, packet: Packet, now: int) -> None:
+    if state.log.admits(now):
+        state.log.write(
+            now,
+            "flow_searched",
+            flow=packet.name,
+            upstreams=len(state.upstreams),
+            revision=state.feeds.upstreams.revision,
+        )
--- /dev/null
+++ b/shallotshore/packets/upstream_table.py
@@ -0,0 +1,174 @@
+"""A balancer's table of upstreams, one row for each VM that has or had one."""
+
+from __future__ import annotations
+
+__all__ = ["Listing", "UpstreamTable"]
+
+from array import array
+from collections.abc import Iterable
+from enum import IntEnum
+
+from shallotshore.hashing import name_id
+from shallotshore.packets.hosts import host_number
+from shallotshore.packets.node_messages import UpstreamHealth
+from shallotshore.packets.view import Upstream
+from shallotshore.tables import MISSING, Table
+
+UPSTREAM_LIMIT = 200_000  # rows; above the 150,000 upstreams planned for
+FORMER_KEPT_MS = 60_000  # flows may live so long on an upstream that is listed no more
+LAPSE_GRACE_MS = 2_200  # an entry that lapsed in an outage is back within 2 s, or it is gone
+REPORT_FRESH_MS = 700  # an agent reports every 250 ms; two lost reports are tolerated
+
+
+class Listing(IntEnum):
+    """What the store says of an upstream."""
+
+    NONE = 0  # only its agent has been heard
+    LISTED = 1
+    LAPSED = 2  # the entry is gone, the upstream perhaps not yet
+
+
+class UpstreamTable(Table):
+    """Upstreams by host.
+
+    Columns: `service` and `data_centre` are ids; `listing` is a Listing; `leaving` is 1 when the
+    upstream takes no new flows; `lapsed_at`, `cold_until`, `reported_at`, `asked_at`, `opened_at`
+    are times in ms; `incarnation`, `in_flight`, `flows` and `health` are the agent's last report;
+    `opened` counts flows opened by this balancer that the report cannot contain yet.
+    """
+
+    __slots__ = (
+        "_by_service",
+        "asked_at",
+        "cold_until",
+        "data_centre",
+        "flows",
+        "health",
+        "in_flight",
+        "incarnation",
+        "lapsed_at",
+        "leaving",
+        "listing",
+        "opened",
+        "opened_at",
+        "reported_at",
+        "service",
+        "slots",
+    )
+
+    COLUMNS = {
+        "service": "Q",
+        "data_centre": "Q",
+        "slots": "H",
+        "listing": "B",
+        "leaving": "B",
+        "lapsed_at": "q",
+        "cold_until": "q",
+        "reported_at": "q",
+        "asked_at": "q",
+        "incarnation": "Q",
+        "in_flight": "H",
+        "flows": "L",
+        "health": "B",
+        "opened": "H",
+        "opened_at": "q",
+    }
+
+    service: array[int]
+    data_centre: array[int]
+    slots: array[int]
+    listing: array[int]
+    leaving: array[int]
+    lapsed_at: array[int]
+    cold_until: array[int]
+    reported_at: array[int]
+    asked_at: array[int]
+    incarnation: array[int]
+    in_flight: array[int]
+    flows: array[int]
+    health: array[int]
+    opened: array[int]
+    opened_at: array[int]
+
+    def __init__(self) -> None:
+        super().__init__(UPSTREAM_LIMIT)
+        self._by_service: dict[int, list[int]] = {}
+
+    def of_service(self, service: int) -> list[int]:
+        """Returns the hosts that have or had an upstream of a service."""
+        return self._by_service.get(service, [])
+
+    def assign(self, host: int, service: int) -> int:
+        """Returns the row of a host, which is made or moved to the service as needed."""
+        row = self.row(host)
+        if row != MISSING and self.service[row] != service:
+            self.forget(host)
+            row = MISSING
+        if row == MISSING:
+            row = self.add(host)
+            if row != MISSING:
+                self.service[row] = service
+                self.slots[row] = 1
+                self.health[row] = UpstreamHealth.ANSWERS
+                self._by_service.setdefault(service, []).append(host)
+        return row
+
+    def forget(self, host: int) -> None:
+        """Removes a host."""
+        row = self.row(host)
+        if row == MISSING:
+            return
+        hosts = self._by_service[self.service[row]]
+        hosts.remove(host)
+        if not hosts:
+            del self._by_service[self.service[row]]
+        self.remove(host)
+
+    def list_all(self, upstreams: Iterable[Upstream], now: int) -> None:
+        """Takes over the records of the store; hosts that it names no more have lapsed."""
+        newest: dict[int, Upstream] = {}
+        for upstream in upstreams:
+            host = host_number(upstream.host)
+            held = newest.get(host)
+            if held is None or held.revision < upstream.revision:
+                newest[host] = upstream
+        for host, upstream in newest.items():
+            self._list(host, upstream, now)
+        for host in self.keys():
+            row = self.row(host)
+            if host not in newest and self.listing[row] == Listing.LISTED:
+                self.listing[row] = Listing.LAPSED
+                self.lapsed_at[row] = now
+
+    def sweep(self, now: int) -> None:
+        """Removes hosts that are listed no more and have been silent for long."""
+        for host in self.keys():
+            row = self.row(host)
+            last = max(self.lapsed_at[row], self.reported_at[row])
+            if self.listing[row] != Listing.LISTED and now - last > FORMER_KEPT_MS:
+                self.forget(host)
+
+    def is_reported(self, row: int, now: int) -> bool:
+        """Whether the agent has reported lately."""
+        return now - self.reported_at[row] < REPORT_FRESH_MS and self.reported_at[row] > 0
+
+    def may_open(self, row: int, now: int) -> bool:
+        """Whether new flows may go to an upstream, as far as its records say."""
+        if self.leaving[row] or self.health[row] == UpstreamHealth.LEAVING:
+            return False
+        if self.listing[row] == Listing.LISTED:
+            return True
+        if not self.is_reported(row, now):
+            return False
+        return self.listing[row] == Listing.NONE or now - self.lapsed_at[row] < LAPSE_GRACE_MS
+
+    def _list(self, host: int, upstream: Upstream, now: int) -> None:
+        row = self.assign(host, name_id("service", upstream.service))
+        if row == MISSING:
+            return
+        self.listing[row] = Listing.LISTED
+        self.data_centre[row] = name_id("data_centre", upstream.data_centre)
+        self.slots[row] = max(1, upstream.slots)
+        self.leaving[row] = upstream.is_leaving
+        if upstream.cold_ms:
+            self.cold_until[row] = max(self.cold_until[row], now + upstream.cold_ms)
--- a/shallotshore/systems.py
+++ b/shallotshore/systems.py
@@ -1,10 +1,14 @@
 """The shape of every process: a core with an inbox, tables, ordered systems and an outbox."""
 
+from __future__ import annotations
+
 __all__ = ["Core", "Counters", "Inbox", "Outbox", "System"]
 
-from typing import Protocol, TypeVar
+from typing import TYPE_CHECKING, Any, Protocol, TypeVar
 
-from shallotshore.messages import Address, Message
+if TYPE_CHECKING:
+    # Only named in annotations: a process that carries packets does not load these messages.
+    from shallotshore.messages import Address
 
 MessageT = TypeVar("MessageT")
 
@@ -15,12 +19,12 @@
     __slots__ = ("_by_type",)
 
     def __init__(self) -> None:
-        self._by_type: dict[type, list[tuple[Address, Message]]] = {}
+        self._by_type: dict[type, list[tuple[Address, Any]]] = {}
 
     def __bool__(self) -> bool:
         return any(self._by_type.values())
 
-    def put(self, source: Address, message: Message) -> None:
+    def put(self, source: Address, message: object) -> None:
         """Adds a message.
 
         Args:
@@ -31,7 +35,7 @@
 
     def take(self, message_type: type[MessageT]) -> list[tuple[Address, MessageT]]:
         """Removes and returns all messages of a type in order of arrival."""
-        return self._by_type.pop(message_type, [])  # type: ignore[return-value]
+        return self._by_type.pop(message_type, [])
 
     def clear(self) -> int:
         """Drops all messages.
@@ -50,13 +54,13 @@
     __slots__ = ("_entries",)
 
     def __init__(self) -> None:
-        self._entries: list[tuple[Address, Message]] = []
+        self._entries: list[tuple[Address, Any]] = []
 
-    def send(self, destination: Address, message: Message) -> None:
+    def send(self, destination: Address, message: object) -> None:
         """Queues a message for a process."""
         self._entries.append((destination, message))
 
-    def drain(self) -> list[tuple[Address, Message]]:
+    def drain(self) -> list[tuple[Address, Any]]:
         """Removes and returns all queued messages in order."""
         entries = self._entries
         self._entries = []
@@ -109,7 +113,7 @@
         self.counters = Counters()
         self._systems: list[System] = []
 
-    def receive(self, source: Address, message: Message) -> None:
+    def receive(self, source: Address, message: object) -> None:
         """Queues a message for the next tick."""
         self.inbox.put(source, message)
 
