Limit cold upstreams only where a limit is declared, and widen the search for an owner after 100 ms

Change: 0 means no limit; an opening packet carries the limit for an agent that has no configuration yet; after 100 ms all agents are asked, and a flow is given up only once all have denied it for 500 ms.

--- a/shallotshore/packets/balancer_state.py
+++ b/shallotshore/packets/balancer_state.py
@@ -64,6 +64,7 @@
     """Tables, mailboxes and random numbers of one balancer."""
 
     __slots__ = (
+        "cold_per_s",
         "counters",
         "data_centre",
         "data_centres_out",
@@ -97,6 +98,7 @@
         self.feeds = Feeds()
         self.flows = FlowCache()
         self.upstreams = UpstreamTable()
+        self.cold_per_s: dict[int, float] = {}
         self.routes: dict[Address, RouteView] = {}
         self.data_centres_out: set[int] = set()
         self.data_centre = name_id("data_centre", settings.data_centre)
--- a/shallotshore/packets/delivery.py
+++ b/shallotshore/packets/delivery.py
@@ -105,6 +105,9 @@
         return Code.UPSTREAM_LEAVING
     if state.health == UpstreamHealth.SILENT and carry.candidates:
         return Code.UPSTREAM_LOST
+    if not state.feeds.operator.revision:
+        # The balancer knows the service's limit before this agent has heard of it.
+        state.limit.set_rate(carry.cold_per_s)
     if not state.limit.take(now):
         return Code.UPSTREAM_COLD
     return None
@@ -138,6 +141,7 @@
         carry.service,
         carry.revision,
         candidates[1:],
+        carry.cold_per_s,
         carry.hops + 1,
         carry.origin,
         carry.frame,
@@ -325,6 +329,7 @@
         state.service,
         0,
         flows.candidates[row],
+        0.0,
         flows.hops[row],
         flows.origin[row],
         packet.frame,
--- a/shallotshore/packets/directory.py
+++ b/shallotshore/packets/directory.py
@@ -39,6 +39,10 @@
         state.routes = {
             (route.host, route.port): RouteView(route) for route in content.configuration.routes
         }
+        state.cold_per_s = {
+            name_id("service", limits.name): limits.cold_per_s
+            for limits in content.configuration.services
+        }
         out = {name_id("data_centre", name) for name in content.data_centres_out}
         for data_centre in state.data_centres_out - out:
             self._note_returned(data_centre, now)
--- a/shallotshore/packets/flow_cache.py
+++ b/shallotshore/packets/flow_cache.py
@@ -31,8 +31,8 @@
 
     Columns: `stage` is a FlowStage; `owner` is a host and `service` what it served
     when the flow was found there; `first`, `second` and `third` are the
-    hosts that were offered the flow; `touched` and `asked_at` are times in ms; `rounds` counts
-    searches without an owner; `offers` counts how often the flow was offered. `opening` keeps the
+    hosts that were offered the flow; `touched` and `asked_at` are times in ms; `searched_at` is
+    when the search for its owner began; `offers` counts how often the flow was offered. `opening` keeps the
     client's opening packet, `denied` the hosts that do not hold the flow.
     """
 
@@ -45,7 +45,7 @@
         "offers",
         "opening",
         "owner",
-        "rounds",
+        "searched_at",
         "second",
         "service",
         "stage",
@@ -62,7 +62,7 @@
         "third": "Q",
         "touched": "q",
         "asked_at": "q",
-        "rounds": "B",
+        "searched_at": "q",
         "offers": "B",
     }
     OBJECT_COLUMNS = {"opening": None, "denied": None}
@@ -75,7 +75,7 @@
     third: array[int]
     touched: array[int]
     asked_at: array[int]
-    rounds: array[int]
+    searched_at: array[int]
     offers: array[int]
     opening: list[Packet | None]
     denied: list[dict[int, int] | None]
--- a/shallotshore/packets/node_messages.py
+++ b/shallotshore/packets/node_messages.py
@@ -51,6 +51,7 @@
         service: Id of the service that the route names.
         revision: Revision of the operator's feed that the balancer acted on.
         candidates: Hosts to pass an opening packet on to, best first.
+        cold_per_s: Flows a second that a cold upstream of the service bears; 0 for no limit.
         hops: Agents that have passed it on.
         origin: Host of the balancer.
         frame: The client's packet.
@@ -60,6 +61,7 @@
     service: int
     revision: int
     candidates: tuple[int, ...]
+    cold_per_s: float
     hops: int
     origin: int
     frame: bytes
--- a/shallotshore/packets/openings_limit.py
+++ b/shallotshore/packets/openings_limit.py
@@ -15,7 +15,7 @@
     counts a whole second as used.
     """
 
-    __slots__ = ("_cold_until", "_over", "_per_s", "_slack", "_taken")
+    __slots__ = ("_cold_until", "_over", "_per_s", "_slack", "_started_at", "_taken")
 
     def __init__(self, over: float, slack: int) -> None:
         """Creates a limit that holds until `set_cold` says otherwise.
@@ -28,8 +28,14 @@
         self._slack = slack
         self._per_s = 0.0
         self._cold_until = 1 << 62
+        self._started_at = 0
         self._taken: list[int] = []
 
+    @property
+    def is_unlimited(self) -> bool:
+        """Whether no limit is declared for a cold upstream."""
+        return self._per_s == 0
+
     @property
     def allowed(self) -> int:
         """Flows that a cold upstream may be given in a second."""
@@ -37,11 +43,14 @@
 
     def start(self, now: int) -> None:
         """Counts the second before the start as used."""
-        self._taken = [now] * self.allowed
+        self._started_at = now
 
-    def set_cold(self, until: int, per_s: float) -> None:
-        """Notes until when the upstream is cold (ms) and what it bears a second."""
+    def set_cold(self, until: int) -> None:
+        """Notes until when the upstream is cold, in ms."""
         self._cold_until = until
+
+    def set_rate(self, per_s: float) -> None:
+        """Notes what a cold upstream bears a second; 0 when no limit is declared."""
         self._per_s = per_s
 
     def cold_ms(self, now: int) -> int:
@@ -50,9 +59,9 @@
 
     def take(self, now: int) -> bool:
         """Counts one flow, if the upstream may be given one now."""
-        if self._cold_until > now:
+        if self._cold_until > now and not self.is_unlimited:
             self._taken = [taken for taken in self._taken if now - taken <= WINDOW_MS]
-            if len(self._taken) >= self.allowed:
+            if len(self._taken) >= self.allowed or now - self._started_at <= WINDOW_MS:
                 return False
         elif len(self._taken) > 1_000:
             self._taken = [taken for taken in self._taken if now - taken <= WINDOW_MS]
--- a/shallotshore/packets/own_upstream.py
+++ b/shallotshore/packets/own_upstream.py
@@ -81,9 +81,10 @@
 
     def _set_limit(self) -> None:
         state = self._state
-        services = state.feeds.operator.content.configuration.services
-        per_s = [limits.cold_per_s for limits in services if limits.name == state.settings.service]
-        state.limit.set_cold(self._cold_until, per_s[0] if per_s else 0.0)
+        state.limit.set_cold(self._cold_until)
+        for limits in state.feeds.operator.content.configuration.services:
+            if limits.name == state.settings.service:
+                state.limit.set_rate(limits.cold_per_s)
 
 
 class HealthSystem:
--- a/shallotshore/packets/ownership.py
+++ b/shallotshore/packets/ownership.py
@@ -23,8 +23,9 @@
 if TYPE_CHECKING:
     from shallotshore.messages import Address
 
-SEARCH_ROUNDS = 3  # a flow that no agent knows in so many searches is lost
-ROUND_MS = 250  # between two rounds: an agent may just have started, a report be on its way
+# A flow that no agent knows is lost after so long: its client has sent two copies of a packet, and
+# an agent that had just started has asked its upstream.
+SEARCH_MS = 500
 # An agent that is listed no more and silent for so long has no flows any more.
 DEPARTED_MS = 2_500
 # After a change of the upstreams' records an owner may be unknown to this balancer for a moment.
@@ -115,14 +116,14 @@
             return
         if self._is_taken_for_owner(row, host):
             flows.stage[row] = FlowStage.SEARCHING
+            flows.searched_at[row] = now
         if flows.stage[row] != FlowStage.SEARCHING:
             return
         self._note_denial(row, host, now)
         route = state.routes.get(packet.vip) if packet is not None else None
-        if packet is not None and route is not None:
+        if packet is not None and route is not None and flows.stage[row] == FlowStage.SEARCHING:
             state.counters.add("flows.searched_again")
-            flows.asked_at[row] = now
-            search_owner(state, packet, route, flows.rounds[row])
+            search_owner(state, packet, route, now - flows.searched_at[row])
 
     def _is_taken_for_owner(self, row: int, host: int) -> bool:
         flows = self._state.flows
@@ -142,26 +143,16 @@
             reset_client(state, packet, Code.FLOW_LOST, now)
 
     def _note_denial(self, row: int, host: int, now: int) -> None:
-        """Counts a round of the search once every agent that may know the flow has denied it."""
+        """Gives a flow up once every agent that may know it has denied it for long enough."""
         flows = self._state.flows
         denied = flows.denied[row]
         if denied is None:
             denied = flows.denied[row] = {}
-        denied.setdefault(host, now)
-        if now - flows.asked_at[row] > ROUND_MS * 4:
+        denied[host] = now
+        if now - flows.searched_at[row] < SEARCH_MS or now - self._changed_at < SETTLED_MS:
             return
         if not self._is_denied_by_all(denied, now):
             return
-        oldest = min(denied.values())
-        if flows.rounds[row] and now - oldest < ROUND_MS:
-            return
-        flows.denied[row] = None
-        flows.rounds[row] += 1
-        if flows.rounds[row] < SEARCH_ROUNDS:
-            return
-        if now - self._changed_at < SETTLED_MS:
-            flows.rounds[row] = SEARCH_ROUNDS - 1
-            return
         flows.stage[row] = FlowStage.LOST
         self._state.counters.add("flows.unknown_to_all")
         if self._state.log.admits(now):
--- a/shallotshore/packets/routing.py
+++ b/shallotshore/packets/routing.py
@@ -13,6 +13,7 @@
 from shallotshore.packets.selection import note_opened, pick_service, rank_upstreams
 from shallotshore.tables import MISSING
 
+WIDE_SEARCH_MS = 100  # agents of the route's own services answer within 30 ms
 ASKED_LIMIT = 200  # agents asked for a flow whose own service does not know it
 PASSED_ON = 2  # candidates named for an agent that cannot take an opening packet
 
@@ -125,6 +126,7 @@
             service,
             state.feeds.operator.revision,
             tuple(hosts[1 : 1 + PASSED_ON]),
+            state.cold_per_s.get(service, 0.0),
             0,
             state.settings.host,
             packet.frame,
@@ -161,6 +163,7 @@
         row = flows.add(packet.key)
         if row != MISSING:
             flows.stage[row] = FlowStage.SEARCHING
+            flows.searched_at[row] = now
         state.counters.add("flows.searched")
         _log_search(state, packet, now)
     if row == MISSING:
@@ -179,22 +182,21 @@
     elif stage == FlowStage.LOST:
         reset_client(state, packet, Code.FLOW_LOST, now)
     else:
-        flows.asked_at[row] = now
-        search_owner(state, packet, route, flows.rounds[row])
+        search_owner(state, packet, route, now - flows.searched_at[row])
 
 
-def search_owner(state: BalancerState, packet: Packet, route: RouteView, rounds: int = 0) -> None:
+def search_owner(state: BalancerState, packet: Packet, route: RouteView, searched: int = 0) -> None:
     """Sends a packet to all agents that may know its owner; only the owner takes it.
 
     Args:
         state: The balancer's tables.
         packet: A client's packet.
-        route: Its route. A flow may be older than the route's present services, so that from the
-            second round on all agents are asked.
-        rounds: Searches of this flow that found no owner.
+        route: Its route.
+        searched: How long the flow has been searched for, in ms. It may be older than the
+            route's present services, so that all agents are asked after a while.
     """
     upstreams = state.upstreams
-    if rounds and len(upstreams) <= ASKED_LIMIT:
+    if searched >= WIDE_SEARCH_MS and len(upstreams) <= ASKED_LIMIT:
         hosts = list(upstreams.keys())
     else:
         hosts = [host for service in route.services for host in upstreams.of_service(service)]
@@ -208,7 +210,7 @@
 
 
 def _carry(state: BalancerState, host: int, kind: CarryKind, service: int, packet: Packet) -> None:
-    carry = Carry(kind, service, 0, (), 0, state.settings.host, packet.frame)
+    carry = Carry(kind, service, 0, (), 0.0, 0, state.settings.host, packet.frame)
     state.send(host, carry)
 
 
--- a/shallotshore/packets/view.py
+++ b/shallotshore/packets/view.py
@@ -43,7 +43,7 @@
     Attributes:
         name: Name of the service.
         cold_ms: How long an upstream is cold after its start.
-        cold_per_s: Requests a second that a cold upstream bears.
+        cold_per_s: Requests a second that a cold upstream bears; 0 when no limit is declared.
     """
 
     name: str
