--- a/shallotshore/packets/agent.py
+++ b/shallotshore/packets/agent.py
@@ -22,6 +22,8 @@
     handed over, and what the upstream has said is known before clients' packets are judged.
     """
 
+    reads_store = False
+
     __slots__ = ("_is_stopping", "state")
 
     def __init__(self, settings: AgentSettings, rng: random.Random, decode: Decode) -> None:
--- a/shallotshore/packets/application.py
+++ b/shallotshore/packets/application.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-__all__ = ["Adapter", "PacketApplication", "clock"]
+__all__ = ["Adapter", "PacketApplication", "RunnableCore", "clock"]
 
 import asyncio
 import os
@@ -16,10 +16,9 @@
 
 from shallotshore.codes import Code
 from shallotshore.packets import node_messages
-from shallotshore.packets.agent import PacketAgent
-from shallotshore.packets.balancer import PacketBalancer
 from shallotshore.packets.datagram_port import DatagramPort
-from shallotshore.packets.feeds import STORE
+from shallotshore.packets.event_log import EventLog
+from shallotshore.packets.feeds import STORE, Feeds
 from shallotshore.packets.http_server import Page, serve_pages
 from shallotshore.packets.log_writer import LogWriter
 from shallotshore.packets.node_settings import NodeSettings
@@ -27,6 +26,7 @@
 from shallotshore.packets.peer_copies import fetch_copy, serve_copies
 from shallotshore.packets.store_messages import FetchFeed, ReadFeed, WatchFeed
 from shallotshore.packets.view import Feed, FeedState
+from shallotshore.systems import Counters, Outbox
 
 if TYPE_CHECKING:
     from shallotshore.messages import Address
@@ -38,6 +38,39 @@
 _ANY_HOST = ""
 
 
+class RunnableCore(Protocol):
+    """What the application needs of a core."""
+
+    counters: Counters
+    outbox: Outbox
+    reads_store: bool
+
+    @property
+    def log(self) -> EventLog:
+        """Log lines to write."""
+
+    @property
+    def feeds(self) -> Feeds:
+        """What is published, for other processes to fetch."""
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the process takes packets."""
+
+    @property
+    def stopped(self) -> bool:
+        """Whether a stop is complete."""
+
+    def receive(self, source: Address, message: object) -> None:
+        """Queues a message for the next tick."""
+
+    def tick(self, now: int) -> None:
+        """Runs every system."""
+
+    def stop(self, now: int) -> None:
+        """Starts a stop."""
+
+
 class StoreReader(Protocol):
     """Runs reads and watches of the platform's store."""
 
@@ -76,9 +109,7 @@
     Life cycle: `run` opens everything, serves until a stop is complete and closes everything.
     """
 
-    def __init__(
-        self, core: PacketBalancer | PacketAgent, settings: NodeSettings, adapter: Adapter
-    ) -> None:
+    def __init__(self, core: RunnableCore, settings: NodeSettings, adapter: Adapter) -> None:
         """Creates an application that has opened nothing yet."""
         self._core = core
         self._settings = settings
@@ -117,7 +148,7 @@
         self._loop.add_signal_handler(signal.SIGHUP, self._note_hangup)
         node_address = (settings.host, settings.node_port)
         self._node_port = self._bind(node_address, "nodes", self._take_node_message)
-        if isinstance(core, PacketBalancer):
+        if core.reads_store:
             self._store = self._adapter.store(settings.store_address, self._take_answer)
             self._client_port = self._bind(settings.client_address, "clients", self._take_client)
         else:
@@ -277,7 +308,7 @@
     def _metrics_page(self) -> Page:
         from shallotshore.packets.exposition import metrics_text
 
-        return Page(200, metrics_text(self._core))
+        return Page(200, metrics_text(self._core))  # type: ignore[arg-type]
 
     def _flush(self) -> None:
         self._timers["flush"] = self._loop.call_later(LOG_FLUSH_MS / 1000, self._flush)
--- a/shallotshore/packets/balancer.py
+++ b/shallotshore/packets/balancer.py
@@ -11,10 +11,10 @@
 from shallotshore.packets.event_log import EventLog
 from shallotshore.packets.feeds import Feeds, FeedSystem
 from shallotshore.packets.members import MemberSystem, SubscriptionSystem
-from shallotshore.packets.openings import OpeningSystem
 from shallotshore.packets.ownership import Decode, OwnershipSystem
 from shallotshore.packets.packet import Packet
 from shallotshore.packets.routing import RoutingSystem
+from shallotshore.packets.waiting_flows import WaitingFlowSystem
 from shallotshore.systems import Core
 
 PAUSE_MS = 1_000  # a longer gap between ticks means that the VM stood still
@@ -29,6 +29,8 @@
     routed by it, and the owners that agents name are known before packets are sent to them.
     """
 
+    reads_store = True
+
     __slots__ = ("_feed_system", "_last_tick", "_members", "_stopping_since", "state")
 
     def __init__(self, settings: BalancerSettings, rng: random.Random, decode: Decode) -> None:
@@ -55,7 +57,7 @@
             OwnershipSystem(state, decode),
             SubscriptionSystem(state),
             RoutingSystem(state),
-            OpeningSystem(state),
+            WaitingFlowSystem(state),
         ]
 
     @property
--- a/shallotshore/packets/feeds.py
+++ b/shallotshore/packets/feeds.py
@@ -32,6 +32,7 @@
     from shallotshore.messages import Address
 
 WATCH_MS = 4_000  # a connection that fell silent must be noticed within a stable window of 4 s
+CONFIRMED_MS = WATCH_MS + 500  # a watch without changes answers so late
 RETRY_MS = 60  # first pause after a failed call; doubles
 RETRY_LIMIT_MS = 500  # longest pause: the store's return must be noticed well within 2 s
 OFFER_PATIENCE_MS = (
@@ -69,7 +70,6 @@
         "next_call_at",
         "next_fetch_at",
         "revision",
-        "stale_read_allowed",
     )
 
     def __init__(self, feed: Feed) -> None:
@@ -81,7 +81,6 @@
         self.failures = 0
         self.is_asking = False
         self.is_complete = False
-        self.stale_read_allowed = True
         self.next_call_at = NEVER
         self.is_fetching = False
         self.next_fetch_at = NEVER
@@ -90,6 +89,11 @@
         self.best_offer_from: Address | None = None
         self.content = FeedContent()
 
+    def is_current(self, now: int) -> bool:
+        """Whether the store has confirmed the copy lately and nobody is known to hold more."""
+        is_confirmed = self.is_complete and now - self.confirmed_at < CONFIRMED_MS
+        return is_confirmed and self.failing_since == NEVER and self.best_offer <= self.revision
+
     def state(self) -> FeedState:
         """Returns a copy to hand to another process."""
         return self.content.state(self.feed, self.revision)
@@ -180,7 +184,6 @@
         """Reads everything anew, after a pause in which changes may have been missed."""
         for copy in (self._feeds.operator, self._feeds.upstreams):
             copy.is_complete = False
-            copy.stale_read_allowed = False
             copy.next_call_at = now
 
     def _call(self, copy: FeedCopy, now: int) -> None:
@@ -190,7 +193,7 @@
         if copy.is_complete:
             self._outbox.send(STORE, WatchFeed(copy.feed, copy.after, WATCH_MS))
         else:
-            self._outbox.send(STORE, ReadFeed(copy.feed, copy.stale_read_allowed))
+            self._outbox.send(STORE, ReadFeed(copy.feed))
         self._counters.add("store.calls")
 
     def _fetch(self, copy: FeedCopy, now: int) -> None:
@@ -248,7 +251,6 @@
         if failed.code is Code.SERVICE_STALE:
             # The history is gone: only a current read tells what was removed meanwhile.
             copy.is_complete = False
-            copy.stale_read_allowed = False
             copy.next_call_at = now
             self._log.write(now, "store_history_lost", feed=copy.feed.name, after=copy.after)
             return
--- a/shallotshore/packets/flow_cache.py
+++ b/shallotshore/packets/flow_cache.py
@@ -29,21 +29,23 @@
 class FlowCache(Table):
     """Flows by key.
 
-    Columns: `stage` is a FlowStage; `owner` is a host and `service` what it served
-    when the flow was found there; `first`, `second` and `third` are the
-    hosts that were offered the flow; `touched` and `asked_at` are times in ms; `searched_at` is
-    when the search for its owner began; `offers` counts how often the flow was offered. `opening` keeps the
-    client's opening packet, `denied` the hosts that do not hold the flow.
+    Columns: `stage` is a FlowStage; `owner` is a host and `service` what it served when the flow
+    was found there; `first`, `second` and `third` are the hosts that were offered the flow and
+    `offers` counts how often it was; `touched`, `asked_at` and `searched_at` are the times of its
+    last packet, of the last offer and of the start of the search, in ms; `is_wide` is 1 when all
+    agents are asked. `pending` keeps the client's packet while the flow is offered or searched
+    for, `denied` the hosts that do not hold the flow, with times.
     """
 
     __slots__ = (
         "_cursor",
-        "_opening_rows",
+        "_watched",
         "asked_at",
         "denied",
         "first",
+        "is_wide",
         "offers",
-        "opening",
+        "pending",
         "owner",
         "searched_at",
         "second",
@@ -63,9 +65,10 @@
         "touched": "q",
         "asked_at": "q",
         "searched_at": "q",
+        "is_wide": "B",
         "offers": "B",
     }
-    OBJECT_COLUMNS = {"opening": None, "denied": None}
+    OBJECT_COLUMNS = {"pending": None, "denied": None}
 
     stage: array[int]
     owner: array[int]
@@ -76,23 +79,24 @@
     touched: array[int]
     asked_at: array[int]
     searched_at: array[int]
+    is_wide: array[int]
     offers: array[int]
-    opening: list[Packet | None]
+    pending: list[Packet | None]
     denied: list[dict[int, int] | None]
 
     def __init__(self) -> None:
         super().__init__(FLOW_LIMIT)
         self._cursor = Cursor()
-        self._opening_rows: list[int] = []
+        self._watched: list[int] = []
 
-    def watch_opening(self, row: int) -> None:
-        """Names a row for the next `take_opening`."""
-        self._opening_rows.append(row)
+    def watch(self, row: int) -> None:
+        """Names a row for the next `take_watched`."""
+        self._watched.append(row)
 
-    def take_opening(self) -> list[int]:
+    def take_watched(self) -> list[int]:
         """Returns the rows named since the last call."""
-        rows = self._opening_rows
-        self._opening_rows = []
+        rows = self._watched
+        self._watched = []
         return rows
 
     def tried(self, row: int) -> list[int]:
@@ -125,7 +129,7 @@
         self.owner[row] = host
         self.service[row] = service
         self.touched[row] = now
-        self.opening[row] = None
+        self.pending[row] = None
         self.denied[row] = None
         return is_new
 
--- a/shallotshore/packets/own_upstream.py
+++ b/shallotshore/packets/own_upstream.py
@@ -17,7 +17,7 @@
 SILENT_DATA_MS = 800  # it acknowledges every second packet of data, and answers others in time
 PROBATION_MS = 1_000  # new flows are tried again so long after the last sign of silence
 ENDED_KEPT_MS = 3_000  # late packets of a flow that has ended still go to the upstream
-FOREIGN_KEPT_MS = 2_000
+FOREIGN_KEPT_MS = 10_000  # an upstream that returned a packet of a flow never takes it up later
 
 
 class OwnUpstreamSystem:
--- a/shallotshore/packets/ownership.py
+++ b/shallotshore/packets/ownership.py
@@ -1,4 +1,4 @@
-"""Learns where flows live from what agents say, and decides when a flow is lost."""
+"""Learns from agents where flows live and where they do not."""
 
 from __future__ import annotations
 
@@ -16,28 +16,20 @@
 from shallotshore.packets.hosts import host_number
 from shallotshore.packets.node_messages import Missing, OwnedFlow, Passed, Report
 from shallotshore.packets.packet import Packet
-from shallotshore.packets.routing import reset_client, search_owner
-from shallotshore.packets.upstream_table import Listing
+from shallotshore.packets.routing import reset_client
+from shallotshore.packets.search import begin_search, note_denial, search_on
 from shallotshore.tables import MISSING
 
 if TYPE_CHECKING:
     from shallotshore.messages import Address
 
-# A flow that no agent knows is lost after so long: its client has sent two copies of a packet, and
-# an agent that had just started has asked its upstream.
-SEARCH_MS = 500
-# An agent that is listed no more and silent for so long has no flows any more.
-DEPARTED_MS = 2_500
-# After a change of the upstreams' records an owner may be unknown to this balancer for a moment.
-SETTLED_MS = 1_000
-
 Decode = Callable[[bytes], Result[Packet, Code]]
 
 
 class OwnershipSystem:
     """Takes reports, claims of ownership and denials of agents."""
 
-    __slots__ = ("_changed_at", "_decode", "_state")
+    __slots__ = ("_decode", "_state")
 
     def __init__(self, state: BalancerState, decode: Decode) -> None:
         """Creates the system.
@@ -48,13 +40,10 @@
         """
         self._state = state
         self._decode = decode
-        self._changed_at = 0
 
     def run(self, now: int) -> None:
         """Runs the step at `now` (ms)."""
         state = self._state
-        if state.feeds.changed:
-            self._changed_at = now
         for source, report in state.inbox.take(Report):
             self._take_report(source, report, now)
         for source, owned in state.inbox.take(OwnedFlow):
@@ -114,22 +103,28 @@
         if missing.is_lost:
             self._lose(row, host, packet, now)
             return
-        if self._is_taken_for_owner(row, host):
-            flows.stage[row] = FlowStage.SEARCHING
-            flows.searched_at[row] = now
-        if flows.stage[row] != FlowStage.SEARCHING:
-            return
-        self._note_denial(row, host, now)
-        route = state.routes.get(packet.vip) if packet is not None else None
-        if packet is not None and route is not None and flows.stage[row] == FlowStage.SEARCHING:
-            state.counters.add("flows.searched_again")
-            search_owner(state, packet, route, now - flows.searched_at[row])
-
-    def _is_taken_for_owner(self, row: int, host: int) -> bool:
+        if flows.stage[row] == FlowStage.SEARCHING:
+            note_denial(state, row, host, now)
+        elif self._is_ownerless(row, host, now):
+            begin_search(state, row, now)
+            flows.denied[row] = {host: now}
+            flows.pending[row] = packet
+            route = state.routes.get(packet.vip) if packet is not None else None
+            if packet is not None and route is not None:
+                search_on(state, row, packet, route)
+
+    def _is_ownerless(self, row: int, host: int, now: int) -> bool:
+        """Whether a denial leaves no host that may own the flow."""
         flows = self._state.flows
         if flows.stage[row] == FlowStage.OWNED:
             return flows.owner[row] == host
-        return flows.stage[row] == FlowStage.OPENING and flows.opening[row] is None
+        if flows.stage[row] != FlowStage.OPENING or flows.pending[row] is not None:
+            return False
+        denied = flows.denied[row]
+        if denied is None:
+            denied = flows.denied[row] = {}
+        denied[host] = now
+        return all(tried in denied for tried in flows.tried(row))
 
     def _lose(self, row: int, host: int, packet: Packet | None, now: int) -> None:
         """Ends a flow that its owner's upstream holds no more."""
@@ -142,35 +137,6 @@
         if packet is not None:
             reset_client(state, packet, Code.FLOW_LOST, now)
 
-    def _note_denial(self, row: int, host: int, now: int) -> None:
-        """Gives a flow up once every agent that may know it has denied it for long enough."""
-        flows = self._state.flows
-        denied = flows.denied[row]
-        if denied is None:
-            denied = flows.denied[row] = {}
-        denied[host] = now
-        if now - flows.searched_at[row] < SEARCH_MS or now - self._changed_at < SETTLED_MS:
-            return
-        if not self._is_denied_by_all(denied, now):
-            return
-        flows.stage[row] = FlowStage.LOST
-        self._state.counters.add("flows.unknown_to_all")
-        if self._state.log.admits(now):
-            self._state.log.write(
-                now, "flow_unknown", key=f"{flows.key[row]:016x}", denied_by=len(denied)
-            )
-
-    def _is_denied_by_all(self, denied: dict[int, int], now: int) -> bool:
-        upstreams = self._state.upstreams
-        for host in upstreams.keys():
-            if host in denied:
-                continue
-            row = upstreams.row(host)
-            last = max(upstreams.reported_at[row], upstreams.lapsed_at[row])
-            if upstreams.listing[row] == Listing.LISTED or now - last < DEPARTED_MS:
-                return False
-        return True
-
 
 def _keys(packed: bytes) -> tuple[int, ...]:
     return struct.unpack(f"<{len(packed) // 8}Q", packed[: len(packed) // 8 * 8])
--- a/shallotshore/packets/routing.py
+++ b/shallotshore/packets/routing.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-__all__ = ["RoutingSystem", "offer_flow", "reset_client", "search_owner"]
+__all__ = ["RoutingSystem", "offer_flow", "reset_client"]
 
 from shallotshore.codes import Code
 from shallotshore.packets.balancer_state import BalancerState, RouteView
@@ -10,11 +10,10 @@
 from shallotshore.packets.hosts import host_text
 from shallotshore.packets.node_messages import Carry, CarryKind
 from shallotshore.packets.packet import RESETS, Packet, ResetPacket
+from shallotshore.packets.search import begin_search, carry, search_on, service_of
 from shallotshore.packets.selection import note_opened, pick_service, rank_upstreams
 from shallotshore.tables import MISSING
 
-WIDE_SEARCH_MS = 100  # agents of the route's own services answer within 30 ms
-ASKED_LIMIT = 200  # agents asked for a flow whose own service does not know it
 PASSED_ON = 2  # candidates named for an agent that cannot take an opening packet
 
 
@@ -79,14 +78,14 @@
         state.counters.add("flows.table_full")
     elif flows.stage[row] == FlowStage.OWNED:
         # A late copy of the opening packet of a flow that is open.
-        _carry(state, flows.owner[row], CarryKind.OWNED, flows.service[row], packet)
+        carry(state, flows.owner[row], CarryKind.OWNED, flows.service[row], packet)
         return
     else:
         flows.stage[row] = FlowStage.OPENING
         flows.touched[row] = now
-        if flows.opening[row] is None:
-            flows.watch_opening(row)
-        flows.opening[row] = packet
+        if flows.pending[row] is None:
+            flows.watch(row)
+        flows.pending[row] = packet
     offer_flow(state, packet, route, row, now)
 
 
@@ -161,57 +160,28 @@
     row = flows.row(packet.key)
     if row == MISSING:
         row = flows.add(packet.key)
-        if row != MISSING:
-            flows.stage[row] = FlowStage.SEARCHING
-            flows.searched_at[row] = now
-        state.counters.add("flows.searched")
+        if row == MISSING:
+            state.counters.add("flows.table_full")
+            return
         _log_search(state, packet, now)
-    if row == MISSING:
-        search_owner(state, packet, route)
-        return
+        begin_search(state, row, now)
     flows.touched[row] = now
+    if flows.stage[row] == FlowStage.OPENING and not flows.tried(row):
+        begin_search(state, row, now)
     stage = flows.stage[row]
     if stage == FlowStage.OWNED:
-        _carry(state, flows.owner[row], CarryKind.OWNED, flows.service[row], packet)
+        carry(state, flows.owner[row], CarryKind.OWNED, flows.service[row], packet)
     elif stage == FlowStage.OPENING:
-        flows.opening[row] = None
+        flows.pending[row] = None
         tried = flows.tried(row)
         kind = CarryKind.OWNED if len(tried) == 1 else CarryKind.SEARCH
         for host in tried:
-            _carry(state, host, kind, _service_of(state, host), packet)
+            carry(state, host, kind, service_of(state, host), packet)
     elif stage == FlowStage.LOST:
         reset_client(state, packet, Code.FLOW_LOST, now)
     else:
-        search_owner(state, packet, route, now - flows.searched_at[row])
-
-
-def search_owner(state: BalancerState, packet: Packet, route: RouteView, searched: int = 0) -> None:
-    """Sends a packet to all agents that may know its owner; only the owner takes it.
-
-    Args:
-        state: The balancer's tables.
-        packet: A client's packet.
-        route: Its route.
-        searched: How long the flow has been searched for, in ms. It may be older than the
-            route's present services, so that all agents are asked after a while.
-    """
-    upstreams = state.upstreams
-    if searched >= WIDE_SEARCH_MS and len(upstreams) <= ASKED_LIMIT:
-        hosts = list(upstreams.keys())
-    else:
-        hosts = [host for service in route.services for host in upstreams.of_service(service)]
-    for host in hosts:
-        _carry(state, host, CarryKind.SEARCH, _service_of(state, host), packet)
-
-
-def _service_of(state: BalancerState, host: int) -> int:
-    row = state.upstreams.row(host)
-    return state.upstreams.service[row] if row != MISSING else 0
-
-
-def _carry(state: BalancerState, host: int, kind: CarryKind, service: int, packet: Packet) -> None:
-    carry = Carry(kind, service, 0, (), 0.0, 0, state.settings.host, packet.frame)
-    state.send(host, carry)
+        flows.pending[row] = packet
+        search_on(state, row, packet, route)
 
 
 def _log_search(state: BalancerState, packet: Packet, now: int) -> None:
--- a/shallotshore/packets/store_messages.py
+++ b/shallotshore/packets/store_messages.py
@@ -19,18 +19,12 @@
 
 
 class ReadFeed:
-    """Asks the store for all of a feed.
+    """Asks the store for all of a feed, as it is now."""
 
-    Attributes:
-        feed: Which feed.
-        may_be_stale: Whether an answer that is seconds old will do.
-    """
-
-    __slots__ = ("feed", "may_be_stale")
+    __slots__ = ("feed",)
 
-    def __init__(self, feed: Feed, may_be_stale: bool) -> None:
+    def __init__(self, feed: Feed) -> None:
         self.feed = feed
-        self.may_be_stale = may_be_stale
 
 
 class WatchFeed:
--- /dev/null
+++ b/shallotshore/packets/waiting_flows.py
@@ -0,0 +1,77 @@
+"""Decides about flows that wait: offers them to a second upstream, or gives them up."""
+
+from __future__ import annotations
+
+__all__ = ["WaitingFlowSystem"]
+
+from shallotshore.codes import Code
+from shallotshore.packets.balancer_state import BalancerState
+from shallotshore.packets.flow_cache import TRIED_LIMIT, FlowStage
+from shallotshore.packets.routing import offer_flow, reset_client
+from shallotshore.packets.search import is_denied_by_all
+
+# A client goes on within two round trips, at most 30 ms between these data centres.
+HEDGE_MS = 60
+LOOK_MS = 20
+# Agents deny a flow within 30 ms. With an up-to-date table of upstreams, a flow that all of them
+# have denied lives nowhere.
+SEARCH_MS = 40
+# Otherwise another balancer may know an upstream that this one has not heard of.
+DOUBTFUL_SEARCH_MS = 3_000
+SEARCH_LIMIT_MS = 5_000  # a client's requests have ended by then
+
+
+class WaitingFlowSystem:
+    """Looks after flows that were offered or searched for and are not settled yet."""
+
+    __slots__ = ("_looked_at", "_state")
+
+    def __init__(self, state: BalancerState) -> None:
+        self._state = state
+        self._looked_at = 0
+
+    def run(self, now: int) -> None:
+        """Runs the step at `now` (ms)."""
+        if now - self._looked_at < LOOK_MS:
+            return
+        self._looked_at = now
+        flows = self._state.flows
+        flows.sweep(now)
+        for row in flows.take_watched():
+            if flows.stage[row] == FlowStage.OPENING:
+                self._look_at_offer(row, now)
+            elif flows.stage[row] == FlowStage.SEARCHING:
+                self._look_at_search(row, now)
+
+    def _look_at_offer(self, row: int, now: int) -> None:
+        state = self._state
+        flows = state.flows
+        packet = flows.pending[row]
+        if packet is None:
+            return
+        if now - flows.asked_at[row] < HEDGE_MS:
+            flows.watch(row)
+            return
+        if flows.offers[row] >= TRIED_LIMIT:
+            return
+        route = state.routes.get(packet.vip)
+        if route is not None:
+            state.counters.add("flows.hedged")
+            offer_flow(state, packet, route, row, now)
+            flows.watch(row)
+
+    def _look_at_search(self, row: int, now: int) -> None:
+        state = self._state
+        flows = state.flows
+        searched = now - flows.searched_at[row]
+        if searched > SEARCH_LIMIT_MS:
+            return
+        patience = SEARCH_MS if state.feeds.upstreams.is_current(now) else DOUBTFUL_SEARCH_MS
+        packet = flows.pending[row]
+        if searched < patience or packet is None or not is_denied_by_all(state, row, now):
+            flows.watch(row)
+            return
+        flows.stage[row] = FlowStage.LOST
+        flows.pending[row] = None
+        state.counters.add("flows.unknown_to_all")
+        reset_client(state, packet, Code.NO_SUCH_FLOW, now)
