Bind sockets before the rest is loaded; hold opening packets at a busy upstream, youngest first

Cause: after a power loss 300 clients press on seven cold one-slot upstreams: queues of five made every answer late, and opening packets that came during the half second of loading were lost. Change: the sockets are bound as soon as the settings are read; an agent hands over an opening packet only while its upstream has at most one request waiting, and releases the youngest first; packets held for 150 ms are left to the client's next copy.

--- a/shallotshore/packets/agent.py
+++ b/shallotshore/packets/agent.py
@@ -7,7 +7,12 @@
 import random
 
 from shallotshore.packets.agent_state import AgentSettings, AgentState
-from shallotshore.packets.delivery import ClientPacketSystem, Decode, UpstreamPacketSystem
+from shallotshore.packets.delivery import (
+    ClientPacketSystem,
+    Decode,
+    HeldOpeningSystem,
+    UpstreamPacketSystem,
+)
 from shallotshore.packets.event_log import EventLog
 from shallotshore.packets.feeds import Feeds, FeedSystem
 from shallotshore.packets.own_upstream import HealthSystem, OwnUpstreamSystem
@@ -51,6 +56,7 @@
             OwnUpstreamSystem(state),
             UpstreamPacketSystem(state),
             ClientPacketSystem(state, decode),
+            HeldOpeningSystem(state),
             HealthSystem(state),
             ReportSystem(state),
         ]
--- a/shallotshore/packets/agent_state.py
+++ b/shallotshore/packets/agent_state.py
@@ -11,6 +11,7 @@
 from shallotshore.packets.agent_tables import FlowStage, FlowTable, SubscriberTable
 from shallotshore.packets.event_log import EventLog
 from shallotshore.packets.feeds import Feeds
+from shallotshore.packets.held_openings import HeldOpenings
 from shallotshore.packets.hosts import host_text
 from shallotshore.packets.latencies import Latencies
 from shallotshore.packets.node_messages import NodeMessage, UpstreamHealth
@@ -23,6 +24,11 @@
     from shallotshore.systems import Counters, Inbox, Outbox
 
 
+UNKNOWN_SLOTS = 4  # until the upstream's record is known
+# A client's request follows the acceptance of its flow within one round trip.
+EXPECTED_MS = 40
+
+
 class AgentSettings:
     """Settings of one agent.
 
@@ -81,6 +87,7 @@
     """Tables, mailboxes and beliefs of one agent.
 
     Attributes:
+        slots: Requests that the upstream works on at the same time.
         is_leaving: Whether the upstream takes no new flows.
         is_out: Whether the data centre is out.
         health: What the agent sees of its upstream.
@@ -99,6 +106,7 @@
         "counters",
         "data_centre",
         "feeds",
+        "held",
         "flows",
         "health",
         "heard_at",
@@ -116,6 +124,7 @@
         "recent_offers",
         "service",
         "settings",
+        "slots",
         "started_at",
         "subscribers",
         "unanswered_data_at",
@@ -139,11 +148,13 @@
         self.feeds = Feeds()
         self.flows = FlowTable()
         self.subscribers = SubscriberTable()
+        self.held = HeldOpenings()
         self.limit = OpeningsLimit(settings.cold_over, settings.cold_slack)
         self.service = name_id("service", settings.service)
         self.data_centre = name_id("data_centre", settings.data_centre)
         self.incarnation = rng.getrandbits(62) + 1
         self.started_at = MISSING
+        self.slots = UNKNOWN_SLOTS
         self.is_leaving = False
         self.is_out = False
         self.health = UpstreamHealth.ANSWERS
@@ -163,6 +174,12 @@
         """Hands a client's packet to the upstream."""
         self.outbox.send(self.settings.upstream, ToUpstream(frame))
 
+    def load(self, now: int) -> int:
+        """Returns the requests in flight and those expected from flows just offered."""
+        if self.recent_offers:
+            self.recent_offers = [at for at in self.recent_offers if now - at < EXPECTED_MS]
+        return self.in_flight + len(self.recent_offers)
+
     def is_certain(self, now: int) -> bool:
         """Whether a flow that the table lacks cannot live at the upstream."""
         return self.settings.is_first_start or now - self.started_at > self.settings.flow_life_ms
--- a/shallotshore/packets/application.py
+++ b/shallotshore/packets/application.py
@@ -7,6 +7,7 @@
 import asyncio
 import os
 import signal
+import socket
 import time
 from collections.abc import Callable
 from functools import singledispatchmethod
@@ -22,6 +23,7 @@
 from shallotshore.packets.http_server import Page, serve_pages
 from shallotshore.packets.log_writer import LogWriter
 from shallotshore.packets.node_settings import NodeSettings
+from shallotshore.packets.node_sockets import NodeSockets
 from shallotshore.packets.packet import Packet, ResetPacket, ToClient, ToUpstream
 from shallotshore.packets.peer_copies import fetch_copy, serve_copies
 from shallotshore.packets.store_messages import FetchFeed, ReadFeed, WatchFeed
@@ -109,10 +111,17 @@
     Life cycle: `run` opens everything, serves until a stop is complete and closes everything.
     """
 
-    def __init__(self, core: RunnableCore, settings: NodeSettings, adapter: Adapter) -> None:
+    def __init__(
+        self,
+        core: RunnableCore,
+        settings: NodeSettings,
+        sockets: NodeSockets,
+        adapter: Adapter,
+    ) -> None:
         """Creates an application that has opened nothing yet."""
         self._core = core
         self._settings = settings
+        self._sockets = sockets
         self._adapter = adapter
         self._writer = LogWriter(core.log, settings.name)
         self._ports: list[DatagramPort] = []
@@ -147,14 +156,13 @@
         self._loop.add_signal_handler(signal.SIGINT, self._stop)
         self._loop.add_signal_handler(signal.SIGHUP, self._note_hangup)
         node_address = (settings.host, settings.node_port)
-        self._node_port = self._bind(node_address, "nodes", self._take_node_message)
+        self._node_port = self._listen(self._sockets.nodes, "nodes", self._take_node_message)
+        packets = self._sockets.packets
         if core.reads_store:
             self._store = self._adapter.store(settings.store_address, self._take_answer)
-            self._client_port = self._bind(settings.client_address, "clients", self._take_client)
+            self._client_port = self._listen(packets, "clients", self._take_client)
         else:
-            self._client_port = self._bind(
-                settings.outbound_address, "upstream", self._take_upstream
-            )
+            self._client_port = self._listen(packets, "upstream", self._take_upstream)
         core.log.write(clock(), "started", host=settings.host, pid=os.getpid())
         self._on_timer()
         self._servers.append(await serve_copies(node_address, self._copy_of))
@@ -166,10 +174,10 @@
         self._servers.append(await serve_pages(metrics_address, metrics_pages))
         self._timers["flush"] = self._loop.call_later(FIRST_FLUSH_MS / 1000, self._flush)
 
-    def _bind(
-        self, address: Address, name: str, deliver: Callable[[bytes, Address], None]
+    def _listen(
+        self, bound: socket.socket, name: str, deliver: Callable[[bytes, Address], None]
     ) -> DatagramPort:
-        port = DatagramPort(address, name, self._core.counters, deliver)
+        port = DatagramPort(bound, name, self._core.counters, deliver)
         self._ports.append(port)
         return port
 
--- a/shallotshore/packets/datagram_port.py
+++ b/shallotshore/packets/datagram_port.py
@@ -15,39 +15,32 @@
 
 FRAME_LIMIT = 65_507  # bytes: the most that UDP over IPv4 carries
 BATCH = 256  # datagrams read before other work of the loop gets its turn
-BUFFER = 1 << 20  # bytes asked of the kernel for bursts while the process does not run
 
 
 class DatagramPort:
-    """One bound socket."""
+    """Reads and writes one bound socket."""
 
     __slots__ = ("_counters", "_deliver", "_name", "_socket")
 
     def __init__(
         self,
-        address: Address,
+        bound: socket.socket,
         name: str,
         counters: Counters,
         deliver: Callable[[bytes, Address], None],
     ) -> None:
-        """Binds the socket and starts to read.
+        """Starts to read.
 
         Args:
-            address: IP number and port.
+            bound: A socket that does not block.
             name: Name in counters.
             counters: Counts what cannot be sent.
             deliver: Called with each datagram and its source.
-
-        Raises:
-            OSError: The address cannot be bound.
         """
         self._counters = counters
         self._deliver = deliver
         self._name = name
-        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self._socket.setblocking(False)
-        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER)
-        self._socket.bind(address)
+        self._socket = bound
         asyncio.get_running_loop().add_reader(self._socket.fileno(), self._read)
 
     def send(self, frame: bytes, destination: Address) -> None:
--- a/shallotshore/packets/delivery.py
+++ b/shallotshore/packets/delivery.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-__all__ = ["ClientPacketSystem", "UpstreamPacketSystem"]
+__all__ = ["ClientPacketSystem", "HeldOpeningSystem", "UpstreamPacketSystem"]
 
 from collections.abc import Callable
 from typing import TYPE_CHECKING
@@ -12,6 +12,7 @@
 from shallotshore.codes import Code
 from shallotshore.packets.agent_state import AgentState
 from shallotshore.packets.agent_tables import FlowStage
+from shallotshore.packets.held_openings import HeldOpening
 from shallotshore.packets.hosts import host_text
 from shallotshore.packets.node_messages import (
     Carry,
@@ -27,6 +28,9 @@
 if TYPE_CHECKING:
     pass
 
+# Requests that may wait at the upstream itself: one keeps it busy while the next is on its way.
+QUEUED_AT_UPSTREAM = 1
+HOLD_MS = 150  # the client's first copy comes after 200 ms
 MAX_HOPS = 3  # agents that pass an opening packet on
 SEQUENCE_MASK = (1 << 32) - 1
 # Bytes that an upstream may have sent before the client's first packet arrives here.
@@ -79,6 +83,18 @@
     if refusal is not None:
         _pass_on(state, carry.candidates, carry, packet, refusal, now)
         return
+    if state.load(now) < state.slots + QUEUED_AT_UPSTREAM:
+        _offer(state, carry, packet, now)
+    elif state.held.hold(HeldOpening(carry, packet, now)):
+        state.counters.add("openings.held")
+        state.is_dirty = True
+    else:
+        _pass_on(state, carry.candidates, carry, packet, Code.OVERLOADED, now)
+
+
+def _offer(state: AgentState, carry: Carry, packet: Packet, now: int) -> None:
+    """Hands an opening packet to the upstream."""
+    flows = state.flows
     row = flows.add(packet.key)
     if row == MISSING:
         _pass_on(state, carry.candidates, carry, packet, Code.TABLE_FULL, now)
@@ -222,6 +238,8 @@
         if not flows.awaits[row]:
             flows.awaited_at[row] = now
         state.set_awaits(row, True)
+        if state.recent_offers:
+            state.recent_offers.pop(0)
     state.unanswered_data_at = state.unanswered_data_at or now
 
 
@@ -246,6 +264,42 @@
         )
 
 
+class HeldOpeningSystem:
+    """Releases opening packets as the upstream gets free, and gives up those that waited long."""
+
+    __slots__ = ("_state",)
+
+    def __init__(self, state: AgentState) -> None:
+        self._state = state
+
+    def run(self, now: int) -> None:
+        """Runs the step at `now` (ms)."""
+        state = self._state
+        held = state.held
+        if not len(held):
+            return
+        for opening in held.take_held_before(now - HOLD_MS):
+            # The client's next copy is on its way, and may find another upstream.
+            state.counters.add("openings.held_too_long")
+            _log_dropped(state, opening, now)
+        while len(held) and state.load(now) < state.slots + QUEUED_AT_UPSTREAM:
+            opening = held.take_best()
+            _take_opening(state, opening.carry, opening.packet, now)
+
+
+def _log_dropped(state: AgentState, opening: HeldOpening, now: int) -> None:
+    if state.log.admits(now):
+        state.log.write(
+            now,
+            "flow_held_too_long",
+            flow=opening.packet.name,
+            code=int(Code.OVERLOADED),
+            held_ms=now - opening.held_at,
+            in_flight=state.in_flight,
+            slots=state.slots,
+        )
+
+
 class UpstreamPacketSystem:
     """Takes what the upstream sends: its own packets, and packets of clients that it returns."""
 
--- a/shallotshore/packets/own_upstream.py
+++ b/shallotshore/packets/own_upstream.py
@@ -60,6 +60,7 @@
                 )
             self._record = record
             state.is_leaving = record.is_leaving
+            state.slots = max(1, record.slots)
         is_out = state.settings.data_centre in state.feeds.operator.content.data_centres_out
         if state.is_out and not is_out:
             self._cold_until = max(self._cold_until, now + REOPENED_COLD_MS)
--- a/shallotshore/packets/reports.py
+++ b/shallotshore/packets/reports.py
@@ -20,7 +20,6 @@
 
 REPORT_MS = 250  # heartbeat
 CHANGE_GAP_MS = 40  # shortest time between two reports of changes
-OFFERS_COUNTED_MS = 50  # the client's request follows its opening packet well within it
 KEYS_IN_REPORT = 120  # keys of 8 bytes; a report stays within one packet of 1,400 bytes
 FORMER_REPORT_MS = 500  # reports to balancers whose subscription has ended; they may have restarted
 
@@ -41,7 +40,6 @@
             self._take(source, subscribe, now)
         if now < self._next_at:
             return
-        state.recent_offers = [at for at in state.recent_offers if now - at < OFFERS_COUNTED_MS]
         self._send_due(now)
         state.is_dirty = False
         self._next_at = now + CHANGE_GAP_MS
@@ -107,7 +105,7 @@
             state.settings.upstream[1],
             state.health,
             state.limit.cold_ms(now),
-            state.in_flight + len(state.recent_offers),
+            state.load(now) + len(state.held),
             state.open_flows,
             state.feeds.operator.revision,
             state.feeds.upstreams.revision,
