Offer a flow again only when the first agent is silent or another upstream is free

Cause: while all upstreams are busy, each held opening packet was offered to three agents after 60 ms; the copies took slots that no request came for.

--- a/shallotshore/packets/application.py
+++ b/shallotshore/packets/application.py
@@ -117,8 +117,18 @@
         settings: NodeSettings,
         sockets: NodeSockets,
         adapter: Adapter,
+        began: int,
     ) -> None:
-        """Creates an application that has opened nothing yet."""
+        """Creates an application that has opened nothing yet.
+
+        Args:
+            core: The core to run.
+            settings: Settings of the process.
+            sockets: Its bound sockets.
+            adapter: What the platform's adapter provides.
+            began: When the process began to load, by `clock`.
+        """
+        self._began = began
         self._core = core
         self._settings = settings
         self._sockets = sockets
@@ -163,7 +173,10 @@
             self._client_port = self._listen(packets, "clients", self._take_client)
         else:
             self._client_port = self._listen(packets, "upstream", self._take_upstream)
-        core.log.write(clock(), "started", host=settings.host, pid=os.getpid())
+        now = clock()
+        core.log.write(
+            now, "started", host=settings.host, pid=os.getpid(), load_ms=now - self._began
+        )
         self._on_timer()
         self._servers.append(await serve_copies(node_address, self._copy_of))
         pages = {self._adapter.ready_path: self._ready_page}
--- a/shallotshore/packets/selection.py
+++ b/shallotshore/packets/selection.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-__all__ = ["note_opened", "pick_service", "rank_upstreams"]
+__all__ = ["is_free", "note_opened", "pick_service", "rank_upstreams"]
 
 from shallotshore.packets.balancer_state import BalancerState, RouteView
 from shallotshore.packets.node_messages import UpstreamHealth
@@ -54,6 +54,17 @@
     upstreams.opened_at[row] = now
 
 
+def is_free(state: BalancerState, host: int, now: int) -> bool:
+    """Whether an upstream has reported lately that it has a free slot."""
+    upstreams = state.upstreams
+    row = upstreams.row(host)
+    return (
+        upstreams.is_reported(row, now)
+        and upstreams.health[row] == UpstreamHealth.ANSWERS
+        and upstreams.in_flight[row] < upstreams.slots[row]
+    )
+
+
 def _score(state: BalancerState, row: int, now: int) -> float:
     """Returns the load of an upstream in units of its slots."""
     upstreams = state.upstreams
--- a/shallotshore/packets/waiting_flows.py
+++ b/shallotshore/packets/waiting_flows.py
@@ -5,14 +5,17 @@
 __all__ = ["WaitingFlowSystem"]
 
 from shallotshore.codes import Code
-from shallotshore.packets.balancer_state import BalancerState
+from shallotshore.packets.balancer_state import BalancerState, RouteView
 from shallotshore.packets.flow_cache import TRIED_LIMIT, FlowStage
 from shallotshore.packets.routing import offer_flow, reset_client
 from shallotshore.packets.search import is_denied_by_all
+from shallotshore.packets.selection import is_free, pick_service, rank_upstreams
+from shallotshore.tables import MISSING
 
 # A client goes on within two round trips, at most 30 ms between these data centres.
 HEDGE_MS = 60
 LOOK_MS = 20
+OFFER_LIMIT_MS = 1_400  # a client gives its attempt up by then
 # Agents deny a flow within 30 ms. With an up-to-date table of upstreams, a flow that all of them
 # have denied lives nowhere.
 SEARCH_MS = 40
@@ -55,10 +58,30 @@
         if flows.offers[row] >= TRIED_LIMIT:
             return
         route = state.routes.get(packet.vip)
-        if route is not None:
+        if route is None:
+            return
+        flows.watch(row)
+        if self._is_worth_another_offer(row, route, now):
             state.counters.add("flows.hedged")
             offer_flow(state, packet, route, row, now)
-            flows.watch(row)
+        elif now - flows.asked_at[row] > OFFER_LIMIT_MS:
+            flows.pending[row] = None
+
+    def _is_worth_another_offer(self, row: int, route: RouteView, now: int) -> bool:
+        """Whether the flow's last offer seems lost, or another upstream is free.
+
+        An agent that has reported since has the offer and holds it while its upstream is busy;
+        more offers would only press on other busy upstreams.
+        """
+        state = self._state
+        tried = state.flows.tried(row)
+        if not tried:
+            return True
+        last = state.upstreams.row(tried[-1])
+        if last == MISSING or state.upstreams.reported_at[last] <= state.flows.asked_at[row]:
+            return True
+        hosts = rank_upstreams(state, pick_service(state, route), tried, now)
+        return bool(hosts) and is_free(state, hosts[0], now)
 
     def _look_at_search(self, row: int, now: int) -> None:
         state = self._state
