Stand-in of the platform for packets, and tests of the packet front end

Change: standins/packet_*: store, upstreams, clients and routers on a virtual clock around the product's cores and the adapter's encoding; tests of flows under faults, limits, overload, the adapter, settings and the start.

--- /dev/null
+++ b/standins/packet_world.py
@@ -0,0 +1,275 @@
+"""Balancers, agents, upstreams, clients and the store on one virtual clock, without sockets."""
+
+__all__ = ["PacketWorld"]
+
+import heapq
+import itertools
+import random
+import sys
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+sys.path.append(str(Path(__file__).resolve().parent.parent / "platform"))
+
+from adapter.packets import decode_packet, encode_reset  # noqa: E402  the path is set first
+
+from shallotshore.messages import Address  # noqa: E402
+from shallotshore.packets import node_messages  # noqa: E402
+from shallotshore.packets.agent import PacketAgent  # noqa: E402
+from shallotshore.packets.agent_state import AgentSettings  # noqa: E402
+from shallotshore.packets.balancer import PacketBalancer  # noqa: E402
+from shallotshore.packets.balancer_state import BalancerSettings  # noqa: E402
+from shallotshore.packets.feed_content import (  # noqa: E402
+    ConfigurationChange,
+    DataCentreChange,
+    UpstreamChange,
+)
+from shallotshore.packets.feeds import STORE  # noqa: E402
+from shallotshore.packets.hosts import host_number  # noqa: E402
+from shallotshore.packets.packet import ResetPacket, ToClient, ToUpstream  # noqa: E402
+from shallotshore.packets.store_messages import (  # noqa: E402
+    FetchedFeed,
+    FetchFailed,
+    FetchFeed,
+    ReadFeed,
+    WatchFeed,
+)
+from shallotshore.packets.view import (  # noqa: E402
+    Configuration,
+    Feed,
+    Route,
+    ServiceLimits,
+    Upstream,
+)
+from standins.packet_client import PacketClient  # noqa: E402
+from standins.packet_store import StoreStandin  # noqa: E402
+from standins.packet_upstream import PacketUpstream  # noqa: E402
+
+NODE_PORT = 7720
+START_MS = 100_000
+TICK_MS = 20
+DELAY_MS = 3
+VIP = ("198.18.0.1", 443)
+
+
+class PacketWorld:
+    """A small deployment in one data centre by default.
+
+    Attributes:
+        now: Virtual time in ms.
+        store: The platform's store.
+        balancers, agents, upstreams: Live cores and stand-ins by host.
+        drops: Hosts that neither send nor receive.
+    """
+
+    def __init__(self, seed: int = 1, data_centres: tuple[str, ...] = ("bud-a",)) -> None:
+        self.now = START_MS
+        self.store = StoreStandin()
+        self.balancers: dict[str, PacketBalancer] = {}
+        self.agents: dict[str, PacketAgent] = {}
+        self.upstreams: dict[str, PacketUpstream] = {}
+        self.clients: dict[Address, PacketClient] = {}
+        self.drops: set[str] = set()
+        self.settings: dict[str, AgentSettings] = {}
+        self.places: dict[str, str] = {}
+        self.data_centres = data_centres
+        self.version = 0
+        self._rng = random.Random(seed)
+        self._events: list[tuple[int, int, Callable[[], object]]] = []
+        self._order = itertools.count()
+
+    # Building.
+
+    def configure(
+        self,
+        services: dict[Address, str] | None = None,
+        cold_per_s: float = 0.0,
+        version: int | None = None,
+    ) -> None:
+        """Publishes a configuration with one service for each virtual address."""
+        self.version = version if version is not None else self.version + 3
+        routes = tuple(
+            Route(f"r-{vip[1]}", vip[0], vip[1], ((service, 1),))
+            for vip, service in (services or {VIP: "spend"}).items()
+        )
+        names = sorted({share[0] for route in routes for share in route.shares})
+        limits = tuple(ServiceLimits(name, 2_000, cold_per_s) for name in names)
+        configuration = Configuration(self.version, 15_000, routes, limits)
+        self.store.write(
+            Feed.OPERATOR,
+            lambda revision: ConfigurationChange("op/config", revision, configuration),
+        )
+
+    def add_balancer(self, host: str, place: str = "bud-a", seeds: tuple[str, ...] = ()) -> None:
+        """Starts a balancer; it may have been there before."""
+        self.places[host] = place
+        numbers = tuple(host_number(seed) for seed in seeds)
+        settings = BalancerSettings(host_number(host), place, NODE_PORT, numbers)
+        rng = random.Random(self._rng.random())
+        self.balancers[host] = PacketBalancer(settings, rng, decode_packet)
+
+    def add_agent(
+        self,
+        host: str,
+        service: str = "spend",
+        place: str = "bud-a",
+        is_first_start: bool = True,
+        slots: int = 3,
+    ) -> None:
+        """Starts an agent, and its upstream unless that is there already."""
+        self.places[host] = place
+        settings = AgentSettings(
+            host_number(host),
+            place,
+            service,
+            (host, 8080),
+            NODE_PORT,
+            is_first_start=is_first_start,
+            cold_over=1.5,
+            cold_slack=5,
+        )
+        self.settings[host] = settings
+        rng = random.Random(self._rng.random())
+        self.agents[host] = PacketAgent(settings, rng, decode_packet)
+        if host not in self.upstreams:
+            send = self._from_upstream(host)
+            self.upstreams[host] = PacketUpstream(send, self.later, slots)
+
+    def publish(self, host: str, is_leaving: bool = False, cold_ms: int = 0) -> None:
+        """Publishes the record of a host's upstream."""
+        settings, place = self.settings[host], self.places[host]
+        slots = self.upstreams[host].slots
+
+        def make(revision: int) -> UpstreamChange:
+            record = Upstream(
+                f"i-{host}",
+                settings.service,
+                host,
+                8080,
+                place,
+                slots,
+                is_leaving,
+                cold_ms,
+                0,
+                revision,
+            )
+            return UpstreamChange(record.id, revision, record)
+
+        self.store.write(Feed.UPSTREAMS, make)
+
+    def withdraw(self, host: str) -> None:
+        """Removes the record of a host's upstream."""
+        self.store.write(
+            Feed.UPSTREAMS, lambda revision: UpstreamChange(f"i-{host}", revision, None)
+        )
+
+    def set_data_centre(self, name: str, is_out: bool) -> None:
+        """Takes a data centre out or in."""
+        self.store.write(
+            Feed.OPERATOR, lambda revision: DataCentreChange(name, revision, not is_out)
+        )
+
+    def open_flow(self, port: int, vip: Address = VIP) -> PacketClient:
+        """Starts a client on a new flow."""
+        address = ("100.64.0.7", port)
+        client = PacketClient(address, vip, self._from_client(address), self.later)
+        self.clients[address] = client
+        client.open()
+        return client
+
+    # Running.
+
+    def later(self, delay: int, action: Callable[[], object]) -> None:
+        """Runs an action after a delay in ms."""
+        heapq.heappush(self._events, (self.now + delay, next(self._order), action))
+
+    def run(self, duration: int) -> None:
+        """Lets time pass, in ms."""
+        until = self.now + duration
+        for at in range(self.now - self.now % TICK_MS + TICK_MS, until + 1, TICK_MS):
+            heapq.heappush(self._events, (at, next(self._order), self._tick_all))
+        while self._events and self._events[0][0] <= until:
+            self.now, _, action = heapq.heappop(self._events)
+            action()
+        self.now = until
+
+    def _tick_all(self) -> None:
+        self.store.expire(self.now)
+        for host in [*self.balancers, *self.agents]:
+            self._tick(host)
+
+    def _tick(self, host: str) -> None:
+        core = self.balancers.get(host) or self.agents.get(host)
+        if core is None:
+            return
+        core.tick(self.now)
+        for destination, message in core.outbox.drain():
+            self._send(host, core, destination, message)
+
+    def _send(self, host: str, core: Any, destination: Address, message: Any) -> None:
+        if isinstance(message, ReadFeed | WatchFeed):
+            self.store.call(message, self.now, self._reply(host, core))
+        elif isinstance(message, FetchFeed):
+            self._fetch(host, core, destination, message)
+        elif isinstance(message, ToUpstream):
+            upstream = self.upstreams[host]
+            self.later(0, lambda: upstream.take(message.frame, self.now))
+        elif isinstance(message, ToClient):
+            self._to_client(destination, message.frame)
+        elif isinstance(message, ResetPacket):
+            self._to_client(destination, encode_reset(message))
+        else:
+            self._to_node(host, destination[0], node_messages.encode(message))
+
+    def _reply(self, host: str, core: Any) -> Callable[[int, object], None]:
+        def reply(delay: int, answer: object) -> None:
+            self.later(delay, lambda: self._receive(host, core, STORE, answer))
+
+        return reply
+
+    def _fetch(self, host: str, core: Any, source: Address, request: FetchFeed) -> None:
+        other = self.balancers.get(source[0]) or self.agents.get(source[0])
+        answer: FetchedFeed | FetchFailed = FetchFailed(request.feed, "nobody listens")
+        if other is not None and not {host, source[0]} & self.drops:
+            answer = FetchedFeed(other.feeds.copy(request.feed).state())
+        self.later(2 * DELAY_MS, lambda: self._receive(host, core, source, answer))
+
+    def _to_node(self, source: str, destination: str, frame: bytes) -> None:
+        if {source, destination} & self.drops:
+            return
+        core = self.balancers.get(destination) or self.agents.get(destination)
+        message = node_messages.decode(frame).unwrap()
+        self.later(DELAY_MS, lambda: self._receive(destination, core, (source, NODE_PORT), message))
+
+    def _receive(self, host: str, core: Any, source: Address, message: object) -> None:
+        """Delivers to the process that was meant; a message for one that has ended is lost."""
+        live = self.balancers.get(host) or self.agents.get(host)
+        if live is not None and live is core:
+            live.receive(source, message)
+            self._tick(host)
+
+    def _to_client(self, address: Address, frame: bytes) -> None:
+        client = self.clients.get(address)
+        if client is not None:
+            self.later(DELAY_MS, lambda: client.take(frame, self.now))
+
+    def _from_client(self, address: Address) -> Callable[[bytes], None]:
+        def send(frame: bytes) -> None:
+            ready = sorted(host for host in self.balancers if host not in self.drops)
+            if not ready:
+                return
+            packet = decode_packet(frame).unwrap()
+            host = ready[packet.key % len(ready)]
+            core = self.balancers[host]
+            self.later(DELAY_MS, lambda: self._receive(host, core, address, packet))
+
+        return send
+
+    def _from_upstream(self, host: str) -> Callable[[bytes], None]:
+        def send(frame: bytes) -> None:
+            agent = self.agents.get(host)
+            packet = decode_packet(frame, is_from_upstream=True).unwrap()
+            self.later(0, lambda: self._receive(host, agent, (host, 8080), packet))
+
+        return send
--- /dev/null
+++ b/tests/test_adapter.py
@@ -0,0 +1,263 @@
+"""The adapter of the users' platform: packets, entries of the store, settings, how it starts."""
+
+import base64
+import json
+import os
+import subprocess
+import sys
+import unittest
+from pathlib import Path
+
+from standins.packet_wire import ACK, RETURNED, SYN, is_intact, write_packet
+from standins.packet_world import PacketWorld
+
+from adapter.entries import decode_item, decode_removal  # isort: skip  path set by packet_world
+from adapter.packets import decode_packet, encode_reset  # isort: skip
+
+from shallotshore.codes import Code
+from shallotshore.packets.feed_content import (
+    ConfigurationChange,
+    DataCentreChange,
+    UnreadableEntry,
+    UpstreamChange,
+)
+from shallotshore.packets.node_settings import AGENT, BALANCER, read_node_settings
+from shallotshore.packets.packet import OPENS, RESETS, ResetPacket
+
+ROOT = Path(__file__).resolve().parent.parent
+CLIENT, VIP = ("100.64.0.7", 40001), ("198.18.0.1", 443)
+EXAMPLE = bytes.fromhex(
+    "00 00 08 d5 c3 b2 a1 44 33 22 11 00 00 00 00 00 00 00 00 01 00 12 c6 07 00 40 64 41 9c bb 01"
+)
+EXAMPLE_RESET = bytes.fromhex(
+    "00 00 80 00 00 00 00 00 00 00 00 00 00 00 00 00 00 00 00 07 00 40 64 01 00 12 c6 bb 01 41 9c"
+)
+ENTRY = {
+    "service": "spend",
+    "address": "10.1.0.9:8080",
+    "zone": "bud-a",
+    "version": "v1",
+    "slots": 3,
+    "state": "ready",
+    "coldRemainingMs": 40,
+    "seq": 4,
+}
+SETTINGS = {
+    "name": "front-bud-a-1",
+    "data_centre": "bud-a",
+    "host": "10.1.0.10",
+    "client_address": "10.1.0.10:8172",
+    "upstream_address": "10.1.0.10:8165",
+    "outbound_address": "10.1.0.10:8162",
+    "service": "spend",
+    "node_port": 7720,
+    "store_address": "10.200.1.7:8169",
+}
+
+
+def item(key: str, value: bytes, revision: int = 7) -> dict[str, object]:
+    """Returns an item as the store sends it."""
+    return {"key": key, "value": base64.b64encode(value).decode(), "rev": revision}
+
+
+class PacketTest(unittest.TestCase):
+    """Packets."""
+
+    def test_reads_the_platform_s_example(self) -> None:
+        """Guards against addresses read in network order."""
+        packet = decode_packet(EXAMPLE).unwrap()
+        self.assertEqual((CLIENT, VIP), (packet.client, packet.vip))
+        self.assertEqual((OPENS, 0x11223344), (packet.flags, packet.sequence))
+        self.assertTrue(packet.is_opening)
+
+    def test_writes_the_platform_s_example_of_a_reset(self) -> None:
+        """Guards against resets that no client takes."""
+        self.assertEqual(EXAMPLE_RESET, encode_reset(ResetPacket(CLIENT, VIP, 0)))
+        reset = decode_packet(EXAMPLE_RESET, is_from_upstream=True).unwrap()
+        self.assertEqual((CLIENT, VIP, RESETS), (reset.client, reset.vip, reset.flags))
+
+    def test_both_directions_have_one_key(self) -> None:
+        """Guards against answers that are taken for another flow."""
+        there = decode_packet(write_packet(CLIENT, VIP, SYN)).unwrap()
+        back = decode_packet(write_packet(VIP, CLIENT, SYN | ACK), True).unwrap()
+        self.assertEqual(there.key, back.key)
+
+    def test_returned_packet_is_restored(self) -> None:
+        """Guards against an upstream that gets a packet its sender did not write (UNASKED)."""
+        frame = write_packet(CLIENT, VIP, ACK, 5, 6, b"data")
+        returned = bytearray(frame)
+        returned[2] |= RETURNED
+        returned[15:19] = b"\1\2\3\4"
+        packet = decode_packet(bytes(returned), is_from_upstream=True).unwrap()
+        self.assertEqual(frame, packet.frame)
+        self.assertTrue(is_intact(packet.frame))
+
+    def test_refuses_malformed_packets(self) -> None:
+        """Guards against bytes that are forwarded though they are no packet."""
+        good = write_packet(CLIENT, VIP, ACK, 1, 1, b"data")
+        cases = {
+            b"": Code.MESSAGE_TRUNCATED,
+            good[:30]: Code.MESSAGE_TRUNCATED,
+            good[:-1]: Code.MESSAGE_MALFORMED,
+            good + b"x": Code.MESSAGE_MALFORMED,
+            good[:2] + b"\x01" + good[3:]: Code.MESSAGE_MALFORMED,
+        }
+        for frame, code in cases.items():
+            self.assertEqual(code, decode_packet(frame).unwrap_err())
+
+
+class EntryTest(unittest.TestCase):
+    """Entries of the store."""
+
+    def test_reads_an_upstream(self) -> None:
+        """Guards against fields that are taken for others."""
+        change = decode_item(item("servers/i-1", json.dumps(ENTRY).encode()))
+        assert isinstance(change, UpstreamChange) and change.upstream is not None
+        upstream = change.upstream
+        named = (upstream.id, upstream.service, upstream.host, upstream.port)
+        self.assertEqual(("i-1", "spend", "10.1.0.9", 8080), named)
+        self.assertEqual((False, 40, 7), (upstream.is_leaving, upstream.cold_ms, upstream.revision))
+
+    def test_entry_that_cannot_be_read_names_no_upstream(self) -> None:
+        """Guards against entries of other writers that end the process or hide the others."""
+        bad = (
+            b"\xff\xfe",
+            b"[]",
+            json.dumps({**ENTRY, "state": "asleep"}).encode(),
+            json.dumps({**ENTRY, "slots": "many"}).encode(),
+            json.dumps({**ENTRY, "address": "nowhere"}).encode(),
+            json.dumps({name: ENTRY[name] for name in ENTRY if name != "zone"}).encode(),
+        )
+        for value in bad:
+            self.assertIsInstance(decode_item(item("servers/i-1", value)), UnreadableEntry)
+        broken = {"key": "servers/i-1", "value": "%%", "rev": 3}
+        self.assertIsInstance(decode_item(broken), UnreadableEntry)
+
+    def test_reads_routes_with_one_or_several_services(self) -> None:
+        """Guards against split routes that are sent to one service only."""
+        config = {
+            "version": 9,
+            "routes": [
+                {"host": "198.18.0.1", "prefix": "/8080/", "service": "a"},
+                {
+                    "host": "198.18.0.1",
+                    "prefix": "/8443/",
+                    "trafficSplit": [
+                        {"service": "a", "weight": 90},
+                        {"service": "b", "weight": 10},
+                        {"service": "c", "weight": 0},
+                    ],
+                },
+            ],
+            "services": [{"name": "a", "coldStartS": 2.0, "coldPerS": 1.5}],
+            "limits": {"idleTimeoutMs": 15000},
+        }
+        change = decode_item(item("op/config", json.dumps(config).encode()))
+        assert isinstance(change, ConfigurationChange)
+        first, second = change.configuration.routes
+        self.assertEqual((8080, (("a", 1),)), (first.port, first.shares))
+        self.assertEqual((8443, (("a", 90), ("b", 10))), (second.port, second.shares))
+        self.assertEqual(15_000, change.configuration.idle_ms)
+
+    def test_reads_data_centres_that_are_out_and_in(self) -> None:
+        """Guards against a data centre that stays out."""
+        out = decode_item(item("op/evacuate/bud-a", b"{}"))
+        back = decode_removal("op/evacuate/bud-a", 8)
+        assert isinstance(out, DataCentreChange) and isinstance(back, DataCentreChange)
+        self.assertEqual(("bud-a", False), (out.key, out.is_gone))
+        self.assertEqual(("bud-a", True), (back.key, back.is_gone))
+
+
+class SettingsTest(unittest.TestCase):
+    """Settings."""
+
+    def test_reads_settings_of_both_roles(self) -> None:
+        """Guards against a role that does not start."""
+        text = json.dumps(SETTINGS).encode()
+        for role in (BALANCER, AGENT):
+            settings = read_node_settings(role, text).unwrap()
+            self.assertEqual(("10.1.0.10", 8172), settings.client_address)
+
+    def test_lists_every_problem_at_once(self) -> None:
+        """Guards against an operator who mends one setting at a time."""
+        wrong = {**SETTINGS, "host": "bud", "node_port": 0, "service": ""}
+        problems = read_node_settings(AGENT, json.dumps(wrong).encode()).unwrap_err()
+        names = sorted(problem.split(": ")[1] for problem in problems)
+        self.assertEqual(["host", "node_port", "service"], names)
+
+    def test_refuses_what_is_no_object(self) -> None:
+        """Guards against a traceback instead of a message."""
+        for text in (b"", b"[]", b"{", b"\xff"):
+            self.assertTrue(read_node_settings(AGENT, text).is_err())
+
+    def test_template_names_each_setting_that_a_role_needs(self) -> None:
+        """Guards against a template that lags behind the settings."""
+        template = (ROOT / "platform" / "settings.json.tmpl").read_text()
+        problems = read_node_settings(AGENT, b"{}").unwrap_err()
+        problems += read_node_settings(BALANCER, b"{}").unwrap_err()
+        for problem in problems:
+            self.assertIn(f'"{problem.split(": ")[1]}"', template)
+
+
+class StartTest(unittest.TestCase):
+    """How the folder `platform` is started and imported."""
+
+    def test_standard_module_platform_is_not_hidden(self) -> None:
+        """Guards against libraries that import `platform` and get the folder."""
+        self.assertFalse((ROOT / "platform" / "__init__.py").exists())
+        code = "import platform; print(platform.python_version())"
+        out = subprocess.run(
+            [sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True
+        )
+        self.assertEqual(".".join(map(str, sys.version_info[:3])), out.stdout.strip())
+
+    def test_wrong_usage_and_settings_end_with_a_message(self) -> None:
+        """Guards against a traceback at the start."""
+        environment = {**os.environ, "SHALLOTSHORE_NODE_FILE": "/nowhere"}
+        for arguments in ([], ["emperor"], ["balancer"]):
+            run = subprocess.run(
+                [sys.executable, "platform/run.py", *arguments],
+                cwd=ROOT,
+                env=environment,
+                capture_output=True,
+                text=True,
+                check=False,
+            )
+            self.assertEqual(2, run.returncode)
+            self.assertNotIn("Traceback", run.stderr)
+
+    def test_packet_process_loads_no_module_of_the_other_front_end(self) -> None:
+        """Guards against a start that takes half a second of a core longer."""
+        code = (
+            "import sys; sys.path[:0] = ['platform', '.']\n"
+            "import adapter.platform_adapter, shallotshore.packets.balancer\n"
+            "import shallotshore.packets.application, shallotshore.packets.agent\n"
+            "heavy = ('grpc', 'structlog', 'absl', 'statsd', 'prometheus_client', 'hdrh')\n"
+            "print([m for m in heavy if m in sys.modules], 'shallotshore.messages' in sys.modules)"
+        )
+        out = subprocess.run(
+            [sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True
+        )
+        self.assertEqual("[] False", out.stdout.strip())
+
+    def test_names_of_the_platform_stay_in_its_folder(self) -> None:
+        """Guards against wire names that spread into the product."""
+        names = ("trafficSplit", "coldRemainingMs", "datagramAddr", "kv-watch", "evacuate")
+        for path in (ROOT / "shallotshore").rglob("*.py"):
+            text = path.read_text()
+            self.assertEqual([], [name for name in names if name in text], path)
+
+
+class WorldTest(unittest.TestCase):
+    """The stand-in itself."""
+
+    def test_sum_covers_all_but_echo_and_the_returned_mark(self) -> None:
+        """Guards against a stand-in that cannot see a changed packet."""
+        frame = bytearray(write_packet(CLIENT, VIP, ACK, 1, 2, b"data"))
+        frame[-1] ^= 1
+        self.assertFalse(is_intact(bytes(frame)))
+        self.assertEqual({}, PacketWorld().balancers)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_packet_flows.py
@@ -0,0 +1,331 @@
+"""Flows of the packet front end under faults, on a virtual clock."""
+
+import unittest
+
+from standins.packet_world import DELAY_MS, VIP, PacketWorld
+
+OTHER_VIP = ("198.18.0.2", 443)
+BALANCERS = ("10.1.0.1", "10.1.0.2")
+AGENTS = ("10.1.1.1", "10.1.1.2", "10.1.1.3")
+SETTLE_MS = 400
+
+
+def make_world(cold_per_s: float = 0.0, agents: tuple[str, ...] = AGENTS) -> PacketWorld:
+    """Returns a world that has settled."""
+    world = PacketWorld()
+    world.configure(cold_per_s=cold_per_s)
+    for host in agents:
+        world.add_agent(host)
+        world.publish(host)
+    for host in BALANCERS:
+        world.add_balancer(host, seeds=BALANCERS)
+    world.run(SETTLE_MS)
+    return world
+
+
+class CalmTest(unittest.TestCase):
+    """Flows without any fault."""
+
+    def test_requests_are_answered_whole_and_in_order(self) -> None:
+        """Guards against packets that are lost, changed or answered by another flow."""
+        world = make_world()
+        clients = [world.open_flow(4000 + number) for number in range(30)]
+        for client in clients:
+            client.request(b"first")
+            client.request(b"second")
+        world.run(1_000)
+        for client in clients:
+            self.assertEqual([b"200 first", b"200 second"], client.answers)
+            self.assertEqual(0, client.damaged)
+        for upstream in world.upstreams.values():
+            self.assertEqual((0, 0), (upstream.damaged, upstream.strangers))
+
+    def test_flows_spread_over_upstreams(self) -> None:
+        """Guards against balancers that all choose the same upstream."""
+        world = make_world()
+        for number in range(30):
+            world.open_flow(4000 + number)
+            world.run(15)
+        world.run(500)
+        flows = [upstream.flows for upstream in world.upstreams.values()]
+        self.assertEqual(30, sum(flows))
+        self.assertGreaterEqual(min(flows), 7)
+
+    def test_unknown_address_is_reset_at_once(self) -> None:
+        """Guards against clients that wait for an address that no route has."""
+        world = make_world()
+        client = world.open_flow(4000, ("198.18.9.9", 443))
+        world.run(4 * DELAY_MS)
+        self.assertIsNotNone(client.reset_at)
+
+
+class BalancerFaultTest(unittest.TestCase):
+    """Flows while balancers and agents end and start."""
+
+    def test_flows_go_on_through_another_balancer(self) -> None:
+        """Guards against flows that only the balancer that opened them can carry."""
+        world = make_world()
+        clients = [world.open_flow(4000 + number) for number in range(20)]
+        world.run(300)
+        del world.balancers[BALANCERS[0]]
+        for client in clients:
+            client.request(b"x")
+        world.run(300)
+        self.assertEqual([[b"200 x"]] * 20, [client.answers for client in clients])
+        self.assertEqual(0, sum(upstream.strangers for upstream in world.upstreams.values()))
+
+    def test_flows_go_on_after_all_balancers_restart(self) -> None:
+        """Guards against flows that are lost, or reset, with the memory of all balancers."""
+        world = make_world()
+        clients = [world.open_flow(4000 + number) for number in range(20)]
+        world.run(300)
+        for host in BALANCERS:
+            world.add_balancer(host, seeds=BALANCERS)
+        for client in clients:
+            client.request(b"x")
+        world.run(1_000)
+        self.assertEqual([[b"200 x"]] * 20, [client.answers for client in clients])
+
+    def test_flows_go_on_after_balancers_and_agents_restart(self) -> None:
+        """Guards against resets of flows that a restarted agent has not learnt of yet (FLOW)."""
+        world = make_world()
+        clients = [world.open_flow(4000 + number) for number in range(20)]
+        world.run(300)
+        for host in BALANCERS:
+            world.add_balancer(host, seeds=BALANCERS)
+        for host in AGENTS:
+            world.add_agent(host, is_first_start=False)
+        for client in clients:
+            client.request(b"x")
+        world.run(2_000)
+        self.assertEqual([None] * 20, [client.reset_at for client in clients])
+        self.assertEqual([[b"200 x"]] * 20, [client.answers for client in clients])
+
+    def test_flow_of_a_former_route_is_found_after_a_restart(self) -> None:
+        """Guards against a search among the route's present services only (trouble-1, FLOW 3)."""
+        world = make_world()
+        world.add_agent("10.1.1.9", "export")
+        world.publish("10.1.1.9")
+        world.run(SETTLE_MS)
+        client = world.open_flow(4000)
+        world.run(300)
+        world.configure({VIP: "export", OTHER_VIP: "spend"})
+        world.run(100)
+        for host in BALANCERS:
+            world.add_balancer(host, seeds=BALANCERS)
+        client.request(b"x")
+        world.run(1_500)
+        self.assertEqual([b"200 x"], client.answers)
+        self.assertIsNone(client.reset_at)
+
+    def test_starts_without_a_store_from_agents(self) -> None:
+        """Guards against balancers that serve nobody until the store is back."""
+        world = make_world()
+        world.store.is_down = True
+        world.store.drop_watches()
+        for host in BALANCERS:
+            world.add_balancer(host, seeds=BALANCERS)
+        world.run(1_500)
+        client = world.open_flow(4000)
+        client.request(b"x")
+        world.run(500)
+        self.assertEqual([b"200 x"], client.answers)
+
+
+class UpstreamFaultTest(unittest.TestCase):
+    """Flows while upstreams end, start or fall silent."""
+
+    def test_client_of_a_restarted_upstream_is_reset_at_once(self) -> None:
+        """Guards against clients that wait for their deadline on a flow that is gone."""
+        world = make_world()
+        client = world.open_flow(4000)
+        world.run(300)
+        for upstream in world.upstreams.values():
+            upstream.restart()
+        client.request(b"x")
+        world.run(10 * DELAY_MS)
+        self.assertIsNotNone(client.reset_at)
+
+    def test_client_of_a_lost_flow_is_reset_after_a_power_loss(self) -> None:
+        """Guards against searches without end when balancer, agent and upstream have restarted."""
+        world = make_world()
+        client = world.open_flow(4000)
+        world.run(300)
+        for host in AGENTS:
+            world.upstreams[host].restart()
+            world.add_agent(host, is_first_start=False)
+        for host in BALANCERS:
+            world.add_balancer(host, seeds=BALANCERS)
+        world.run(100)
+        client.request(b"x")
+        world.run(150)
+        self.assertIsNotNone(client.reset_at)
+
+    def test_opening_goes_to_another_upstream_when_a_vm_is_gone(self) -> None:
+        """Guards against clients that wait 200 ms for the copy that finds a live upstream."""
+        world = make_world()
+        world.drops.add(AGENTS[0])
+        clients = [world.open_flow(4000 + number) for number in range(12)]
+        world.run(150)
+        self.assertNotIn(None, [client.opened_at for client in clients])
+
+    def test_opening_that_an_upstream_returns_is_passed_on(self) -> None:
+        """Guards against openings that end at a full upstream."""
+        world = make_world()
+        world.upstreams[AGENTS[0]].accepts = False
+        clients = [world.open_flow(4000 + number) for number in range(12)]
+        world.run(150)
+        self.assertNotIn(None, [client.opened_at for client in clients])
+
+    def test_silent_upstream_is_avoided(self) -> None:
+        """Guards against new flows that are sent to an upstream that answers nothing."""
+        world = make_world()
+        world.upstreams[AGENTS[0]].is_silent = True
+        first = [world.open_flow(4000 + number) for number in range(12)]
+        world.run(400)
+        handed = world.agents[AGENTS[0]].counters["flows.offered"]
+        second = [world.open_flow(5000 + number) for number in range(12)]
+        world.run(100)
+        self.assertEqual(handed, world.agents[AGENTS[0]].counters["flows.offered"])
+        self.assertNotIn(None, [client.opened_at for client in first + second])
+
+    def test_reused_address_takes_nothing_of_the_former_service(self) -> None:
+        """Guards against packets for a service that left the address (ROUTE)."""
+        world = make_world(agents=AGENTS[:1])
+        client = world.open_flow(4000)
+        world.run(300)
+        del world.agents[AGENTS[0]], world.upstreams[AGENTS[0]]
+        world.withdraw(AGENTS[0])
+        world.add_agent(AGENTS[0], "export", is_first_start=False)
+        client.request(b"x")
+        world.open_flow(4001)
+        world.run(1_000)
+        self.assertEqual([], world.upstreams[AGENTS[0]].openings)
+        self.assertEqual([], world.upstreams[AGENTS[0]].ran)
+
+
+class LimitTest(unittest.TestCase):
+    """What new flows an upstream may be given."""
+
+    def test_cold_upstream_gets_no_more_than_declared_in_any_second(self) -> None:
+        """Guards against FAILBACK: two a second, half as much again, and a slack of five."""
+        world = make_world(cold_per_s=2.0, agents=AGENTS[:1])
+        world.publish(AGENTS[0], cold_ms=4_000)
+        world.run(100)
+        for number in range(60):
+            world.open_flow(4000 + number)
+            world.run(50)
+        openings = world.upstreams[AGENTS[0]].openings
+        self.assertGreater(len(openings), 8)
+        for at in openings:
+            self.assertLessEqual(len([one for one in openings if at <= one < at + 1_000]), 8)
+
+    def test_restarted_agent_beside_a_cold_upstream_counts_the_second_before(self) -> None:
+        """Guards against an agent that forgets with its memory what it admitted."""
+        world = make_world(cold_per_s=2.0, agents=AGENTS[:1])
+        world.publish(AGENTS[0], cold_ms=4_000)
+        world.run(100)
+        for number in range(20):
+            world.open_flow(4000 + number)
+        world.run(200)
+        world.add_agent(AGENTS[0], is_first_start=False)
+        for number in range(20):
+            world.open_flow(5000 + number)
+        world.run(2_000)
+        openings = world.upstreams[AGENTS[0]].openings
+        for at in openings:
+            self.assertLessEqual(len([one for one in openings if at <= one < at + 1_000]), 8)
+
+    def test_cold_upstream_without_a_declared_limit_takes_flows(self) -> None:
+        """Guards against a service that stands still after a power loss (300 requests failed)."""
+        world = make_world(agents=AGENTS[:1])
+        world.publish(AGENTS[0], cold_ms=4_000)
+        world.add_agent(AGENTS[0], is_first_start=False)
+        world.run(100)
+        clients = [world.open_flow(4000 + number) for number in range(3)]
+        world.run(100)
+        self.assertNotIn(None, [client.opened_at for client in clients])
+
+    def test_leaving_upstream_gets_no_new_flow(self) -> None:
+        """Guards against DRAIN; open flows go on."""
+        world = make_world()
+        client = world.open_flow(4000)
+        world.run(300)
+        for host in AGENTS[:2]:
+            world.publish(host, is_leaving=True)
+        world.run(100)
+        before = [len(world.upstreams[host].openings) for host in AGENTS]
+        clients = [world.open_flow(5000 + number) for number in range(9)]
+        client.request(b"x")
+        world.run(300)
+        after = [len(world.upstreams[host].openings) for host in AGENTS]
+        self.assertEqual(before[:2], after[:2])
+        self.assertNotIn(None, [one.opened_at for one in clients])
+        self.assertEqual([b"200 x"], client.answers)
+
+    def test_agent_refuses_for_its_leaving_upstream(self) -> None:
+        """Guards against a balancer with old records: the agent is the second line."""
+        world = make_world(agents=AGENTS[:1])
+        world.publish(AGENTS[0], is_leaving=True)
+        world.run(200)
+        for balancer in world.balancers.values():
+            row = balancer.state.upstreams.row(next(iter(balancer.state.upstreams.keys())))
+            balancer.state.upstreams.leaving[row] = 0
+            balancer.state.upstreams.health[row] = 1
+        world.open_flow(4000)
+        world.run(DELAY_MS * 4)
+        self.assertEqual([], world.upstreams[AGENTS[0]].openings)
+
+    def test_data_centre_that_is_out_gets_no_new_flow(self) -> None:
+        """Guards against EVAC, and against a data centre that stays out."""
+        world = make_world()
+        world.set_data_centre("bud-a", True)
+        world.run(200)
+        client = world.open_flow(4000)
+        world.run(300)
+        self.assertIsNone(client.opened_at)
+        world.set_data_centre("bud-a", False)
+        world.run(500)
+        self.assertIsNotNone(client.opened_at)
+
+    def test_dropped_route_is_reset_and_the_new_one_served(self) -> None:
+        """Guards against CONFIG."""
+        world = make_world()
+        client = world.open_flow(4000)
+        world.run(300)
+        world.configure({OTHER_VIP: "spend"})
+        world.run(100)
+        client.request(b"x")
+        late = world.open_flow(4001)
+        new = world.open_flow(4002, OTHER_VIP)
+        world.run(200)
+        self.assertIsNotNone(client.reset_at)
+        self.assertIsNone(late.opened_at)
+        self.assertIsNotNone(new.opened_at)
+
+
+class OverloadTest(unittest.TestCase):
+    """More requests than slots."""
+
+    def test_openings_wait_at_the_agent_and_the_youngest_goes_first(self) -> None:
+        """Guards against queues at the upstream that make every answer late."""
+        world = make_world(agents=AGENTS[:1])
+        upstream = world.upstreams[AGENTS[0]]
+        upstream.slots, upstream.work_ms = 1, 60
+        world.publish(AGENTS[0])
+        world.run(100)
+        clients = [world.open_flow(4000 + number) for number in range(12)]
+        for client in clients:
+            client.request(b"x")
+        world.run(60)
+        young = world.open_flow(5000)
+        young.request(b"young")
+        world.run(170)
+        self.assertEqual([b"200 young"], young.answers)
+        self.assertLessEqual(len(upstream.ran), 5)
+        world.run(4_000)
+        self.assertNotIn(b"503 not run", [answer for one in clients for answer in one.answers])
+
+
+if __name__ == "__main__":
+    unittest.main()
