--- a/shallotshore/packets/agent_state.py
+++ b/shallotshore/packets/agent_state.py
@@ -95,7 +95,6 @@
         in_flight: Flows with data of the client that is not answered yet.
         open_flows: Flows that are open and have not ended.
         recent_offers: When the latest opening packets were handed over, in ms.
-        is_dirty: Whether subscribers should hear of a change.
         unanswered_opening_at: When the upstream was first handed an opening packet since it last
             sent anything, in ms; 0 when it owes no answer.
         unanswered_data_at: The same for data.
@@ -113,7 +112,6 @@
         "in_flight",
         "inbox",
         "incarnation",
-        "is_dirty",
         "is_leaving",
         "is_out",
         "limit",
@@ -164,7 +162,6 @@
         self.in_flight = 0
         self.open_flows = 0
         self.recent_offers: list[int] = []
-        self.is_dirty = True
 
     def send(self, host: int, message: NodeMessage) -> None:
         """Sends a message to the process of the system on a VM."""
@@ -190,7 +187,6 @@
         was_open = flows.stage[row] == FlowStage.OPEN
         flows.stage[row] = stage
         self.open_flows += (stage == FlowStage.OPEN) - was_open
-        self.is_dirty = True
 
     def set_awaits(self, row: int, awaits: bool) -> None:
         """Notes whether the client waits for an answer, and keeps the count of those flows."""
@@ -198,7 +194,6 @@
         if flows.awaits[row] != awaits:
             self.in_flight += 1 if awaits else -1
             flows.awaits[row] = awaits
-            self.is_dirty = True
 
     def note_open(self, row: int) -> None:
         """Opens a flow, and tells the balancers of the data centre that its client enters by."""
@@ -227,4 +222,3 @@
         for row in subscribers.rows():
             if subscribers.data_centre[row] == subscribers.data_centre[told]:
                 column_values[row] += packed
-        self.is_dirty = True
--- a/shallotshore/packets/agent_tables.py
+++ b/shallotshore/packets/agent_tables.py
@@ -88,18 +88,39 @@
 class SubscriberTable(Table):
     """Balancers by host.
 
-    Columns: `data_centre` is an id; `renewed_at` and `sent_at` are times in ms; `opened` and
+    Columns: `data_centre` is an id; `renewed_at`, `sent_at` and `full_at` are the times of its
+    last subscription, of the last report and of the last whole report, in ms; `told_health` and
+    `told_in_flight` are what the last reports said; `opened` and
     `closed` collect keys of flows for the next report.
     """
 
-    __slots__ = ("closed", "data_centre", "opened", "renewed_at", "sent_at")
+    __slots__ = (
+        "closed",
+        "data_centre",
+        "full_at",
+        "opened",
+        "renewed_at",
+        "sent_at",
+        "told_health",
+        "told_in_flight",
+    )
 
-    COLUMNS = {"data_centre": "Q", "renewed_at": "q", "sent_at": "q"}
+    COLUMNS = {
+        "data_centre": "Q",
+        "renewed_at": "q",
+        "sent_at": "q",
+        "full_at": "q",
+        "told_health": "B",
+        "told_in_flight": "H",
+    }
     OBJECT_COLUMNS = {"opened": b"", "closed": b""}
 
     data_centre: array[int]
     renewed_at: array[int]
     sent_at: array[int]
+    full_at: array[int]
+    told_health: array[int]
+    told_in_flight: array[int]
     opened: list[bytes]
     closed: list[bytes]
 
--- a/shallotshore/packets/delivery.py
+++ b/shallotshore/packets/delivery.py
@@ -87,7 +87,6 @@
         _offer(state, carry, packet, now)
     elif state.held.hold(HeldOpening(carry, packet, now)):
         state.counters.add("openings.held")
-        state.is_dirty = True
     else:
         _pass_on(state, carry.candidates, carry, packet, Code.OVERLOADED, now)
 
--- a/shallotshore/packets/node_messages.py
+++ b/shallotshore/packets/node_messages.py
@@ -8,6 +8,7 @@
     "Carry",
     "CarryKind",
     "Hello",
+    "LoadReport",
     "Missing",
     "NodeMessage",
     "OwnedFlow",
@@ -143,6 +144,22 @@
     closed: bytes
 
 
+class LoadReport(msgspec.Struct, array_like=True, tag=8, gc=False):
+    """The part of a report that changes often, sent between two heartbeats.
+
+    Attributes:
+        in_flight: As in Report.
+        flows: As in Report.
+        opened: As in Report.
+        closed: As in Report.
+    """
+
+    in_flight: int
+    flows: int
+    opened: bytes
+    closed: bytes
+
+
 class Hello(msgspec.Struct, array_like=True, tag=6, gc=False):
     """Membership of balancers: who lives, and what each holds of the feeds.
 
@@ -163,7 +180,7 @@
     members: tuple[int, ...]
 
 
-NodeMessage = Carry | Missing | OwnedFlow | Passed | Subscribe | Report | Hello
+NodeMessage = Carry | Missing | OwnedFlow | Passed | Subscribe | Report | LoadReport | Hello
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(NodeMessage)
--- a/shallotshore/packets/own_upstream.py
+++ b/shallotshore/packets/own_upstream.py
@@ -68,7 +68,6 @@
             state.is_out = is_out
             state.log.write(now, "data_centre", name=state.settings.data_centre, is_out=is_out)
         self._set_limit()
-        state.is_dirty = True
 
     def _own_record(self) -> Upstream | None:
         state = self._state
@@ -126,7 +125,6 @@
                 silent_ms=now - state.heard_at,
             )
             state.health = health
-            state.is_dirty = True
 
     def _observed(self, now: int) -> UpstreamHealth:
         state = self._state
--- a/shallotshore/packets/ownership.py
+++ b/shallotshore/packets/ownership.py
@@ -14,7 +14,7 @@
 from shallotshore.packets.balancer_state import BalancerState
 from shallotshore.packets.flow_cache import FlowStage
 from shallotshore.packets.hosts import host_number
-from shallotshore.packets.node_messages import Missing, OwnedFlow, Passed, Report
+from shallotshore.packets.node_messages import LoadReport, Missing, OwnedFlow, Passed, Report
 from shallotshore.packets.packet import Packet
 from shallotshore.packets.routing import reset_client
 from shallotshore.packets.search import begin_search, note_denial, search_on
@@ -46,6 +46,8 @@
         state = self._state
         for source, report in state.inbox.take(Report):
             self._take_report(source, report, now)
+        for source, load in state.inbox.take(LoadReport):
+            self._take_load(source, load, now)
         for source, owned in state.inbox.take(OwnedFlow):
             self._take_owner(source, owned.key, now)
         for _, passed in state.inbox.take(Passed):
@@ -75,9 +77,23 @@
         if report.cold_ms:
             upstreams.cold_until[row] = max(upstreams.cold_until[row], now + report.cold_ms)
         state.feeds.offer(source, report.operator_revision, report.upstreams_revision, now)
-        for key in _keys(report.opened):
-            state.flows.own(key, host, report.service, now)
-        for key in _keys(report.closed):
+        self._take_keys(host, report.service, report.opened, report.closed, now)
+
+    def _take_load(self, source: Address, load: LoadReport, now: int) -> None:
+        host = host_number(source[0])
+        upstreams = self._state.upstreams
+        row = upstreams.row(host)
+        if row == MISSING:
+            return
+        upstreams.in_flight[row] = min(load.in_flight, 65_535)
+        upstreams.flows[row] = load.flows
+        upstreams.reported_at[row] = now
+        self._take_keys(host, upstreams.service[row], load.opened, load.closed, now)
+
+    def _take_keys(self, host: int, service: int, opened: bytes, closed: bytes, now: int) -> None:
+        for key in _keys(opened):
+            self._state.flows.own(key, host, service, now)
+        for key in _keys(closed):
             self._close(key, host)
 
     def _close(self, key: int, host: int) -> None:
--- a/shallotshore/packets/reports.py
+++ b/shallotshore/packets/reports.py
@@ -12,14 +12,16 @@
     FlowStage,
 )
 from shallotshore.packets.hosts import host_number
-from shallotshore.packets.node_messages import Report, Subscribe
+from shallotshore.packets.node_messages import LoadReport, Report, Subscribe
 from shallotshore.tables import MISSING
 
 if TYPE_CHECKING:
     from shallotshore.messages import Address
 
-REPORT_MS = 250  # heartbeat
+REPORT_MS = 250  # whole reports, which show that the agent lives
 CHANGE_GAP_MS = 40  # shortest time between two reports of changes
+# Bytes between data centres are dear: there a change waits longer.
+FAR_CHANGE_GAP_MS = 120
 KEYS_IN_REPORT = 120  # keys of 8 bytes; a report stays within one packet of 1,400 bytes
 FORMER_REPORT_MS = 500  # reports to balancers whose subscription has ended; they may have restarted
 
@@ -41,7 +43,6 @@
         if now < self._next_at:
             return
         self._send_due(now)
-        state.is_dirty = False
         self._next_at = now + CHANGE_GAP_MS
 
     def _take(self, source: Address, subscribe: Subscribe, now: int) -> None:
@@ -60,7 +61,7 @@
         state.feeds.offer(source, subscribe.operator_revision, subscribe.upstreams_revision, now)
         if subscribe.incarnation != state.incarnation:
             subscribers.opened[row] = self._open_keys(subscribe.data_centre)
-            subscribers.sent_at[row] = 0
+            subscribers.sent_at[row] = subscribers.full_at[row] = 0
             self._next_at = now
 
     def _open_keys(self, data_centre: int) -> bytes:
@@ -79,25 +80,43 @@
     def _send_due(self, now: int) -> None:
         state = self._state
         subscribers = state.subscribers
+        in_flight = state.load(now) + len(state.held)
         for row in subscribers.rows():
-            if subscribers.is_live(row, now):
-                patience = 0 if state.is_dirty or subscribers.opened[row] else REPORT_MS
-            elif now - subscribers.renewed_at[row] > FORMER_KEPT_MS:
+            if now - subscribers.renewed_at[row] > FORMER_KEPT_MS:
                 subscribers.remove(subscribers.key[row])
-                continue
-            else:
-                patience = FORMER_REPORT_MS
-            if now - subscribers.sent_at[row] >= patience:
-                self._send(row, now)
+            elif now - subscribers.full_at[row] >= self._heartbeat(row, now):
+                self._send_report(row, in_flight, now)
+            elif now - subscribers.sent_at[row] >= self._patience(row, in_flight):
+                self._send_load(row, in_flight, now)
+
+    def _heartbeat(self, row: int, now: int) -> int:
+        """Returns the time between two whole reports to a subscriber, in ms."""
+        subscribers = self._state.subscribers
+        if not subscribers.is_live(row, now):
+            return FORMER_REPORT_MS
+        return 0 if subscribers.told_health[row] != self._state.health else REPORT_MS
 
-    def _send(self, row: int, now: int) -> None:
+    def _patience(self, row: int, in_flight: int) -> int:
+        """Returns the time between two reports of the load to a subscriber, in ms."""
         state = self._state
         subscribers = state.subscribers
-        opened, closed = subscribers.opened[row], subscribers.closed[row]
-        limit = KEYS_IN_REPORT * 8
-        subscribers.opened[row] = opened[limit:]
-        subscribers.closed[row] = closed[limit:]
-        subscribers.sent_at[row] = now
+        if subscribers.opened[row]:
+            return CHANGE_GAP_MS
+        if in_flight == subscribers.told_in_flight[row]:
+            return REPORT_MS
+        is_near = subscribers.data_centre[row] == state.data_centre
+        return CHANGE_GAP_MS if is_near else FAR_CHANGE_GAP_MS
+
+    def _send_load(self, row: int, in_flight: int, now: int) -> None:
+        opened, closed = self._take_keys(row, in_flight, now)
+        report = LoadReport(in_flight, self._state.open_flows, opened, closed)
+        self._state.send(self._state.subscribers.key[row], report)
+
+    def _send_report(self, row: int, in_flight: int, now: int) -> None:
+        state = self._state
+        opened, closed = self._take_keys(row, in_flight, now)
+        state.subscribers.full_at[row] = now
+        state.subscribers.told_health[row] = state.health
         report = Report(
             state.incarnation,
             state.service,
@@ -105,11 +124,22 @@
             state.settings.upstream[1],
             state.health,
             state.limit.cold_ms(now),
-            state.load(now) + len(state.held),
+            in_flight,
             state.open_flows,
             state.feeds.operator.revision,
             state.feeds.upstreams.revision,
-            opened[:limit],
-            closed[:limit],
+            opened,
+            closed,
         )
-        state.send(subscribers.key[row], report)
+        state.send(state.subscribers.key[row], report)
+
+    def _take_keys(self, row: int, in_flight: int, now: int) -> tuple[bytes, bytes]:
+        """Returns the keys for the next report, and notes that it is sent."""
+        subscribers = self._state.subscribers
+        opened, closed = subscribers.opened[row], subscribers.closed[row]
+        limit = KEYS_IN_REPORT * 8
+        subscribers.opened[row] = opened[limit:]
+        subscribers.closed[row] = closed[limit:]
+        subscribers.sent_at[row] = now
+        subscribers.told_in_flight[row] = min(in_flight, 65_535)
+        return opened[:limit], closed[:limit]
--- a/shallotshore/packets/selection.py
+++ b/shallotshore/packets/selection.py
@@ -8,7 +8,7 @@
 from shallotshore.packets.node_messages import UpstreamHealth
 
 FLOW_WEIGHT = 0.03  # slots that an open flow without a request in flight counts for
-OTHER_DATA_CENTRE = 0.05  # slots; decides only between upstreams of like load
+OTHER_DATA_CENTRE = 0.3  # slots; bytes between data centres are dear, and a report is older
 COLD = 3.0  # slots; a cold upstream is taken when all others are loaded
 UNREPORTED = 4.0  # slots; nothing is known of its load, or its VM is gone
 SILENT = 20.0  # slots; its agent says that it does not answer
