--- a/shallotshore/admission.py
+++ b/shallotshore/admission.py
@@ -8,6 +8,10 @@
 from shallotshore.messages import Attempt, Forward, HealthState
 from shallotshore.upstream_link import restart_ramp
 
+# A process that starts beside a running upstream cannot know what its predecessor has handed over:
+# it waits until a cold upstream has worked that off before it adds to it.
+INHERITED_WORK_MS = 1_500
+
 
 class AdmissionSystem:
     """Advances the ramp and publishes the present limit."""
@@ -30,7 +34,8 @@
             state.limit = 0
             return
         state.ramp.advance(record, now)
-        state.limit = state.ramp.limit(record)
+        is_new = now - state.phase.started < INHERITED_WORK_MS
+        state.limit = 0 if is_new else state.ramp.limit(record)
 
 
 def mismatch(state: AgentState, message: Forward | Attempt) -> Code | None:
