Log lines with the time of their event, silent agents, latencies sorted in after the first packets

Cause: lines showed when they were rendered; a lost agent left no line; the histogram library was loaded with the first packet. Change: timestamps are computed from the event's time; agent_silent and agent_heard; latencies wait in a bounded queue until the first flush; a latency of openings at the balancer; routes' priority among held openings; watches wait 300 ms after a change.

--- a/shallotshore/admission.py
+++ b/shallotshore/admission.py
@@ -10,7 +10,7 @@
 
 # A process that starts beside a running upstream cannot know what its predecessor has handed over:
 # it waits until a cold upstream has worked that off before it adds to it.
-INHERITED_WORK_MS = 1_500
+INHERITED_WORK_MS = 1_000
 
 
 class AdmissionSystem:
--- a/shallotshore/packets/agent.py
+++ b/shallotshore/packets/agent.py
@@ -15,6 +15,7 @@
 )
 from shallotshore.packets.event_log import EventLog
 from shallotshore.packets.feeds import Feeds, FeedSystem
+from shallotshore.packets.latencies import Latencies
 from shallotshore.packets.own_upstream import HealthSystem, OwnUpstreamSystem
 from shallotshore.packets.reports import ReportSystem
 from shallotshore.systems import Core
@@ -71,6 +72,11 @@
         """What is published, for other processes to fetch."""
         return self.state.feeds
 
+    @property
+    def latencies(self) -> Latencies:
+        """Latencies to sort into histograms."""
+        return self.state.latencies
+
     @property
     def is_ready(self) -> bool:
         """Whether the agent takes packets."""
--- a/shallotshore/packets/application.py
+++ b/shallotshore/packets/application.py
@@ -21,6 +21,7 @@
 from shallotshore.packets.event_log import EventLog
 from shallotshore.packets.feeds import STORE, Feeds
 from shallotshore.packets.http_server import Page, serve_pages
+from shallotshore.packets.latencies import Latencies
 from shallotshore.packets.log_writer import LogWriter
 from shallotshore.packets.node_settings import NodeSettings
 from shallotshore.packets.node_sockets import NodeSockets
@@ -55,6 +56,10 @@
     def feeds(self) -> Feeds:
         """What is published, for other processes to fetch."""
 
+    @property
+    def latencies(self) -> Latencies:
+        """Latencies to sort into histograms."""
+
     @property
     def is_ready(self) -> bool:
         """Whether the process takes packets."""
@@ -133,7 +138,7 @@
         self._settings = settings
         self._sockets = sockets
         self._adapter = adapter
-        self._writer = LogWriter(core.log, settings.name)
+        self._writer = LogWriter(core.log, settings.name, clock)
         self._ports: list[DatagramPort] = []
         self._servers: list[asyncio.AbstractServer] = []
         self._fetches: set[asyncio.Task[None]] = set()
@@ -332,5 +337,6 @@
         return Page(200, metrics_text(self._core))  # type: ignore[arg-type]
 
     def _flush(self) -> None:
+        self._core.latencies.sort_in()
         self._timers["flush"] = self._loop.call_later(LOG_FLUSH_MS / 1000, self._flush)
         self._writer.flush()
--- a/shallotshore/packets/balancer.py
+++ b/shallotshore/packets/balancer.py
@@ -10,6 +10,7 @@
 from shallotshore.packets.directory import DirectorySystem
 from shallotshore.packets.event_log import EventLog
 from shallotshore.packets.feeds import Feeds, FeedSystem
+from shallotshore.packets.latencies import Latencies
 from shallotshore.packets.members import MemberSystem, SubscriptionSystem
 from shallotshore.packets.ownership import Decode, OwnershipSystem
 from shallotshore.packets.packet import Packet
@@ -70,6 +71,11 @@
         """What is published, for other processes to fetch."""
         return self.state.feeds
 
+    @property
+    def latencies(self) -> Latencies:
+        """Latencies to sort into histograms."""
+        return self.state.latencies
+
     @property
     def is_ready(self) -> bool:
         """Whether the routers should send packets here."""
--- a/shallotshore/packets/balancer_state.py
+++ b/shallotshore/packets/balancer_state.py
@@ -50,12 +50,14 @@
         name: The operator's name for it.
         services: Ids of its services, without repeats.
         weights: Their weights, in the same order.
+        priority: Rank of its requests; 0 goes first.
     """
 
-    __slots__ = ("name", "services", "weights")
+    __slots__ = ("name", "priority", "services", "weights")
 
     def __init__(self, route: Route) -> None:
         self.name = route.name
+        self.priority = route.priority
         self.services = tuple(name_id("service", name) for name, _ in route.shares)
         self.weights = tuple(weight for _, weight in route.shares)
 
--- a/shallotshore/packets/directory.py
+++ b/shallotshore/packets/directory.py
@@ -6,6 +6,7 @@
 
 from shallotshore.hashing import name_id
 from shallotshore.packets.balancer_state import BalancerState, RouteView
+from shallotshore.packets.hosts import host_text
 from shallotshore.packets.view import Feed
 from shallotshore.tables import MISSING
 
@@ -32,6 +33,20 @@
         if now - self._swept_at >= SWEEP_MS:
             self._swept_at = now
             state.upstreams.sweep(now)
+            self._note_silent_agents(now)
+
+    def _note_silent_agents(self, now: int) -> None:
+        upstreams = self._state.upstreams
+        for host in upstreams.keys():
+            row = upstreams.row(host)
+            if upstreams.is_heard[row] and not upstreams.is_reported(row, now):
+                upstreams.is_heard[row] = False
+                self._state.log.write(
+                    now,
+                    "agent_silent",
+                    upstream=host_text(host),
+                    silent_ms=now - upstreams.reported_at[row],
+                )
 
     def _take_configuration(self, now: int) -> None:
         state = self._state
--- a/shallotshore/packets/exposition.py
+++ b/shallotshore/packets/exposition.py
@@ -43,7 +43,7 @@
         latency = HistogramMetricFamily(
             f"{_PREFIX}_latency_seconds", "Latency by kind and route.", labels=["kind", "route"]
         )
-        for kind, route, buckets, total in self._core.state.latencies.buckets():
+        for kind, route, buckets, total in self._core.latencies.buckets():
             latency.add_metric([kind, route], buckets, total)
         yield latency
 
--- a/shallotshore/packets/feeds.py
+++ b/shallotshore/packets/feeds.py
@@ -33,6 +33,9 @@
 
 WATCH_MS = 4_000  # a connection that fell silent must be noticed within a stable window of 4 s
 CONFIRMED_MS = WATCH_MS + 500  # a watch without changes answers so late
+# After a change the next watch waits, so that changes in quick succession come in one answer; the
+# shortest bound on a change's effect is 3 s.
+COALESCE_MS = 300
 RETRY_MS = 60  # first pause after a failed call; doubles
 RETRY_LIMIT_MS = 500  # longest pause: the store's return must be noticed well within 2 s
 OFFER_PATIENCE_MS = (
@@ -237,6 +240,8 @@
         copy = self._feeds.copy(changes.feed)
         self._answered(copy, now)
         copy.after = max(copy.after, changes.revision)
+        if changes.changes:
+            copy.next_call_at = now + COALESCE_MS
         self._log_unreadable(changes.changes, now)
         for change in changes.changes:
             if change.revision > copy.revision:
--- a/shallotshore/packets/held_openings.py
+++ b/shallotshore/packets/held_openings.py
@@ -27,13 +27,14 @@
         self.held_at = held_at
 
     @property
-    def rank(self) -> tuple[int, int]:
+    def rank(self) -> tuple[int, int, int]:
         """Order of release: the highest goes first.
 
         In an overload the youngest request is the one that can still be answered in time. A
-        client's later copies belong to requests that are 200 ms old or more.
+        client's later copies belong to requests that are 200 ms old or more, whatever the
+        priority of their route.
         """
-        return (-self.packet.acknowledged, self.held_at)
+        return (-self.packet.acknowledged, -self.carry.priority, self.held_at)
 
 
 class HeldOpenings:
--- a/shallotshore/packets/log_writer.py
+++ b/shallotshore/packets/log_writer.py
@@ -5,6 +5,9 @@
 __all__ = ["LogWriter"]
 
 import os
+import time
+from collections.abc import Callable
+from datetime import UTC, datetime
 from typing import Any
 
 from shallotshore.packets.event_log import EventLog
@@ -20,25 +23,31 @@
     of the time to the first packet.
     """
 
-    __slots__ = ("_buffer", "_dropped", "_log", "_logger", "_name")
+    __slots__ = ("_buffer", "_clock", "_dropped", "_log", "_logger", "_name")
 
-    def __init__(self, log: EventLog, name: str) -> None:
+    def __init__(self, log: EventLog, name: str, clock: Callable[[], int]) -> None:
         """Creates a writer.
 
         Args:
             log: Lines of the core.
             name: Name of the process in each line.
+            clock: The clock of the core's times, in ms.
         """
         self._log = log
         self._name = name
+        self._clock = clock
         self._buffer = bytearray()
         self._dropped = 0
         self._logger: Any = None
 
     def flush(self) -> None:
         """Renders what waits, and writes as much as the reader takes."""
-        for now, event, fields in self._log.drain():
-            self._bound().info(event, at_ms=now, **fields)
+        lines = self._log.drain()
+        # Lines carry the time of day of their event, not that of their rendering.
+        offset = time.time() - self._clock() / 1000
+        for at, event, fields in lines:
+            moment = datetime.fromtimestamp(at / 1000 + offset, UTC)
+            self._bound().info(event, timestamp=moment.isoformat(timespec="milliseconds"), **fields)
         self._write()
 
     def msg(self, text: str) -> None:
@@ -73,7 +82,6 @@
             self._logger = structlog.wrap_logger(
                 self,
                 processors=[
-                    structlog.processors.TimeStamper(fmt="iso", utc=True),
                     structlog.processors.JSONRenderer(),
                 ],
                 wrapper_class=structlog.BoundLogger,
--- a/shallotshore/packets/node_messages.py
+++ b/shallotshore/packets/node_messages.py
@@ -53,6 +53,7 @@
         revision: Revision of the operator's feed that the balancer acted on.
         candidates: Hosts to pass an opening packet on to, best first.
         cold_per_s: Flows a second that a cold upstream of the service bears; 0 for no limit.
+        priority: Rank of an opening packet among others that wait; 0 goes first.
         hops: Agents that have passed it on.
         origin: Host of the balancer.
         frame: The client's packet.
@@ -63,6 +64,7 @@
     revision: int
     candidates: tuple[int, ...]
     cold_per_s: float
+    priority: int
     hops: int
     origin: int
     frame: bytes
--- a/shallotshore/packets/ownership.py
+++ b/shallotshore/packets/ownership.py
@@ -64,11 +64,12 @@
         row = upstreams.assign(host, report.service)
         if row == MISSING:
             return
-        if upstreams.incarnation[row] != report.incarnation:
+        if upstreams.incarnation[row] != report.incarnation or not upstreams.is_heard[row]:
             state.log.write(now, "agent_heard", upstream=source[0], incarnation=report.incarnation)
         if upstreams.health[row] != report.health:
             state.log.write(now, "upstream_health", upstream=source[0], health=report.health.name)
         upstreams.incarnation[row] = report.incarnation
+        upstreams.is_heard[row] = True
         upstreams.data_centre[row] = report.data_centre
         upstreams.in_flight[row] = min(report.in_flight, 65_535)
         upstreams.flows[row] = report.flows
--- a/shallotshore/packets/routing.py
+++ b/shallotshore/packets/routing.py
@@ -126,6 +126,7 @@
             state.feeds.operator.revision,
             tuple(hosts[1 : 1 + PASSED_ON]),
             state.cold_per_s.get(service, 0.0),
+            route.priority,
             0,
             state.settings.host,
             packet.frame,
@@ -172,6 +173,8 @@
     if stage == FlowStage.OWNED:
         carry(state, flows.owner[row], CarryKind.OWNED, flows.service[row], packet)
     elif stage == FlowStage.OPENING:
+        if flows.pending[row] is not None:
+            state.latencies.record("opening", route.name, now - flows.asked_at[row])
         flows.pending[row] = None
         tried = flows.tried(row)
         kind = CarryKind.OWNED if len(tried) == 1 else CarryKind.SEARCH
--- a/shallotshore/packets/upstream_table.py
+++ b/shallotshore/packets/upstream_table.py
@@ -34,7 +34,8 @@
     Columns: `service` and `data_centre` are ids; `listing` is a Listing; `leaving` is 1 when the
     upstream takes no new flows; `lapsed_at`, `cold_until`, `reported_at`, `asked_at`, `opened_at`
     are times in ms; `incarnation`, `in_flight`, `flows` and `health` are the agent's last report;
-    `opened` counts flows opened by this balancer that the report cannot contain yet.
+    `is_heard` is 1 while the agent reports; `opened` counts flows opened by this balancer that
+    the report cannot contain yet.
     """
 
     __slots__ = (
@@ -46,6 +47,7 @@
         "health",
         "in_flight",
         "incarnation",
+        "is_heard",
         "lapsed_at",
         "leaving",
         "listing",
@@ -70,6 +72,7 @@
         "in_flight": "H",
         "flows": "L",
         "health": "B",
+        "is_heard": "B",
         "opened": "H",
         "opened_at": "q",
     }
@@ -87,6 +90,7 @@
     in_flight: array[int]
     flows: array[int]
     health: array[int]
+    is_heard: array[int]
     opened: array[int]
     opened_at: array[int]
 
--- a/shallotshore/packets/view.py
+++ b/shallotshore/packets/view.py
@@ -29,12 +29,14 @@
         host: IP number of the virtual address.
         port: Port of the virtual address.
         shares: Services with their weights; one entry where the flows are not split.
+        priority: Rank of its requests among those of other routes; 0 goes first.
     """
 
     name: str
     host: str
     port: int
     shares: tuple[tuple[str, int], ...]
+    priority: int = 0
 
 
 class ServiceLimits(msgspec.Struct, array_like=True, frozen=True, gc=False):
