Keep packets that come before routes and upstreams are known

Cause: packets that waited in the sockets during the start were dropped in the first tick, since the configuration was read 26 ms later. Change: a balancer keeps packets until it has a configuration and its agents' first reports (60 ms at most), and drops those older than 1 s.

--- a/shallotshore/packets/balancer_state.py
+++ b/shallotshore/packets/balancer_state.py
@@ -63,7 +63,11 @@
 
 
 class BalancerState:
-    """Tables, mailboxes and random numbers of one balancer."""
+    """Tables, mailboxes and random numbers of one balancer.
+
+    Attributes:
+        is_settled: Whether the balancer has learnt enough since its start to route packets.
+    """
 
     __slots__ = (
         "cold_per_s",
@@ -73,6 +77,7 @@
         "feeds",
         "flows",
         "inbox",
+        "is_settled",
         "latencies",
         "log",
         "outbox",
@@ -102,6 +107,7 @@
         self.upstreams = UpstreamTable()
         self.cold_per_s: dict[int, float] = {}
         self.routes: dict[Address, RouteView] = {}
+        self.is_settled = False
         self.data_centres_out: set[int] = set()
         self.data_centre = name_id("data_centre", settings.data_centre)
 
--- a/shallotshore/packets/routing.py
+++ b/shallotshore/packets/routing.py
@@ -4,6 +4,8 @@
 
 __all__ = ["RoutingSystem", "offer_flow", "reset_client"]
 
+from collections import deque
+
 from shallotshore.codes import Code
 from shallotshore.packets.balancer_state import BalancerState, RouteView
 from shallotshore.packets.flow_cache import TRIED_LIMIT, FlowStage
@@ -12,24 +14,58 @@
 from shallotshore.packets.packet import RESETS, Packet, ResetPacket
 from shallotshore.packets.search import begin_search, carry, search_on, service_of
 from shallotshore.packets.selection import note_opened, pick_service, rank_upstreams
+from shallotshore.packets.upstream_table import Listing
 from shallotshore.tables import MISSING
 
+FIRST_REPORTS_MS = 60  # agents answer a subscription within 10 ms
+WAITING_LIMIT = 4_000  # packets; a start without a store may take seconds
+WAITING_MS = 1_000  # a client sends its last copy 600 ms after its first packet
 PASSED_ON = 2  # candidates named for an agent that cannot take an opening packet
 
 
 class RoutingSystem:
-    """Takes the packets of clients."""
+    """Takes the packets of clients.
+
+    After its start a balancer keeps packets until it knows routes, upstreams and the flows that
+    the agents name in their first reports.
+    """
 
-    __slots__ = ("_state",)
+    __slots__ = ("_configured_at", "_state", "_waiting")
 
     def __init__(self, state: BalancerState) -> None:
         self._state = state
+        self._configured_at = 0
+        self._waiting: deque[tuple[int, Packet]] = deque(maxlen=WAITING_LIMIT)
 
     def run(self, now: int) -> None:
         """Runs the step at `now` (ms)."""
-        for _, packet in self._state.inbox.take(Packet):
+        packets = self._state.inbox.take(Packet)
+        if not self._may_route(now):
+            self._waiting += [(now, packet) for _, packet in packets]
+            return
+        while self._waiting:
+            came_at, packet = self._waiting.popleft()
+            if now - came_at <= WAITING_MS:
+                self._take(packet, now)
+        for _, packet in packets:
             self._take(packet, now)
 
+    def _may_route(self, now: int) -> bool:
+        state = self._state
+        if state.is_settled:
+            return True
+        if state.is_configured and not self._configured_at:
+            self._configured_at = now
+        if not self._configured_at or not len(state.upstreams):
+            return False
+        is_heard = all(
+            state.upstreams.is_reported(row, now)
+            for row in state.upstreams.rows()
+            if state.upstreams.listing[row] == Listing.LISTED
+        )
+        state.is_settled = is_heard or now - self._configured_at > FIRST_REPORTS_MS
+        return state.is_settled
+
     def _take(self, packet: Packet, now: int) -> None:
         state = self._state
         route = state.routes.get(packet.vip)
--- a/tests/test_packet_flows.py
+++ b/tests/test_packet_flows.py
@@ -119,6 +119,22 @@
         self.assertEqual([b"200 x"], client.answers)
         self.assertIsNone(client.reset_at)
 
+    def test_packets_that_come_during_the_start_are_not_lost(self) -> None:
+        """Guards against openings dropped before the configuration is read, after a restart."""
+        world = make_world()
+        flows = [world.open_flow(4000 + number) for number in range(10)]
+        world.run(300)
+        for host in BALANCERS:
+            world.add_balancer(host, seeds=BALANCERS)
+        for flow in flows:
+            flow.request(b"x")
+        clients = [world.open_flow(5000 + number) for number in range(10)]
+        world.run(100)
+        self.assertNotIn(None, [client.opened_at for client in clients])
+        self.assertEqual([[b"200 x"]] * 10, [flow.answers for flow in flows])
+        probed = sum(balancer.counters["flows.searched"] for balancer in world.balancers.values())
+        self.assertEqual(0, probed)
+
     def test_starts_without_a_store_from_agents(self) -> None:
         """Guards against balancers that serve nobody until the store is back."""
         world = make_world()
