Take an agent that is silent for 1.5 s for one that holds no flow

Change: agents silent for 1.5 s count as having denied a flow; a revision offered elsewhere makes the list doubtful after 1 s.

--- a/shallotshore/packets/feeds.py
+++ b/shallotshore/packets/feeds.py
@@ -32,10 +32,11 @@
     from shallotshore.messages import Address
 
 WATCH_MS = 4_000  # a connection that fell silent must be noticed within a stable window of 4 s
-CONFIRMED_MS = WATCH_MS + 500  # a watch without changes answers so late
 # After a change the next watch waits, so that changes in quick succession come in one answer; the
 # shortest bound on a change's effect is 3 s.
 COALESCE_MS = 300
+CONFIRMED_MS = WATCH_MS + COALESCE_MS + 700  # a watch without changes answers so late
+LAG_MS = 1_000  # watches of two processes bring the same change within this time
 RETRY_MS = 60  # first pause after a failed call; doubles
 RETRY_LIMIT_MS = 500  # longest pause: the store's return must be noticed well within 2 s
 OFFER_PATIENCE_MS = (
@@ -93,9 +94,11 @@
         self.content = FeedContent()
 
     def is_current(self, now: int) -> bool:
-        """Whether the store has confirmed the copy lately and nobody is known to hold more."""
-        is_confirmed = self.is_complete and now - self.confirmed_at < CONFIRMED_MS
-        return is_confirmed and self.failing_since == NEVER and self.best_offer <= self.revision
+        """Whether the store has confirmed the copy lately and nobody has held more for long."""
+        if not self.is_complete or self.failing_since != NEVER:
+            return False
+        is_behind = self.best_offer > self.revision and now - self.best_offer_at > LAG_MS
+        return now - self.confirmed_at < CONFIRMED_MS and not is_behind
 
     def state(self) -> FeedState:
         """Returns a copy to hand to another process."""
--- a/shallotshore/packets/ownership.py
+++ b/shallotshore/packets/ownership.py
@@ -61,7 +61,7 @@
         state = self._state
         host = host_number(source[0])
         upstreams = state.upstreams
-        row = upstreams.assign(host, report.service)
+        row = upstreams.assign(host, report.service, now)
         if row == MISSING:
             return
         if upstreams.incarnation[row] != report.incarnation or not upstreams.is_heard[row]:
--- a/shallotshore/packets/search.py
+++ b/shallotshore/packets/search.py
@@ -10,12 +10,12 @@
 from shallotshore.packets.flow_cache import FlowStage
 from shallotshore.packets.node_messages import Carry, CarryKind
 from shallotshore.packets.packet import Packet
-from shallotshore.packets.upstream_table import Listing
 from shallotshore.tables import MISSING
 
 ASKED_LIMIT = 200  # agents asked for a flow that the route's own services do not know
-# An agent that is listed no more and silent for so long has no flows any more.
-DEPARTED_MS = 2_500
+# An agent that is silent for so long, through six heartbeats, cannot carry a flow: its VM is down
+# or cut off, and a client that waits for it is served better by a reset.
+SILENT_AGENT_MS = 1_500
 
 
 def begin_search(state: BalancerState, row: int, now: int) -> None:
@@ -91,7 +91,6 @@
         if host in denied:
             continue
         row = upstreams.row(host)
-        last = max(upstreams.reported_at[row], upstreams.lapsed_at[row])
-        if upstreams.listing[row] == Listing.LISTED or now - last < DEPARTED_MS:
+        if now - max(upstreams.reported_at[row], upstreams.added_at[row]) < SILENT_AGENT_MS:
             return False
     return True
--- a/shallotshore/packets/upstream_table.py
+++ b/shallotshore/packets/upstream_table.py
@@ -32,14 +32,16 @@
     """Upstreams by host.
 
     Columns: `service` and `data_centre` are ids; `listing` is a Listing; `leaving` is 1 when the
-    upstream takes no new flows; `lapsed_at`, `cold_until`, `reported_at`, `asked_at`, `opened_at`
-    are times in ms; `incarnation`, `in_flight`, `flows` and `health` are the agent's last report;
+    upstream takes no new flows; `added_at`, `lapsed_at`, `cold_until`, `reported_at`, `asked_at`
+    and `opened_at` are times in ms; `incarnation`, `in_flight`, `flows` and `health` are the
+    agent's last report;
     `is_heard` is 1 while the agent reports; `opened` counts flows opened by this balancer that
     the report cannot contain yet.
     """
 
     __slots__ = (
         "_by_service",
+        "added_at",
         "asked_at",
         "cold_until",
         "data_centre",
@@ -64,6 +66,7 @@
         "slots": "H",
         "listing": "B",
         "leaving": "B",
+        "added_at": "q",
         "lapsed_at": "q",
         "cold_until": "q",
         "reported_at": "q",
@@ -82,6 +85,7 @@
     slots: array[int]
     listing: array[int]
     leaving: array[int]
+    added_at: array[int]
     lapsed_at: array[int]
     cold_until: array[int]
     reported_at: array[int]
@@ -102,7 +106,7 @@
         """Returns the hosts that have or had an upstream of a service."""
         return self._by_service.get(service, [])
 
-    def assign(self, host: int, service: int) -> int:
+    def assign(self, host: int, service: int, now: int) -> int:
         """Returns the row of a host, which is made or moved to the service as needed."""
         row = self.row(host)
         if row != MISSING and self.service[row] != service:
@@ -112,6 +116,7 @@
             row = self.add(host)
             if row != MISSING:
                 self.service[row] = service
+                self.added_at[row] = now
                 self.slots[row] = 1
                 self.health[row] = UpstreamHealth.ANSWERS
                 self._by_service.setdefault(service, []).append(host)
@@ -167,7 +172,7 @@
         return self.listing[row] == Listing.NONE or now - self.lapsed_at[row] < LAPSE_GRACE_MS
 
     def _list(self, host: int, upstream: Upstream, now: int) -> None:
-        row = self.assign(host, name_id("service", upstream.service))
+        row = self.assign(host, name_id("service", upstream.service), now)
         if row == MISSING:
             return
         self.listing[row] = Listing.LISTED
--- a/tests/test_packet_flows.py
+++ b/tests/test_packet_flows.py
@@ -178,6 +178,21 @@
         world.run(150)
         self.assertIsNotNone(client.reset_at)
 
+    def test_client_of_a_lost_flow_is_reset_though_a_listed_vm_is_gone(self) -> None:
+        """Guards against one dead VM that keeps every search open (grown fleet, 3 s a request)."""
+        world = make_world()
+        client = world.open_flow(4000)
+        world.run(300)
+        world.drops.add(AGENTS[2])
+        for host in AGENTS[:2]:
+            world.upstreams[host].restart()
+            world.add_agent(host, is_first_start=False)
+        for host in BALANCERS:
+            world.add_balancer(host, seeds=BALANCERS)
+        client.request(b"x")
+        world.run(2_000)
+        self.assertIsNotNone(client.reset_at)
+
     def test_opening_goes_to_another_upstream_when_a_vm_is_gone(self) -> None:
         """Guards against clients that wait 200 ms for the copy that finds a live upstream."""
         world = make_world()
