Read anew after a pause although a watch is open; take all changes of one revision

Cause: found by tests of the feeds: after a pause the re-read waited for a watch whose connection may be dead (up to 4.8 s), and a second change with the same revision in one answer was skipped. Change: the read takes the place of the watch; changes are compared with the revision held before the answer. Tests of feeds and members, bench of the packet front end, docs/OPERATIONS.md with a test of its names.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -17,6 +17,7 @@
     "agent",
     "messages",
     "policies",
+    "packets",
 )
 RESULTS = Path("build/bench.json")
 
--- /dev/null
+++ b/bench/packets.py
@@ -0,0 +1,139 @@
+"""The packet front end: processor time a packet, memory a flow, bytes of control."""
+
+__all__ = ["run"]
+
+import random
+import time
+import tracemalloc
+from collections.abc import Callable
+
+from shallotshore.hashing import name_id
+from shallotshore.packets.agent_tables import FlowTable
+from shallotshore.packets.balancer import PacketBalancer
+from shallotshore.packets.balancer_state import BalancerSettings
+from shallotshore.packets.feed_content import ConfigurationChange, UpstreamChange
+from shallotshore.packets.feeds import STORE
+from shallotshore.packets.flow_cache import FlowCache
+from shallotshore.packets.hosts import host_number, host_text
+from shallotshore.packets.node_messages import (
+    Hello,
+    LoadReport,
+    Report,
+    Subscribe,
+    UpstreamHealth,
+    encode,
+)
+from shallotshore.packets.store_messages import StoreSnapshot
+from shallotshore.packets.view import Configuration, Feed, Route, Upstream
+from standins.packet_wire import ACK, SYN, write_packet
+from standins.packet_world import NODE_PORT, VIP, decode_packet
+
+_UDP_IP_HEADER = 28  # bytes
+_PACKETS = 5_000
+_FLOWS = 20_000
+_FIRST_HOST = host_number("10.1.0.1")
+_NOW = 1_000_000
+
+
+def _balancer(upstreams: int, services: int) -> PacketBalancer:
+    """Returns a balancer that knows the upstreams, with fresh reports of all."""
+    settings = BalancerSettings(host_number("10.9.0.1"), "a", NODE_PORT)
+    core = PacketBalancer(settings, random.Random(1), decode_packet)
+    core.tick(_NOW)
+    routes = tuple(
+        Route(f"r{number}", VIP[0], VIP[1] + number, ((f"s{number}", 1),))
+        for number in range(services)
+    )
+    change = ConfigurationChange("c", 1, Configuration(1, 15_000, routes))
+    core.receive(STORE, StoreSnapshot(Feed.OPERATOR, 1, [change]))
+    records: list = []
+    for number in range(upstreams):
+        host = host_text(_FIRST_HOST + number)
+        record = Upstream(f"i{number}", f"s{number % services}", host, 80, "a", 3, False, 0, 0, 1)
+        records.append(UpstreamChange(record.id, 1, record))
+    core.receive(STORE, StoreSnapshot(Feed.UPSTREAMS, 1, records))
+    core.tick(_NOW)
+    for number in range(upstreams):
+        service = name_id("service", f"s{number % services}")
+        health = UpstreamHealth.ANSWERS
+        report = Report(1, service, core.state.data_centre, 80, health, 0, 0, 0, 1, 1, b"", b"")
+        core.receive((host_text(_FIRST_HOST + number), NODE_PORT), report)
+    core.tick(_NOW + 1)
+    core.outbox.drain()
+    return core
+
+
+def _time_each(core: PacketBalancer, frames: list[bytes]) -> float:
+    """Returns the processor time of one packet in microseconds, one tick each."""
+    start = time.process_time()
+    for frame in frames:
+        packet = decode_packet(frame).unwrap()
+        core.receive(packet.client, packet)
+        core.tick(_NOW + 2)
+        core.outbox.drain()
+    return (time.process_time() - start) / len(frames) * 1e6
+
+
+def _client(number: int) -> tuple[str, int]:
+    return (f"100.64.{number // 50_000}.{number % 200 + 1}", 1024 + number % 50_000)
+
+
+def _data_cost(upstreams: int, services: int) -> float:
+    core = _balancer(upstreams, services)
+    frames = []
+    for number in range(_PACKETS):
+        frame = write_packet(_client(number), VIP, ACK, 1, 1, b"x" * 100)
+        key = decode_packet(frame).unwrap().key
+        core.state.flows.own(key, _FIRST_HOST, name_id("service", "s0"), _NOW)
+        frames.append(frame)
+    return _time_each(core, frames)
+
+
+def _opening_cost(upstreams: int, services: int) -> float:
+    core = _balancer(upstreams, services)
+    frames = [write_packet(_client(number), VIP, SYN, 1) for number in range(_PACKETS)]
+    return _time_each(core, frames)
+
+
+def _bytes_a_row(fill: Callable[[], object]) -> float:
+    tracemalloc.start()
+    table = fill()
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert table is not None
+    return size / _FLOWS
+
+
+def _cached_flows() -> FlowCache:
+    cache = FlowCache()
+    for number in range(_FLOWS):
+        cache.own(number << 32, _FIRST_HOST, 1, _NOW)
+    return cache
+
+
+def _agent_flows() -> FlowTable:
+    table = FlowTable()
+    for number in range(_FLOWS):
+        table.add(number << 32)
+    return table
+
+
+def run() -> dict[str, float]:
+    """Returns microseconds, bytes and messages."""
+    large = 1 << 62
+    report = Report(
+        large, large, large, 8080, UpstreamHealth.ANSWERS, 0, 2, 300, 1 << 30, 1 << 30, b"", b""
+    )
+    return {
+        "data_us_10_upstreams": _data_cost(10, 2),
+        "data_us_2000_upstreams": _data_cost(2_000, 100),
+        "opening_us_10_upstreams": _opening_cost(10, 2),
+        "opening_us_2000_upstreams": _opening_cost(2_000, 100),
+        "balancer_bytes_a_flow": _bytes_a_row(_cached_flows),
+        "agent_bytes_a_flow": _bytes_a_row(_agent_flows),
+        "report_bytes": len(encode(report)) + _UDP_IP_HEADER,
+        "load_report_bytes": len(encode(LoadReport(2, 300, b"", b""))) + _UDP_IP_HEADER,
+        "subscribe_bytes": len(encode(Subscribe(large, large, 1 << 30, 1 << 30))) + _UDP_IP_HEADER,
+        "hello_bytes": len(encode(Hello(large, True, False, 1 << 30, 1 << 30, (1 << 31,) * 24)))
+        + _UDP_IP_HEADER,
+    }
--- a/shallotshore/packets/feeds.py
+++ b/shallotshore/packets/feeds.py
@@ -190,6 +190,7 @@
         """Reads everything anew, after a pause in which changes may have been missed."""
         for copy in (self._feeds.operator, self._feeds.upstreams):
             copy.is_complete = False
+            copy.is_asking = False  # the read takes the place of a watch that may be dead
             copy.next_call_at = now
 
     def _call(self, copy: FeedCopy, now: int) -> None:
@@ -246,9 +247,10 @@
         if changes.changes:
             copy.next_call_at = now + COALESCE_MS
         self._log_unreadable(changes.changes, now)
+        held = copy.revision
         for change in changes.changes:
-            if change.revision > copy.revision:
-                copy.revision = change.revision
+            if change.revision > held:
+                copy.revision = max(copy.revision, change.revision)
                 self._apply(copy, change, now)
 
     def _take_failure(self, failed: StoreFailed, now: int) -> None:
--- /dev/null
+++ b/tests/test_operations_page.py
@@ -0,0 +1,43 @@
+"""docs/OPERATIONS.md names lines and fields that the program writes."""
+
+import json
+import re
+import unittest
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+PAGE = (ROOT / "docs" / "OPERATIONS.md").read_text(encoding="utf-8")
+SOURCES = "\n".join(
+    path.read_text(encoding="utf-8") for path in (ROOT / "shallotshore" / "packets").glob("*.py")
+)
+COMMON = {"process", "timestamp", "event"}
+
+
+class OperationsPageTest(unittest.TestCase):
+    """Guards on-call engineers against a page that speaks of lines which no process writes."""
+
+    def test_example_lines_have_events_and_fields_of_the_program(self) -> None:
+        """Fails when an event or a field is renamed."""
+        lines = [json.loads(line) for line in re.findall(r"(?m)^    (\{.*\})$", PAGE)]
+        self.assertGreaterEqual(len(lines), 9)
+        for line in lines:
+            self.assertIn(f'"{line["event"]}"', SOURCES)
+            for field in line.keys() - COMMON:
+                self.assertRegex(SOURCES, rf"\b{field}=", line)
+
+    def test_every_event_of_the_program_is_in_the_table(self) -> None:
+        """Fails when a new line is not described."""
+        written = set(re.findall(r'\.write\(\s*(?:now|clock\(\)),\s*"(\w+)"', SOURCES))
+        self.assertGreater(len(written), 20)
+        self.assertEqual([], sorted(event for event in written if f"`{event}`" not in PAGE))
+
+    def test_counters_named_on_the_page_exist(self) -> None:
+        """Fails when an alarm watches a counter that nothing raises."""
+        names = re.findall(r'\{name="([\w.]+?)(?:\.\.\.)?"\}', PAGE)
+        self.assertGreaterEqual(len(names), 7)
+        for name in names:
+            self.assertIn(f'"{name}', SOURCES)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_packet_feeds.py
@@ -0,0 +1,192 @@
+"""How a process follows what is published: the store, its faults, and copies of other processes."""
+
+import random
+import unittest
+
+from shallotshore.codes import Code
+from shallotshore.packets.event_log import EventLog
+from shallotshore.packets.feed_content import (
+    ConfigurationChange,
+    DataCentreChange,
+    UnreadableEntry,
+    UpstreamChange,
+)
+from shallotshore.packets.feeds import (
+    CONFIRMED_MS,
+    LAG_MS,
+    RETRY_LIMIT_MS,
+    STORE,
+    Feeds,
+    FeedSystem,
+)
+from shallotshore.packets.store_messages import (
+    FetchedFeed,
+    FetchFailed,
+    FetchFeed,
+    ReadFeed,
+    StoreChanges,
+    StoreFailed,
+    StoreSnapshot,
+    WatchFeed,
+)
+from shallotshore.packets.view import Configuration, Feed, FeedState, Upstream
+from shallotshore.systems import Counters, Inbox, Outbox
+
+PEER = ("10.1.0.2", 7720)
+START = 100_000
+
+
+def configuration(version: int, revision: int) -> ConfigurationChange:
+    """Returns a change to a configuration."""
+    return ConfigurationChange("op/config", revision, Configuration(version))
+
+
+def upstream(name: str, revision: int) -> UpstreamChange:
+    """Returns a change of an upstream's record."""
+    record = Upstream(name, "spend", "10.1.1.1", 80, "bud-a", 1, False, 0, 0, revision)
+    return UpstreamChange(name, revision, record)
+
+
+class FeedTest(unittest.TestCase):
+    """One process with its inbox and outbox."""
+
+    def setUp(self) -> None:
+        self.feeds, self.inbox, self.outbox = Feeds(), Inbox(), Outbox()
+        self.counters = Counters()
+        self.system = self.make(reads_store=True)
+        self.now = START
+
+    def make(self, reads_store: bool) -> FeedSystem:
+        return FeedSystem(
+            self.feeds,
+            self.inbox,
+            self.outbox,
+            self.counters,
+            EventLog(),
+            random.Random(1),
+            reads_store,
+        )
+
+    def run_for(self, duration: int) -> list[object]:
+        """Ticks every 20 ms and returns what was asked."""
+        asked = []
+        for _ in range(max(1, duration // 20)):
+            self.now += 20
+            self.system.run(self.now)
+            asked += [message for _, message in self.outbox.drain()]
+        return asked
+
+    def answer(self, *answers: object) -> list[object]:
+        """Delivers answers and returns what is asked next."""
+        for one in answers:
+            self.inbox.put(STORE, one)
+        return self.run_for(20)
+
+    def read_both(self) -> None:
+        """Brings both feeds to revision 10."""
+        self.run_for(20)
+        self.answer(
+            StoreSnapshot(Feed.OPERATOR, 10, [configuration(4, 8)]),
+            StoreSnapshot(Feed.UPSTREAMS, 10, [upstream("i-1", 9)]),
+        )
+
+    def test_reads_both_feeds_then_watches_from_there(self) -> None:
+        """Guards against changes between the read and the watch that nobody sees."""
+        first = self.run_for(20)
+        self.assertEqual([Feed.OPERATOR, Feed.UPSTREAMS], [one.feed for one in first])
+        self.assertTrue(all(isinstance(one, ReadFeed) for one in first))
+        (watch,) = self.answer(StoreSnapshot(Feed.UPSTREAMS, 10, [upstream("i-1", 9)]))
+        assert isinstance(watch, WatchFeed)
+        self.assertEqual(10, watch.after)
+
+    def test_lost_history_is_followed_by_a_whole_read(self) -> None:
+        """Guards against an upstream that left in the gap and is kept for ever."""
+        self.read_both()
+        self.run_for(20)
+        asked = self.answer(StoreFailed(Feed.UPSTREAMS, Code.SERVICE_STALE, "gone"))
+        self.answer(StoreSnapshot(Feed.UPSTREAMS, 30, [upstream("i-2", 20)]))
+        self.assertEqual([ReadFeed], [type(one) for one in asked])
+        self.assertEqual({"i-2"}, set(self.feeds.upstreams.content.upstreams))
+
+    def test_failed_calls_are_repeated_with_growing_pauses(self) -> None:
+        """Guards against a storm of calls to a store that is down, each of which is priced."""
+        self.read_both()
+        self.run_for(20)
+        calls = 0
+        for _ in range(250):
+            self.inbox.put(STORE, StoreFailed(Feed.OPERATOR, Code.SERVICE_UNREACHABLE, "down"))
+            asked = self.run_for(20)
+            while not any(getattr(one, "feed", None) is Feed.OPERATOR for one in asked):
+                asked = self.run_for(20)
+            calls += 1
+            if self.now > START + 10_000:
+                break
+        self.assertLessEqual(calls, 10_000 / (RETRY_LIMIT_MS * 0.75) + 6)
+        self.assertGreaterEqual(calls, 10_000 / (RETRY_LIMIT_MS * 1.3))
+        self.assertFalse(self.feeds.operator.is_current(self.now))
+        self.assertEqual(4, self.feeds.operator.content.configuration.version)
+
+    def test_version_never_goes_back(self) -> None:
+        """Guards against CONFIG: a regress in one life of a process."""
+        self.read_both()
+        self.answer(StoreChanges(Feed.OPERATOR, 12, [configuration(9, 12)]))
+        self.answer(StoreChanges(Feed.OPERATOR, 13, [configuration(7, 13)]))
+        self.assertEqual(9, self.feeds.operator.content.configuration.version)
+        self.inbox.put(PEER, FetchedFeed(FeedState(Feed.OPERATOR, 50, Configuration(5))))
+        self.run_for(20)
+        self.assertEqual(9, self.feeds.operator.content.configuration.version)
+
+    def test_old_snapshot_is_ignored(self) -> None:
+        """Guards against a read that is older than a copy of a peer."""
+        self.run_for(20)
+        state = FeedState(Feed.OPERATOR, 40, Configuration(9), ["bud-a"])
+        self.inbox.put(PEER, FetchedFeed(state))
+        self.answer(StoreSnapshot(Feed.OPERATOR, 10, [configuration(4, 8)]))
+        self.assertEqual({"bud-a"}, self.feeds.operator.content.data_centres_out)
+
+    def test_copies_of_peers_are_fetched_when_the_store_is_down(self) -> None:
+        """Guards against a balancer that starts during an outage and knows nothing."""
+        self.run_for(20)
+        self.answer(StoreFailed(Feed.OPERATOR, Code.SERVICE_UNREACHABLE, "down"))
+        self.feeds.offer(PEER, 40, 0, self.now)
+        asked = [one for one in self.run_for(20) if isinstance(one, FetchFeed)]
+        self.assertEqual([Feed.OPERATOR], [one.feed for one in asked])
+        self.inbox.put(PEER, FetchFailed(Feed.OPERATOR, "refused"))
+        self.run_for(20)
+        self.feeds.offer(PEER, 40, 0, self.now)
+        self.assertTrue(any(isinstance(one, FetchFeed) for one in self.run_for(300)))
+
+    def test_agent_asks_no_store(self) -> None:
+        """Guards against calls that grow with the number of upstreams."""
+        self.system = self.make(reads_store=False)
+        self.assertEqual([], self.run_for(1_000))
+
+    def test_data_centre_goes_out_and_comes_back(self) -> None:
+        """Guards against a data centre that stays out."""
+        self.read_both()
+        self.answer(StoreChanges(Feed.OPERATOR, 12, [DataCentreChange("bud-a", 12)]))
+        self.assertEqual({"bud-a"}, self.feeds.operator.content.data_centres_out)
+        self.answer(StoreChanges(Feed.OPERATOR, 13, [DataCentreChange("bud-a", 13, True)]))
+        self.assertEqual(set(), self.feeds.operator.content.data_centres_out)
+
+    def test_unreadable_entry_names_no_upstream_and_the_others_hold(self) -> None:
+        """Guards against one bad entry that hides the rest."""
+        self.read_both()
+        bad = UnreadableEntry("i-9", 12, "no object")
+        self.answer(StoreChanges(Feed.UPSTREAMS, 12, [bad, upstream("i-2", 12)]))
+        self.assertEqual({"i-1", "i-2"}, set(self.feeds.upstreams.content.upstreams))
+        self.assertEqual(1, self.counters["store.unreadable_entries"])
+
+    def test_copy_is_doubtful_when_unconfirmed_or_behind(self) -> None:
+        """Guards against resets decided by an old list of upstreams (FLOW)."""
+        self.read_both()
+        copy = self.feeds.upstreams
+        self.assertTrue(copy.is_current(self.now))
+        self.assertFalse(copy.is_current(self.now + CONFIRMED_MS + 1))
+        self.feeds.offer(PEER, 0, 99, self.now)
+        self.assertTrue(copy.is_current(self.now + LAG_MS))
+        self.assertFalse(copy.is_current(self.now + LAG_MS + 1))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_packet_members.py
@@ -0,0 +1,103 @@
+"""Membership of balancers, their stop, and pauses of the VM."""
+
+import unittest
+
+from shallotshore.packets.balancer import STOP_MS
+from standins.packet_world import START_MS, PacketWorld
+
+SEEDS = ("10.1.0.1", "10.1.0.2", "10.1.0.3")
+OTHERS = tuple(f"10.1.0.{number}" for number in range(4, 12))
+
+
+def known_to(world: PacketWorld, host: str) -> int:
+    """Returns how many balancers a balancer knows."""
+    return len(world.balancers[host]._members._members)
+
+
+class MembershipTest(unittest.TestCase):
+    """Who knows whom."""
+
+    def test_all_find_each_other_from_seeds_of_which_one_is_down(self) -> None:
+        """Guards against balancers that know only the seeds, or wait for one that is gone."""
+        world = PacketWorld()
+        for host in (*SEEDS[1:], *OTHERS):
+            world.add_balancer(host, seeds=SEEDS)
+        world.run(6_000)
+        for host in world.balancers:
+            self.assertGreaterEqual(known_to(world, host), 9)
+
+    def test_balancer_that_is_gone_is_forgotten(self) -> None:
+        """Guards against tables of balancers that left long ago."""
+        world = PacketWorld()
+        for host in SEEDS:
+            world.add_balancer(host, seeds=SEEDS)
+        world.run(2_000)
+        del world.balancers[SEEDS[2]]
+        world.run(60_000)
+        self.assertEqual(1, known_to(world, SEEDS[0]))
+
+    def test_greetings_a_second_do_not_grow_with_the_fleet(self) -> None:
+        """Guards against gossip from all to all."""
+        counts = []
+        for others in (OTHERS[:2], OTHERS):
+            world = PacketWorld()
+            for host in (*SEEDS, *others):
+                world.add_balancer(host, seeds=SEEDS)
+            world.run(4_000)
+            sent = 0
+            core = world.balancers[SEEDS[0]]
+            for tick in range(250):
+                core.tick(world.now + 20 * (tick + 1))
+                sent += len(core.outbox.drain())
+            counts.append(sent)
+        self.assertLessEqual(counts[1], counts[0] * 1.3)
+
+
+class LifeTest(unittest.TestCase):
+    """Stop and pause."""
+
+    def make_world(self) -> PacketWorld:
+        world = PacketWorld()
+        world.configure()
+        world.add_agent("10.1.1.1")
+        world.publish("10.1.1.1")
+        world.add_balancer(SEEDS[0])
+        world.run(400)
+        return world
+
+    def test_stopping_balancer_is_not_ready_and_carries_packets(self) -> None:
+        """Guards against flows that stall while the routers have not moved on."""
+        world = self.make_world()
+        core = world.balancers[SEEDS[0]]
+        client = world.open_flow(4000)
+        world.run(200)
+        self.assertTrue(core.is_ready)
+        core.stop(world.now)
+        self.assertFalse(core.is_ready)
+        client.request(b"x")
+        world.run(1_000)
+        self.assertEqual([b"200 x"], client.answers)
+        self.assertFalse(core.stopped)
+        world.run(STOP_MS)
+        self.assertTrue(core.stopped)
+
+    def test_opening_packets_that_waited_through_a_pause_are_dropped(self) -> None:
+        """Guards against flows opened for clients that sent copies since, and old beliefs."""
+        world = self.make_world()
+        core = world.balancers[SEEDS[0]]
+        client = world.open_flow(4000)
+        world.run(2)
+        world.balancers.clear()
+        world.run(5_000)
+        world.balancers[SEEDS[0]] = core
+        self.assertIsNone(client.opened_at)
+        reads = world.store.calls
+        core.tick(world.now)
+        world.run(100)
+        self.assertEqual(1, core.counters["pauses"])
+        self.assertGreaterEqual(world.store.calls, reads + 2)
+        self.assertGreater(world.now, START_MS)
+
+
+if __name__ == "__main__":
+    unittest.main()
