Remove fields that nothing reads

Cause: left over from the first path: idle time, start time and cold time of records, an agent's seeds, a return value. Change: removed, with the check of a test on the idle time.

--- a/bench/packets.py
+++ b/bench/packets.py
@@ -44,12 +44,12 @@
         Route(f"r{number}", VIP[0], VIP[1] + number, ((f"s{number}", 1),))
         for number in range(services)
     )
-    change = ConfigurationChange("c", 1, Configuration(1, 15_000, routes))
+    change = ConfigurationChange("c", 1, Configuration(1, routes))
     core.receive(STORE, StoreSnapshot(Feed.OPERATOR, 1, [change]))
     records: list = []
     for number in range(upstreams):
         host = host_text(_FIRST_HOST + number)
-        record = Upstream(f"i{number}", f"s{number % services}", host, 80, "a", 3, False, 0, 0, 1)
+        record = Upstream(f"i{number}", f"s{number % services}", host, 80, "a", 3, False, 0, 1)
         records.append(UpstreamChange(record.id, 1, record))
     core.receive(STORE, StoreSnapshot(Feed.UPSTREAMS, 1, records))
     core.tick(_NOW)
--- a/shallotshore/packets/agent_state.py
+++ b/shallotshore/packets/agent_state.py
@@ -38,7 +38,6 @@
         service: Name of the upstream's service.
         upstream: Address at which the upstream takes packets.
         node_port: Port at which all processes of the system listen to each other.
-        seeds: Hosts that may run balancers.
         is_first_start: Whether the whole system starts for the first time.
         cold_over: Factor on what a cold upstream bears a second.
         cold_slack: Flows a second beyond that.
@@ -53,7 +52,6 @@
         "host",
         "is_first_start",
         "node_port",
-        "seeds",
         "service",
         "upstream",
     )
@@ -65,7 +63,6 @@
         service: str,
         upstream: Address,
         node_port: int,
-        seeds: tuple[int, ...] = (),
         is_first_start: bool = False,
         cold_over: float = 1.0,
         cold_slack: int = 0,
@@ -76,7 +73,6 @@
         self.service = service
         self.upstream = upstream
         self.node_port = node_port
-        self.seeds = seeds
         self.is_first_start = is_first_start
         self.cold_over = cold_over
         self.cold_slack = cold_slack
--- a/shallotshore/packets/application.py
+++ b/shallotshore/packets/application.py
@@ -38,7 +38,6 @@
 LOG_FLUSH_MS = 250
 FIRST_FLUSH_MS = 1_500  # logs of a start wait until packets flow
 FAILED_TICKS = 100  # in a row, after which the process ends so that it can be replaced
-_ANY_HOST = ""
 
 
 class RunnableCore(Protocol):
--- a/shallotshore/packets/flow_cache.py
+++ b/shallotshore/packets/flow_cache.py
@@ -115,23 +115,17 @@
         else:
             self.third[row] = host
 
-    def own(self, key: int, host: int, service: int, now: int) -> bool:
-        """Notes the owner of a flow.
-
-        Returns:
-            Whether this was new.
-        """
+    def own(self, key: int, host: int, service: int, now: int) -> None:
+        """Notes the owner of a flow and what it serves; a full table notes nothing."""
         row = self.add(key)
         if row == MISSING:
-            return False
-        is_new = self.stage[row] != FlowStage.OWNED or self.owner[row] != host
+            return
         self.stage[row] = FlowStage.OWNED
         self.owner[row] = host
         self.service[row] = service
         self.touched[row] = now
         self.pending[row] = None
         self.denied[row] = None
-        return is_new
 
     def sweep(self, now: int) -> None:
         """Forgets flows without packets, a few rows at a time."""
--- a/shallotshore/packets/held_openings.py
+++ b/shallotshore/packets/held_openings.py
@@ -55,10 +55,6 @@
         self._by_flow[opening.packet.key] = opening
         return True
 
-    def drop(self, key: int) -> None:
-        """Removes the packet of a flow, if one waits."""
-        self._by_flow.pop(key, None)
-
     def take_best(self) -> HeldOpening:
         """Removes and returns the packet that should go first; there must be one."""
         best = max(self._by_flow.values(), key=lambda opening: opening.rank)
--- a/shallotshore/packets/view.py
+++ b/shallotshore/packets/view.py
@@ -44,12 +44,10 @@
 
     Attributes:
         name: Name of the service.
-        cold_ms: How long an upstream is cold after its start.
         cold_per_s: Requests a second that a cold upstream bears; 0 when no limit is declared.
     """
 
     name: str
-    cold_ms: int
     cold_per_s: float
 
 
@@ -58,13 +56,11 @@
 
     Attributes:
         version: Rises with each version, in uneven steps; 0 when there is none yet.
-        idle_ms: A flow without a packet for this long may be discarded.
         routes: All routes.
         services: All services.
     """
 
     version: int = 0
-    idle_ms: int = 0
     routes: tuple[Route, ...] = ()
     services: tuple[ServiceLimits, ...] = ()
 
@@ -81,7 +77,6 @@
         slots: Requests that it works on at the same time.
         is_leaving: Whether it takes no new flows.
         cold_ms: How much longer it was cold when it wrote this.
-        started_at: Unix time of its start in ms; 0 when unknown.
         revision: Revision of the store at which it wrote this.
     """
 
@@ -93,7 +88,6 @@
     slots: int
     is_leaving: bool
     cold_ms: int
-    started_at: int
     revision: int
 
 
--- a/standins/packet_world.py
+++ b/standins/packet_world.py
@@ -94,8 +94,8 @@
             for vip, service in (services or {VIP: "spend"}).items()
         )
         names = sorted({share[0] for route in routes for share in route.shares})
-        limits = tuple(ServiceLimits(name, 2_000, cold_per_s) for name in names)
-        configuration = Configuration(self.version, 15_000, routes, limits)
+        limits = tuple(ServiceLimits(name, cold_per_s) for name in names)
+        configuration = Configuration(self.version, routes, limits)
         self.store.write(
             Feed.OPERATOR,
             lambda revision: ConfigurationChange("op/config", revision, configuration),
@@ -151,7 +151,6 @@
                 slots,
                 is_leaving,
                 cold_ms,
-                0,
                 revision,
             )
             return UpstreamChange(record.id, revision, record)
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -157,7 +157,6 @@
         first, second = change.configuration.routes
         self.assertEqual((8080, (("a", 1),)), (first.port, first.shares))
         self.assertEqual((8443, (("a", 90), ("b", 10))), (second.port, second.shares))
-        self.assertEqual(15_000, change.configuration.idle_ms)
 
     def test_reads_data_centres_that_are_out_and_in(self) -> None:
         """Guards against a data centre that stays out."""
--- a/tests/test_packet_feeds.py
+++ b/tests/test_packet_feeds.py
@@ -43,7 +43,7 @@
 
 def upstream(name: str, revision: int) -> UpstreamChange:
     """Returns a change of an upstream's record."""
-    record = Upstream(name, "spend", "10.1.1.1", 80, "bud-a", 1, False, 0, 0, revision)
+    record = Upstream(name, "spend", "10.1.1.1", 80, "bud-a", 1, False, 0, revision)
     return UpstreamChange(name, revision, record)
 
 
