Split the agent's packet decisions into openings, client packets and upstream packets

Cause: delivery.py held three jobs in 400 lines; a held opening packet was counted against the cold limit twice. Change: openings, client_packets, upstream_packets; the cold limit counts when a packet is handed over; one Decode type.

--- a/shallotshore/packets/agent.py
+++ b/shallotshore/packets/agent.py
@@ -7,17 +7,15 @@
 import random
 
 from shallotshore.packets.agent_state import AgentSettings, AgentState
-from shallotshore.packets.delivery import (
-    ClientPacketSystem,
-    Decode,
-    HeldOpeningSystem,
-    UpstreamPacketSystem,
-)
+from shallotshore.packets.client_packets import ClientPacketSystem
 from shallotshore.packets.event_log import EventLog
 from shallotshore.packets.feeds import Feeds, FeedSystem
 from shallotshore.packets.latencies import Latencies
+from shallotshore.packets.openings import HeldOpeningSystem
 from shallotshore.packets.own_upstream import HealthSystem, OwnUpstreamSystem
+from shallotshore.packets.packet import Decode
 from shallotshore.packets.reports import ReportSystem
+from shallotshore.packets.upstream_packets import UpstreamPacketSystem
 from shallotshore.systems import Core
 
 
--- a/shallotshore/packets/agent_state.py
+++ b/shallotshore/packets/agent_state.py
@@ -8,7 +8,13 @@
 from typing import TYPE_CHECKING
 
 from shallotshore.hashing import name_id
-from shallotshore.packets.agent_tables import FlowStage, FlowTable, SubscriberTable
+from shallotshore.packets.agent_tables import (
+    CLIENT_ENDED,
+    UPSTREAM_ENDED,
+    FlowStage,
+    FlowTable,
+    SubscriberTable,
+)
 from shallotshore.packets.event_log import EventLog
 from shallotshore.packets.feeds import Feeds
 from shallotshore.packets.held_openings import HeldOpenings
@@ -191,6 +197,13 @@
             self.in_flight += 1 if awaits else -1
             flows.awaits[row] = awaits
 
+    def note_end(self, row: int, ends: int) -> None:
+        """Notes that the client, the upstream or both have ended a flow."""
+        flows = self.flows
+        flows.ends[row] |= ends
+        if flows.ends[row] == CLIENT_ENDED | UPSTREAM_ENDED:
+            self.set_awaits(row, False)
+
     def note_open(self, row: int) -> None:
         """Opens a flow, and tells the balancers of the data centre that its client enters by."""
         flows = self.flows
--- a/shallotshore/packets/agent_tables.py
+++ b/shallotshore/packets/agent_tables.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-__all__ = ["FlowStage", "FlowTable", "SubscriberTable"]
+__all__ = ["CLIENT_ENDED", "UPSTREAM_ENDED", "FlowStage", "FlowTable", "SubscriberTable"]
 
 from array import array
 from enum import IntEnum
@@ -16,6 +16,10 @@
 FORMER_KEPT_MS = 60_000  # a balancer that restarts without a store is told what the agent holds
 SWEPT_ROWS = 16
 
+# Bits of FlowTable.ends.
+CLIENT_ENDED = 1
+UPSTREAM_ENDED = 2
+
 
 class FlowStage(IntEnum):
     """What an agent knows of a flow."""
@@ -32,8 +36,8 @@
 
     Columns: `stage` is a FlowStage; `answer_sequence` is the number that the upstream chose when it
     accepted; `client_next` is the number after the client's last byte; `awaits` is 1 while the
-    client's data is not answered; `ends` is 1 when the client has ended, 2 when the upstream
-    has, 3 for both; `touched` is the time of its last packet and `awaited_at` when the client
+    client's data is not answered; `ends` has CLIENT_ENDED and
+    UPSTREAM_ENDED; `touched` is the time of its last packet and `awaited_at` when the client
     began to wait, in ms; `origin` is the balancer that delivered the last packet; `candidates`
     are the hosts that an opening packet can be passed on to, `hops` how often it was.
     """
--- a/shallotshore/packets/balancer.py
+++ b/shallotshore/packets/balancer.py
@@ -12,8 +12,8 @@
 from shallotshore.packets.feeds import Feeds, FeedSystem
 from shallotshore.packets.latencies import Latencies
 from shallotshore.packets.members import MemberSystem, SubscriptionSystem
-from shallotshore.packets.ownership import Decode, OwnershipSystem
-from shallotshore.packets.packet import Packet
+from shallotshore.packets.ownership import OwnershipSystem
+from shallotshore.packets.packet import Decode, Packet
 from shallotshore.packets.routing import RoutingSystem
 from shallotshore.packets.waiting_flows import WaitingFlowSystem
 from shallotshore.systems import Core
--- /dev/null
+++ b/shallotshore/packets/client_packets.py
@@ -0,0 +1,136 @@
+"""Packets of clients at an agent: only those of flows that the upstream holds go to it."""
+
+from __future__ import annotations
+
+__all__ = ["ClientPacketSystem"]
+
+from result import Err
+
+from shallotshore.packets.agent_state import AgentState
+from shallotshore.packets.agent_tables import CLIENT_ENDED, FlowStage
+from shallotshore.packets.hosts import host_text
+from shallotshore.packets.node_messages import Carry, CarryKind, Missing, OwnedFlow
+from shallotshore.packets.openings import take_opening
+from shallotshore.packets.packet import ENDS, RESETS, SEQUENCE_MASK, Decode, Packet
+from shallotshore.tables import MISSING
+
+# Bytes that an upstream may have sent before the client's first packet arrives here.
+ACKNOWLEDGED_WINDOW = 1 << 20
+
+
+class ClientPacketSystem:
+    """Takes packets of clients that balancers and other agents send."""
+
+    __slots__ = ("_decode", "_state")
+
+    def __init__(self, state: AgentState, decode: Decode) -> None:
+        """Creates the system.
+
+        Args:
+            state: The agent's tables.
+            decode: Reads a client's packet.
+        """
+        self._state = state
+        self._decode = decode
+
+    def run(self, now: int) -> None:
+        """Runs the step at `now` (ms)."""
+        state = self._state
+        for _, carry in state.inbox.take(Carry):
+            packet = self._decode(carry.frame)
+            if isinstance(packet, Err):
+                state.counters.add("packets.unreadable")
+            elif packet.ok_value.is_opening:
+                take_opening(state, carry, packet.ok_value, now)
+            else:
+                _take_packet(state, carry, packet.ok_value, now)
+
+
+def _take_packet(state: AgentState, carry: Carry, packet: Packet, now: int) -> None:
+    flows = state.flows
+    row = flows.row(packet.key)
+    if row == MISSING:
+        _take_unknown(state, carry, packet, now)
+        return
+    stage = flows.stage[row]
+    if stage == FlowStage.ACCEPTED and _is_accepted_here(state, row, packet):
+        flows.origin[row] = carry.origin
+        state.note_open(row)
+        _log_opened(state, row, packet, carry, now)
+    elif stage == FlowStage.PROBED:
+        flows.origin[row] = carry.origin
+        state.deliver(carry.frame)
+        return
+    elif stage != FlowStage.OPEN:
+        _deny(state, carry, packet)
+        return
+    _deliver(state, row, carry, packet, now)
+
+
+def _is_accepted_here(state: AgentState, row: int, packet: Packet) -> bool:
+    """Whether the client goes on with the upstream beside this agent, not with another one."""
+    distance = (packet.acknowledged - state.flows.answer_sequence[row]) & SEQUENCE_MASK
+    return distance < ACKNOWLEDGED_WINDOW
+
+
+def _take_unknown(state: AgentState, carry: Carry, packet: Packet, now: int) -> None:
+    flows = state.flows
+    if carry.service != state.service or state.is_certain(now):
+        _deny(state, carry, packet)
+        return
+    row = flows.add(packet.key)
+    if row == MISSING:
+        state.counters.add("flows.table_full")
+        return
+    # The upstream takes the packet or returns it, which tells whether it holds the flow.
+    state.set_stage(row, FlowStage.PROBED)
+    flows.touched[row] = now
+    flows.origin[row] = carry.origin
+    state.counters.add("flows.probed")
+    state.deliver(carry.frame)
+
+
+def _deny(state: AgentState, carry: Carry, packet: Packet) -> None:
+    state.counters.add("packets.denied")
+    frame = carry.frame if carry.kind == CarryKind.OWNED else b""
+    state.send(carry.origin, Missing(packet.key, False, frame))
+
+
+def _deliver(state: AgentState, row: int, carry: Carry, packet: Packet, now: int) -> None:
+    flows = state.flows
+    flows.touched[row] = now
+    flows.origin[row] = carry.origin
+    if carry.kind == CarryKind.SEARCH:
+        state.send(carry.origin, OwnedFlow(packet.key))
+    if packet.size:
+        _note_data(state, row, packet, now)
+    if packet.flags & (ENDS | RESETS):
+        state.note_end(row, CLIENT_ENDED)
+    state.deliver(carry.frame)
+
+
+def _note_data(state: AgentState, row: int, packet: Packet, now: int) -> None:
+    flows = state.flows
+    after = (packet.sequence + packet.size) & SEQUENCE_MASK
+    is_new = 0 < (after - flows.client_next[row]) & SEQUENCE_MASK < ACKNOWLEDGED_WINDOW
+    if is_new or not flows.client_next[row]:
+        flows.client_next[row] = after
+        if not flows.awaits[row]:
+            flows.awaited_at[row] = now
+        state.set_awaits(row, True)
+        if state.recent_offers:
+            state.recent_offers.pop(0)
+    state.unanswered_data_at = state.unanswered_data_at or now
+
+
+def _log_opened(state: AgentState, row: int, packet: Packet, carry: Carry, now: int) -> None:
+    if state.log.admits(now):
+        state.log.write(
+            now,
+            "flow_opened",
+            flow=packet.name,
+            balancer=host_text(carry.origin),
+            after_ms=now - state.flows.touched[row],
+            in_flight=state.in_flight,
+            flows=state.open_flows,
+        )
--- /dev/null
+++ b/shallotshore/packets/openings.py
@@ -0,0 +1,154 @@
+"""Opening packets at an agent: handed over, held while the upstream is busy, or passed on."""
+
+from __future__ import annotations
+
+__all__ = ["HeldOpeningSystem", "pass_on", "take_opening"]
+
+from shallotshore.codes import Code
+from shallotshore.packets.agent_state import AgentState
+from shallotshore.packets.agent_tables import FlowStage
+from shallotshore.packets.held_openings import HeldOpening
+from shallotshore.packets.hosts import host_text
+from shallotshore.packets.node_messages import Carry, CarryKind, Passed, UpstreamHealth
+from shallotshore.packets.packet import SEQUENCE_MASK, Packet
+from shallotshore.tables import MISSING
+
+# Requests that may wait at the upstream itself: one keeps it busy while the next is on its way.
+QUEUED_AT_UPSTREAM = 1
+HOLD_MS = 150  # the client's first copy comes after 200 ms
+MAX_HOPS = 3  # agents that pass an opening packet on
+
+
+class HeldOpeningSystem:
+    """Releases opening packets as the upstream gets free, and gives up those that waited long."""
+
+    __slots__ = ("_state",)
+
+    def __init__(self, state: AgentState) -> None:
+        self._state = state
+
+    def run(self, now: int) -> None:
+        """Runs the step at `now` (ms)."""
+        state = self._state
+        held = state.held
+        if not len(held):
+            return
+        for opening in held.take_held_before(now - HOLD_MS):
+            # The client's next copy is on its way, and may find another upstream.
+            state.counters.add("openings.held_too_long")
+            _log_dropped(state, opening, now)
+        while len(held) and state.load(now) < state.slots + QUEUED_AT_UPSTREAM:
+            opening = held.take_best()
+            take_opening(state, opening.carry, opening.packet, now)
+
+
+def take_opening(state: AgentState, carry: Carry, packet: Packet, now: int) -> None:
+    """Decides about an opening packet of a client."""
+    flows = state.flows
+    row = flows.row(packet.key)
+    if row != MISSING and flows.stage[row] in (FlowStage.OFFERED, FlowStage.ACCEPTED):
+        flows.touched[row] = now
+        state.deliver(carry.frame)
+        return
+    if row != MISSING and flows.stage[row] == FlowStage.OPEN:
+        state.counters.add("packets.late_openings")
+        return
+    refusal = _refusal(state, carry)
+    if refusal is not None:
+        pass_on(state, carry.candidates, carry, packet, refusal, now)
+        return
+    if state.load(now) < state.slots + QUEUED_AT_UPSTREAM:
+        _offer(state, carry, packet, now)
+    elif state.held.hold(HeldOpening(carry, packet, now)):
+        state.counters.add("openings.held")
+    else:
+        pass_on(state, carry.candidates, carry, packet, Code.OVERLOADED, now)
+
+
+def _offer(state: AgentState, carry: Carry, packet: Packet, now: int) -> None:
+    """Hands an opening packet to the upstream, unless that is cold and has enough."""
+    if not state.feeds.operator.revision:
+        # The balancer knows the service's limit before this agent has heard of it.
+        state.limit.set_rate(carry.cold_per_s)
+    if not state.limit.take(now):
+        pass_on(state, carry.candidates, carry, packet, Code.UPSTREAM_COLD, now)
+        return
+    flows = state.flows
+    row = flows.add(packet.key)
+    if row == MISSING:
+        pass_on(state, carry.candidates, carry, packet, Code.TABLE_FULL, now)
+        return
+    state.set_stage(row, FlowStage.OFFERED)
+    flows.touched[row] = now
+    flows.origin[row] = carry.origin
+    flows.hops[row] = carry.hops
+    flows.candidates[row] = carry.candidates
+    flows.client_next[row] = (packet.sequence + 1) & SEQUENCE_MASK
+    state.unanswered_opening_at = state.unanswered_opening_at or now
+    state.recent_offers.append(now)
+    state.counters.add("flows.offered")
+    state.deliver(carry.frame)
+
+
+def _refusal(state: AgentState, carry: Carry) -> Code | None:
+    """Returns why the upstream must not be given a new flow, or None."""
+    if carry.service != state.service:
+        return Code.WRONG_SERVICE
+    if state.is_out:
+        return Code.DATA_CENTRE_OUT
+    if state.is_leaving:
+        return Code.UPSTREAM_LEAVING
+    if state.health == UpstreamHealth.SILENT and carry.candidates:
+        return Code.UPSTREAM_LOST
+    return None
+
+
+def pass_on(
+    state: AgentState,
+    candidates: tuple[int, ...],
+    carry: Carry,
+    packet: Packet,
+    refusal: Code,
+    now: int,
+) -> None:
+    """Passes an opening packet on to the next candidate; without one the client sends a copy."""
+    state.counters.add(f"openings.refused.{refusal.name.lower()}")
+    is_passed = bool(candidates) and carry.hops < MAX_HOPS
+    if state.log.admits(now):
+        state.log.write(
+            now,
+            "flow_refused",
+            flow=packet.name,
+            code=int(refusal),
+            revision=state.feeds.upstreams.revision,
+            cold_ms=state.limit.cold_ms(now),
+            passed_to=host_text(candidates[0]) if is_passed else None,
+        )
+    if not is_passed:
+        return
+    follower = Carry(
+        CarryKind.OPEN,
+        carry.service,
+        carry.revision,
+        candidates[1:],
+        carry.cold_per_s,
+        carry.priority,
+        carry.hops + 1,
+        carry.origin,
+        carry.frame,
+    )
+    state.send(candidates[0], follower)
+    state.send(carry.origin, Passed(packet.key, candidates[0]))
+
+
+def _log_dropped(state: AgentState, opening: HeldOpening, now: int) -> None:
+    if state.log.admits(now):
+        state.log.write(
+            now,
+            "flow_held_too_long",
+            flow=opening.packet.name,
+            code=int(Code.OVERLOADED),
+            held_ms=now - opening.held_at,
+            in_flight=state.in_flight,
+            slots=state.slots,
+        )
--- a/shallotshore/packets/ownership.py
+++ b/shallotshore/packets/ownership.py
@@ -5,17 +5,14 @@
 __all__ = ["OwnershipSystem"]
 
 import struct
-from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from result import Result
-
 from shallotshore.codes import Code
 from shallotshore.packets.balancer_state import BalancerState
 from shallotshore.packets.flow_cache import FlowStage
 from shallotshore.packets.hosts import host_number
 from shallotshore.packets.node_messages import LoadReport, Missing, OwnedFlow, Passed, Report
-from shallotshore.packets.packet import Packet
+from shallotshore.packets.packet import Decode, Packet
 from shallotshore.packets.routing import reset_client
 from shallotshore.packets.search import begin_search, note_denial, search_on
 from shallotshore.tables import MISSING
@@ -23,8 +20,6 @@
 if TYPE_CHECKING:
     from shallotshore.messages import Address
 
-Decode = Callable[[bytes], Result[Packet, Code]]
-
 
 class OwnershipSystem:
     """Takes reports, claims of ownership and denials of agents."""
--- a/shallotshore/packets/packet.py
+++ b/shallotshore/packets/packet.py
@@ -8,14 +8,20 @@
     "OPENS",
     "RESETS",
     "RETURNED",
+    "SEQUENCE_MASK",
+    "Decode",
     "Packet",
     "ResetPacket",
     "ToClient",
     "ToUpstream",
 ]
 
-from typing import TYPE_CHECKING
+from collections.abc import Callable
+from typing import TYPE_CHECKING, TypeAlias
 
+from result import Result
+
+from shallotshore.codes import Code
 from shallotshore.hashing import flow_key
 
 if TYPE_CHECKING:
@@ -28,6 +34,8 @@
 RESETS = 8  # the flow is gone
 RETURNED = 16  # the upstream gives back a packet of a client that it cannot take
 
+SEQUENCE_MASK = (1 << 32) - 1  # numbers of bytes wrap around
+
 
 class Packet:
     """A packet between a client and a virtual address.
@@ -114,3 +122,7 @@
 
     def __init__(self, frame: bytes) -> None:
         self.frame = frame
+
+
+# Reads the packet of a client.
+Decode: TypeAlias = Callable[[bytes], Result[Packet, Code]]
--- /dev/null
+++ b/shallotshore/packets/upstream_packets.py
@@ -0,0 +1,117 @@
+"""Packets of the upstream at its agent: its own, and those of clients that it returns."""
+
+from __future__ import annotations
+
+__all__ = ["UpstreamPacketSystem"]
+
+from shallotshore.codes import Code
+from shallotshore.packets.agent_state import AgentState
+from shallotshore.packets.agent_tables import CLIENT_ENDED, UPSTREAM_ENDED, FlowStage
+from shallotshore.packets.node_messages import Carry, CarryKind, Missing
+from shallotshore.packets.openings import pass_on
+from shallotshore.packets.packet import ENDS, OPENS, RESETS, RETURNED, Packet, ToClient
+from shallotshore.tables import MISSING
+
+
+class UpstreamPacketSystem:
+    """Takes what the upstream sends: its own packets, and packets of clients that it returns."""
+
+    __slots__ = ("_state",)
+
+    def __init__(self, state: AgentState) -> None:
+        self._state = state
+
+    def run(self, now: int) -> None:
+        """Runs the step at `now` (ms)."""
+        state = self._state
+        for _, packet in state.inbox.take(Packet):
+            state.heard_at = now
+            state.unanswered_opening_at = state.unanswered_data_at = 0
+            if packet.flags & RETURNED:
+                _take_returned(state, packet, now)
+            else:
+                _take_answer(state, packet, now)
+
+
+def _take_answer(state: AgentState, packet: Packet, now: int) -> None:
+    flows = state.flows
+    row = flows.row(packet.key)
+    if row == MISSING:
+        row = _note_unknown_flow(state, packet)
+    if row != MISSING:
+        flows.touched[row] = now
+        if packet.flags & OPENS:
+            if flows.stage[row] == FlowStage.OFFERED:
+                state.set_stage(row, FlowStage.ACCEPTED)
+            flows.answer_sequence[row] = packet.sequence
+        elif flows.stage[row] in (FlowStage.PROBED, FlowStage.FOREIGN):
+            state.note_open(row)
+        if packet.size and flows.awaits[row]:
+            waited = now - flows.awaited_at[row]
+            state.latencies.record("first_answer", packet.route_name, waited)
+            state.set_awaits(row, False)
+        if packet.flags & ENDS:
+            state.note_end(row, UPSTREAM_ENDED)
+        if packet.flags & RESETS:
+            state.note_end(row, CLIENT_ENDED | UPSTREAM_ENDED)
+    state.outbox.send(packet.client, ToClient(packet.frame))
+
+
+def _note_unknown_flow(state: AgentState, packet: Packet) -> int:
+    """Takes up a flow that the upstream holds since before the agent's start."""
+    row = state.flows.add(packet.key)
+    if row != MISSING:
+        state.counters.add("flows.learnt")
+        state.set_stage(row, FlowStage.ACCEPTED if packet.flags & OPENS else FlowStage.OPEN)
+    return row
+
+
+def _take_returned(state: AgentState, packet: Packet, now: int) -> None:
+    flows = state.flows
+    row = flows.row(packet.key)
+    state.counters.add("packets.returned")
+    if row == MISSING:
+        return
+    origin, stage = flows.origin[row], flows.stage[row]
+    if packet.is_opening:
+        if stage == FlowStage.OFFERED:
+            _pass_returned(state, row, packet, now)
+        return
+    if stage == FlowStage.OPEN:
+        # The upstream has started again, or has given the flow up.
+        state.forget(row)
+        state.counters.add("flows.lost")
+        state.send(origin, Missing(packet.key, True, packet.frame))
+        _log_lost(state, packet, now)
+    elif stage == FlowStage.PROBED:
+        state.set_stage(row, FlowStage.FOREIGN)
+        flows.touched[row] = now
+        state.send(origin, Missing(packet.key, False, b""))
+
+
+def _pass_returned(state: AgentState, row: int, packet: Packet, now: int) -> None:
+    flows = state.flows
+    carry = Carry(
+        CarryKind.OPEN,
+        state.service,
+        0,
+        flows.candidates[row],
+        0.0,
+        0,
+        flows.hops[row],
+        flows.origin[row],
+        packet.frame,
+    )
+    state.forget(row)
+    pass_on(state, carry.candidates, carry, packet, Code.OVERLOADED, now)
+
+
+def _log_lost(state: AgentState, packet: Packet, now: int) -> None:
+    if state.log.admits(now):
+        state.log.write(
+            now,
+            "flow_lost",
+            flow=packet.name,
+            code=int(Code.FLOW_LOST),
+            agent_age_ms=now - state.started_at,
+        )
