One base for the state and the core of balancer and agent

Cause: both repeated mailboxes, log, feeds and latencies, and one constant stood twice. Change: node_state holds NodeState and PacketCore; the cold time of a returning data centre stands in openings_limit.

--- a/shallotshore/packets/agent.py
+++ b/shallotshore/packets/agent.py
@@ -8,26 +8,21 @@
 
 from shallotshore.packets.agent_state import AgentSettings, AgentState
 from shallotshore.packets.client_packets import ClientPacketSystem
-from shallotshore.packets.event_log import EventLog
-from shallotshore.packets.feeds import Feeds, FeedSystem
-from shallotshore.packets.latencies import Latencies
+from shallotshore.packets.node_state import PacketCore
 from shallotshore.packets.openings import HeldOpeningSystem
 from shallotshore.packets.own_upstream import HealthSystem, OwnUpstreamSystem
 from shallotshore.packets.packet import Decode
 from shallotshore.packets.reports import ReportSystem
 from shallotshore.packets.upstream_packets import UpstreamPacketSystem
-from shallotshore.systems import Core
 
 
-class PacketAgent(Core):
+class PacketAgent(PacketCore):
     """An agent without sockets, wall time or encodings.
 
     The order of the systems matters: the upstream's record is in force before new flows are
     handed over, and what the upstream has said is known before clients' packets are judged.
     """
 
-    reads_store = False
-
     __slots__ = ("_is_stopping", "state")
 
     def __init__(self, settings: AgentSettings, rng: random.Random, decode: Decode) -> None:
@@ -39,19 +34,12 @@
             decode: Reads a client's packet.
         """
         super().__init__()
-        state = AgentState(settings, self.inbox, self.outbox, self.counters, rng)
+        state = AgentState(self, settings, rng)
         self.state = state
+        self._set_up(state)
         self._is_stopping = False
         self._systems = [
-            FeedSystem(
-                state.feeds,
-                self.inbox,
-                self.outbox,
-                self.counters,
-                state.log,
-                rng,
-                reads_store=False,
-            ),
+            self._feed_system,
             OwnUpstreamSystem(state),
             UpstreamPacketSystem(state),
             ClientPacketSystem(state, decode),
@@ -60,21 +48,6 @@
             ReportSystem(state),
         ]
 
-    @property
-    def log(self) -> EventLog:
-        """Log lines to write."""
-        return self.state.log
-
-    @property
-    def feeds(self) -> Feeds:
-        """What is published, for other processes to fetch."""
-        return self.state.feeds
-
-    @property
-    def latencies(self) -> Latencies:
-        """Latencies to sort into histograms."""
-        return self.state.latencies
-
     @property
     def is_ready(self) -> bool:
         """Whether the agent takes packets."""
--- a/shallotshore/packets/agent_state.py
+++ b/shallotshore/packets/agent_state.py
@@ -15,19 +15,16 @@
     FlowTable,
     SubscriberTable,
 )
-from shallotshore.packets.event_log import EventLog
-from shallotshore.packets.feeds import Feeds
 from shallotshore.packets.held_openings import HeldOpenings
-from shallotshore.packets.hosts import host_text
-from shallotshore.packets.latencies import Latencies
-from shallotshore.packets.node_messages import NodeMessage, UpstreamHealth
+from shallotshore.packets.node_messages import UpstreamHealth
+from shallotshore.packets.node_state import NodeState
 from shallotshore.packets.openings_limit import OpeningsLimit
 from shallotshore.packets.packet import ToUpstream
 from shallotshore.tables import MISSING
 
 if TYPE_CHECKING:
     from shallotshore.messages import Address
-    from shallotshore.systems import Counters, Inbox, Outbox
+    from shallotshore.systems import Core
 
 
 UNKNOWN_SLOTS = 4  # until the upstream's record is known
@@ -85,7 +82,7 @@
         self.flow_life_ms = flow_life_ms
 
 
-class AgentState:
+class AgentState(NodeState):
     """Tables, mailboxes and beliefs of one agent.
 
     Attributes:
@@ -104,23 +101,16 @@
     """
 
     __slots__ = (
-        "counters",
-        "data_centre",
-        "feeds",
         "held",
         "flows",
         "health",
         "heard_at",
         "in_flight",
-        "inbox",
         "incarnation",
         "is_leaving",
         "is_out",
         "limit",
-        "latencies",
-        "log",
         "open_flows",
-        "outbox",
         "recent_offers",
         "service",
         "settings",
@@ -131,27 +121,14 @@
         "unanswered_opening_at",
     )
 
-    def __init__(
-        self,
-        settings: AgentSettings,
-        inbox: Inbox,
-        outbox: Outbox,
-        counters: Counters,
-        rng: random.Random,
-    ) -> None:
+    def __init__(self, core: Core, settings: AgentSettings, rng: random.Random) -> None:
+        super().__init__(core, settings.host, settings.node_port, settings.data_centre, rng)
         self.settings = settings
-        self.inbox = inbox
-        self.outbox = outbox
-        self.counters = counters
-        self.log = EventLog()
-        self.latencies = Latencies()
-        self.feeds = Feeds()
         self.flows = FlowTable()
         self.subscribers = SubscriberTable()
         self.held = HeldOpenings()
         self.limit = OpeningsLimit(settings.cold_over, settings.cold_slack)
         self.service = name_id("service", settings.service)
-        self.data_centre = name_id("data_centre", settings.data_centre)
         self.incarnation = rng.getrandbits(62) + 1
         self.started_at = MISSING
         self.slots = UNKNOWN_SLOTS
@@ -165,10 +142,6 @@
         self.open_flows = 0
         self.recent_offers: list[int] = []
 
-    def send(self, host: int, message: NodeMessage) -> None:
-        """Sends a message to the process of the system on a VM."""
-        self.outbox.send((host_text(host), self.settings.node_port), message)
-
     def deliver(self, frame: bytes) -> None:
         """Hands a client's packet to the upstream."""
         self.outbox.send(self.settings.upstream, ToUpstream(frame))
--- a/shallotshore/packets/balancer.py
+++ b/shallotshore/packets/balancer.py
@@ -8,22 +8,19 @@
 
 from shallotshore.packets.balancer_state import BalancerSettings, BalancerState
 from shallotshore.packets.directory import DirectorySystem
-from shallotshore.packets.event_log import EventLog
-from shallotshore.packets.feeds import Feeds, FeedSystem
-from shallotshore.packets.latencies import Latencies
 from shallotshore.packets.members import MemberSystem, SubscriptionSystem
+from shallotshore.packets.node_state import PacketCore
 from shallotshore.packets.ownership import OwnershipSystem
 from shallotshore.packets.packet import Decode, Packet
 from shallotshore.packets.routing import RoutingSystem
 from shallotshore.packets.waiting_flows import WaitingFlowSystem
-from shallotshore.systems import Core
 
 PAUSE_MS = 1_000  # a longer gap between ticks means that the VM stood still
 # The routers probe twice a second and move on after two misses; stragglers follow.
 STOP_MS = 1_700
 
 
-class PacketBalancer(Core):
+class PacketBalancer(PacketCore):
     """A balancer without sockets, wall time or encodings.
 
     The order of the systems matters: what is published comes into force before packets are
@@ -32,7 +29,7 @@
 
     reads_store = True
 
-    __slots__ = ("_feed_system", "_last_tick", "_members", "_stopping_since", "state")
+    __slots__ = ("_last_tick", "_members", "_stopping_since", "state")
 
     def __init__(self, settings: BalancerSettings, rng: random.Random, decode: Decode) -> None:
         """Creates a balancer.
@@ -43,11 +40,9 @@
             decode: Reads a client's packet that an agent gives back.
         """
         super().__init__()
-        state = BalancerState(settings, self.inbox, self.outbox, self.counters, rng)
+        state = BalancerState(self, settings, rng)
         self.state = state
-        self._feed_system = FeedSystem(
-            state.feeds, self.inbox, self.outbox, self.counters, state.log, rng, reads_store=True
-        )
+        self._set_up(state)
         self._members = MemberSystem(state)
         self._last_tick = -1
         self._stopping_since = -1
@@ -61,21 +56,6 @@
             WaitingFlowSystem(state),
         ]
 
-    @property
-    def log(self) -> EventLog:
-        """Log lines to write."""
-        return self.state.log
-
-    @property
-    def feeds(self) -> Feeds:
-        """What is published, for other processes to fetch."""
-        return self.state.feeds
-
-    @property
-    def latencies(self) -> Latencies:
-        """Latencies to sort into histograms."""
-        return self.state.latencies
-
     @property
     def is_ready(self) -> bool:
         """Whether the routers should send packets here."""
--- a/shallotshore/packets/balancer_state.py
+++ b/shallotshore/packets/balancer_state.py
@@ -8,18 +8,14 @@
 from typing import TYPE_CHECKING
 
 from shallotshore.hashing import name_id
-from shallotshore.packets.event_log import EventLog
-from shallotshore.packets.feeds import Feeds
 from shallotshore.packets.flow_cache import FlowCache
-from shallotshore.packets.hosts import host_text
-from shallotshore.packets.latencies import Latencies
-from shallotshore.packets.node_messages import NodeMessage
+from shallotshore.packets.node_state import NodeState
 from shallotshore.packets.upstream_table import UpstreamTable
 from shallotshore.packets.view import Route
 
 if TYPE_CHECKING:
     from shallotshore.messages import Address
-    from shallotshore.systems import Counters, Inbox, Outbox
+    from shallotshore.systems import Core
 
 
 class BalancerSettings:
@@ -62,60 +58,38 @@
         self.weights = tuple(weight for _, weight in route.shares)
 
 
-class BalancerState:
-    """Tables, mailboxes and random numbers of one balancer.
+class BalancerState(NodeState):
+    """Tables of one balancer.
 
     Attributes:
+        seeds: Hosts that may run balancers.
+        routes: Routes by virtual address.
+        cold_per_s: Flows a second that a cold upstream bears, by service.
+        data_centres_out: Ids of data centres that are out.
         is_settled: Whether the balancer has learnt enough since its start to route packets.
     """
 
     __slots__ = (
         "cold_per_s",
-        "counters",
-        "data_centre",
         "data_centres_out",
-        "feeds",
         "flows",
-        "inbox",
         "is_settled",
-        "latencies",
-        "log",
-        "outbox",
-        "rng",
         "routes",
-        "settings",
+        "seeds",
         "upstreams",
     )
 
-    def __init__(
-        self,
-        settings: BalancerSettings,
-        inbox: Inbox,
-        outbox: Outbox,
-        counters: Counters,
-        rng: random.Random,
-    ) -> None:
-        self.settings = settings
-        self.inbox = inbox
-        self.outbox = outbox
-        self.counters = counters
-        self.rng = rng
-        self.log = EventLog()
-        self.latencies = Latencies()
-        self.feeds = Feeds()
+    def __init__(self, core: Core, settings: BalancerSettings, rng: random.Random) -> None:
+        super().__init__(core, settings.host, settings.node_port, settings.data_centre, rng)
+        self.seeds = settings.seeds
         self.flows = FlowCache()
         self.upstreams = UpstreamTable()
-        self.cold_per_s: dict[int, float] = {}
         self.routes: dict[Address, RouteView] = {}
-        self.is_settled = False
+        self.cold_per_s: dict[int, float] = {}
         self.data_centres_out: set[int] = set()
-        self.data_centre = name_id("data_centre", settings.data_centre)
+        self.is_settled = False
 
     @property
     def is_configured(self) -> bool:
         """Whether a configuration is in force."""
         return self.feeds.operator.content.configuration.version > 0
-
-    def send(self, host: int, message: NodeMessage) -> None:
-        """Sends a message to the process of the system on a VM."""
-        self.outbox.send((host_text(host), self.settings.node_port), message)
--- a/shallotshore/packets/directory.py
+++ b/shallotshore/packets/directory.py
@@ -7,10 +7,10 @@
 from shallotshore.hashing import name_id
 from shallotshore.packets.balancer_state import BalancerState, RouteView
 from shallotshore.packets.hosts import host_text
+from shallotshore.packets.openings_limit import REOPENED_COLD_MS
 from shallotshore.packets.view import Feed
 from shallotshore.tables import MISSING
 
-REOPENED_COLD_MS = 3_000  # upstreams of a returning data centre are cold before they say so
 SWEEP_MS = 1_000
 
 
--- a/shallotshore/packets/feeds.py
+++ b/shallotshore/packets/feeds.py
@@ -4,11 +4,9 @@
 
 __all__ = ["STORE", "FeedCopy", "FeedSystem", "Feeds"]
 
-import random
 from typing import TYPE_CHECKING
 
 from shallotshore.codes import Code
-from shallotshore.packets.event_log import EventLog
 from shallotshore.packets.feed_content import (
     Change,
     FeedContent,
@@ -26,10 +24,10 @@
     WatchFeed,
 )
 from shallotshore.packets.view import Feed, FeedState
-from shallotshore.systems import Counters, Inbox, Outbox
 
 if TYPE_CHECKING:
     from shallotshore.messages import Address
+    from shallotshore.packets.node_state import NodeState
 
 WATCH_MS = 4_000  # a connection that fell silent must be noticed within a stable window of 4 s
 # After a change the next watch waits, so that changes in quick succession come in one answer; the
@@ -136,33 +134,19 @@
 
     __slots__ = ("_counters", "_feeds", "_inbox", "_log", "_outbox", "_reads_store", "_rng")
 
-    def __init__(
-        self,
-        feeds: Feeds,
-        inbox: Inbox,
-        outbox: Outbox,
-        counters: Counters,
-        log: EventLog,
-        rng: random.Random,
-        reads_store: bool,
-    ) -> None:
+    def __init__(self, node: NodeState, reads_store: bool) -> None:
         """Creates the system.
 
         Args:
-            feeds: The copies.
-            inbox: Answers of the store and of other processes.
-            outbox: Calls to them.
-            counters: Event counts.
-            log: Log lines.
-            rng: Jitter of pauses.
+            node: Mailboxes and feeds of the process.
             reads_store: Whether this process reads the store, or only other processes' copies.
         """
-        self._feeds = feeds
-        self._inbox = inbox
-        self._outbox = outbox
-        self._counters = counters
-        self._log = log
-        self._rng = rng
+        self._feeds = node.feeds
+        self._inbox = node.inbox
+        self._outbox = node.outbox
+        self._counters = node.counters
+        self._log = node.log
+        self._rng = node.rng
         self._reads_store = reads_store
 
     def run(self, now: int) -> None:
--- a/shallotshore/packets/members.py
+++ b/shallotshore/packets/members.py
@@ -68,13 +68,13 @@
         for named in hello.members:
             if named not in self._members:
                 self._note(named, now - MEMBER_KEPT_MS // 2)
-        source = (host_text(host), state.settings.node_port)
+        source = (host_text(host), state.node_port)
         state.feeds.offer(source, hello.operator_revision, hello.upstreams_revision, now)
         if hello.wants_reply:
             self._greet(host, False)
 
     def _note(self, host: int, heard_at: int) -> None:
-        if host == self._state.settings.host:
+        if host == self._state.host:
             return
         row = self._members.add(host)
         if row != MISSING:
@@ -89,8 +89,8 @@
 
     def _chosen(self) -> list[int]:
         rng = self._state.rng
-        own = self._state.settings.host
-        seeds = [host for host in self._state.settings.seeds if host != own]
+        own = self._state.host
+        seeds = [host for host in self._state.seeds if host != own]
         known = list(self._members.keys())
         if not known:
             return seeds
--- a/shallotshore/packets/openings_limit.py
+++ b/shallotshore/packets/openings_limit.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-__all__ = ["OpeningsLimit"]
+__all__ = ["REOPENED_COLD_MS", "OpeningsLimit"]
 
 WINDOW_MS = 1_000
+REOPENED_COLD_MS = 3_000  # upstreams of a returning data centre are cold before they say so
 MARGIN = 1  # flows; packets on their way to the upstream may arrive closer together than sent
 
 
--- a/shallotshore/packets/own_upstream.py
+++ b/shallotshore/packets/own_upstream.py
@@ -8,9 +8,9 @@
 from shallotshore.packets.agent_tables import FlowStage
 from shallotshore.packets.hosts import host_text
 from shallotshore.packets.node_messages import UpstreamHealth
+from shallotshore.packets.openings_limit import REOPENED_COLD_MS
 from shallotshore.packets.view import Upstream
 
-REOPENED_COLD_MS = 3_000  # the upstream of a returning data centre is cold before it says so
 # Without a record an upstream is taken to be cold for so long: it starts together with its agent.
 UNKNOWN_COLD_MS = 4_000
 SILENT_AFTER_MS = 120  # an upstream accepts or returns an opening packet within a millisecond
@@ -71,7 +71,7 @@
 
     def _own_record(self) -> Upstream | None:
         state = self._state
-        host = host_text(state.settings.host)
+        host = host_text(state.host)
         own = [
             upstream
             for upstream in state.feeds.upstreams.content.upstreams.values()
--- a/shallotshore/packets/routing.py
+++ b/shallotshore/packets/routing.py
@@ -164,7 +164,7 @@
             state.cold_per_s.get(service, 0.0),
             route.priority,
             0,
-            state.settings.host,
+            state.host,
             packet.frame,
         ),
     )
--- a/shallotshore/packets/search.py
+++ b/shallotshore/packets/search.py
@@ -72,7 +72,7 @@
 
 def carry(state: BalancerState, host: int, kind: CarryKind, service: int, packet: Packet) -> None:
     """Sends a packet that opens no flow to an agent."""
-    message = Carry(kind, service, 0, (), 0.0, 0, 0, state.settings.host, packet.frame)
+    message = Carry(kind, service, 0, (), 0.0, 0, 0, state.host, packet.frame)
     state.send(host, message)
 
 
--- a/tests/test_packet_feeds.py
+++ b/tests/test_packet_feeds.py
@@ -4,7 +4,6 @@
 import unittest
 
 from shallotshore.codes import Code
-from shallotshore.packets.event_log import EventLog
 from shallotshore.packets.feed_content import (
     ConfigurationChange,
     DataCentreChange,
@@ -16,9 +15,9 @@
     LAG_MS,
     RETRY_LIMIT_MS,
     STORE,
-    Feeds,
     FeedSystem,
 )
+from shallotshore.packets.node_state import NodeState
 from shallotshore.packets.store_messages import (
     FetchedFeed,
     FetchFailed,
@@ -30,7 +29,7 @@
     WatchFeed,
 )
 from shallotshore.packets.view import Configuration, Feed, FeedState, Upstream
-from shallotshore.systems import Counters, Inbox, Outbox
+from shallotshore.systems import Core
 
 PEER = ("10.1.0.2", 7720)
 START = 100_000
@@ -51,21 +50,15 @@
     """One process with its inbox and outbox."""
 
     def setUp(self) -> None:
-        self.feeds, self.inbox, self.outbox = Feeds(), Inbox(), Outbox()
-        self.counters = Counters()
+        node = NodeState(Core(), 1, 7720, "bud-a", random.Random(1))
+        self.node = node
+        self.feeds, self.inbox, self.outbox = node.feeds, node.inbox, node.outbox
+        self.counters = node.counters
         self.system = self.make(reads_store=True)
         self.now = START
 
     def make(self, reads_store: bool) -> FeedSystem:
-        return FeedSystem(
-            self.feeds,
-            self.inbox,
-            self.outbox,
-            self.counters,
-            EventLog(),
-            random.Random(1),
-            reads_store,
-        )
+        return FeedSystem(self.node, reads_store)
 
     def run_for(self, duration: int) -> list[object]:
         """Ticks every 20 ms and returns what was asked."""
