--- /dev/null
+++ b/tests/test_store_client.py
@@ -0,0 +1,222 @@
+"""The store's client and the small HTTP pieces, over loopback: bad and missing answers."""
+
+import asyncio
+import base64
+import json
+import unittest
+from collections.abc import Callable
+from unittest import mock
+
+from standins import packet_world  # noqa: F401  puts the adapter on the path
+
+import adapter.store as store_module  # isort: skip
+from adapter.store import StoreClient  # isort: skip
+
+from shallotshore.codes import Code
+from shallotshore.packets import http_client, peer_copies
+from shallotshore.packets.feed_content import UpstreamChange
+from shallotshore.packets.http_client import HttpConnection, HttpError
+from shallotshore.packets.http_server import Page, serve_pages
+from shallotshore.packets.peer_copies import fetch_copy, serve_copies
+from shallotshore.packets.store_messages import (
+    FetchedFeed,
+    FetchFailed,
+    ReadFeed,
+    StoreChanges,
+    StoreFailed,
+    StoreSnapshot,
+    WatchFeed,
+)
+from shallotshore.packets.view import Configuration, Feed, FeedState
+
+ENTRY = {"service": "s", "address": "10.1.0.9:80", "zone": "z", "state": "ready"}
+
+
+def item(name: str, revision: int) -> dict[str, object]:
+    """Returns an upstream's item."""
+    value = base64.b64encode(json.dumps(ENTRY).encode()).decode()
+    return {"key": f"servers/{name}", "value": value, "rev": revision}
+
+
+def body(page: object, status: str = "200 OK") -> bytes:
+    """Returns a whole answer."""
+    text = json.dumps(page).encode()
+    return b"HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s" % (status.encode(), len(text), text)
+
+
+class Server:
+    """Answers each request with what a function makes of its path; None answers nothing."""
+
+    def __init__(self, answer: Callable[[str], bytes | None]) -> None:
+        self.answer = answer
+        self.paths: list[str] = []
+
+    async def start(self) -> tuple[str, int]:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        return self._server.sockets[0].getsockname()[:2]
+
+    def close(self) -> None:
+        self._server.close()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while head := await reader.readline():
+                self.paths.append(head.split()[1].decode())
+                while (await reader.readline()).strip():
+                    pass
+                answer = self.answer(self.paths[-1])
+                if answer is None:
+                    await reader.read()  # until the client gives up
+                    return
+                writer.write(answer)
+                if not answer.endswith(b"}"):
+                    return
+        except ConnectionError:
+            return  # the client has cut the answer
+        finally:
+            writer.close()
+
+
+class StoreClientTest(unittest.IsolatedAsyncioTestCase):
+    """Reads and watches."""
+
+    async def ask(
+        self, answer: Callable[[str], bytes | None], request: ReadFeed | WatchFeed
+    ) -> object:
+        """Returns what the client delivers for one request."""
+        self.server = Server(answer)
+        address = await self.server.start()
+        done: asyncio.Future[object] = asyncio.get_running_loop().create_future()
+        client = StoreClient(address, done.set_result)
+        client.call(request)
+        try:
+            return await asyncio.wait_for(done, 3)
+        finally:
+            client.close()
+            self.server.close()
+
+    async def test_reads_all_pages(self) -> None:
+        """Guards against upstreams beyond the first page."""
+
+        def answer(path: str) -> bytes:
+            if "after=" in path:
+                return body({"items": [item("b", 8)], "hasMore": False, "currentRev": 12})
+            return body({"items": [item("a", 7)], "hasMore": True, "currentRev": 9})
+
+        got = await self.ask(answer, ReadFeed(Feed.UPSTREAMS))
+        assert isinstance(got, StoreSnapshot)
+        self.assertEqual((9, ["a", "b"]), (got.revision, [change.key for change in got.changes]))
+        self.assertIn("after=servers%2Fa", self.server.paths[1])
+
+    async def test_watch_gives_changes_and_removals(self) -> None:
+        """Guards against a removal that is taken for a record."""
+        events = [item("a", 11), {"key": "servers/b", "rev": 12, "tombstone": True}]
+        page = body({"events": events, "currentRev": 12})
+        got = await self.ask(lambda path: page, WatchFeed(Feed.UPSTREAMS, 9, 100))
+        assert isinstance(got, StoreChanges)
+        self.assertEqual([False, True], [change.is_gone for change in got.changes])
+        self.assertIsInstance(got.changes[0], UpstreamChange)
+        self.assertIn("after=9&waitMs=100", self.server.paths[0])
+
+    async def test_each_bad_answer_is_a_numbered_failure(self) -> None:
+        """Guards against an answer that ends the process or counts as an empty store."""
+        cases: dict[bytes, Code] = {
+            body({}, "410 Gone"): Code.SERVICE_STALE,
+            body({}, "429 Too Many Requests"): Code.SERVICE_RATE_LIMITED,
+            body({}, "503 Unavailable"): Code.SERVICE_UNREACHABLE,
+            body({"items": []}): Code.MESSAGE_MALFORMED,
+            body([]): Code.MESSAGE_MALFORMED,
+            body({"items": [{"key": "servers/a"}], "currentRev": 1}): Code.MESSAGE_MALFORMED,
+            b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n{": Code.SERVICE_UNREACHABLE,
+            b"HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n{ ": Code.SERVICE_UNREACHABLE,
+            b"garbage\r\n\r\n": Code.SERVICE_UNREACHABLE,
+        }
+        for raw, code in cases.items():
+            got = await self.ask(lambda path, raw=raw: raw, ReadFeed(Feed.UPSTREAMS))
+            assert isinstance(got, StoreFailed)
+            self.assertEqual(code, got.code, raw)
+            self.assertTrue(got.reason)
+
+    async def test_silent_store_times_out(self) -> None:
+        """Guards against a connection that fell silent and is waited for without end."""
+        with mock.patch.object(store_module, "READ_TIMEOUT_MS", 80):
+            got = await self.ask(lambda path: None, ReadFeed(Feed.UPSTREAMS))
+        assert isinstance(got, StoreFailed)
+        self.assertIn("no answer within 80 ms", got.reason)
+
+    async def test_answer_that_never_ends_is_cut(self) -> None:
+        """Guards against an answer that fills the memory."""
+        endless = b"HTTP/1.1 200 OK\r\nContent-Length: 9999999999\r\n\r\n" + b"x" * 300_000
+        server = Server(lambda path: endless)
+        address = await server.start()
+        connection = HttpConnection(address, 100_000)
+        with self.assertRaises(HttpError) as caught:
+            await connection.get("/", 2_000)
+        self.assertIn("100000", str(caught.exception))
+        server.close()
+
+    async def test_refused_connection_is_a_failure(self) -> None:
+        """Guards against a store that is down at the start."""
+        server = Server(lambda path: None)
+        address = await server.start()
+        server.close()
+        with self.assertRaises(HttpError):
+            await HttpConnection(address, 1_000).get("/", 500)
+        self.assertGreater(http_client.CONNECT_TIMEOUT_MS, 0)
+
+
+class PeerCopyTest(unittest.IsolatedAsyncioTestCase):
+    """Copies between processes."""
+
+    async def test_copy_goes_over_whole(self) -> None:
+        """Guards against fields lost on the way."""
+        state = FeedState(Feed.OPERATOR, 7, Configuration(3), ["bud-a"])
+        server = await serve_copies(("127.0.0.1", 0), lambda feed: state)
+        address = server.sockets[0].getsockname()[:2]
+        got = await fetch_copy(address, Feed.OPERATOR)
+        assert isinstance(got, FetchedFeed)
+        self.assertEqual(state, got.state)
+        server.close()
+
+    async def test_stranger_and_silence_are_failures(self) -> None:
+        """Guards against copies that cannot be read, and peers that say nothing."""
+        stranger = await asyncio.start_server(
+            lambda reader, writer: (writer.write(b"\xff\x00"), writer.close()), "127.0.0.1", 0
+        )
+        got = await fetch_copy(stranger.sockets[0].getsockname()[:2], Feed.OPERATOR)
+        self.assertIsInstance(got, FetchFailed)
+        stranger.close()
+
+        async def keep_silent(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.read()  # until the asker gives up
+            writer.close()
+
+        server = await asyncio.start_server(keep_silent, "127.0.0.1", 0)
+        with mock.patch.object(peer_copies, "FETCH_TIMEOUT_MS", 80):
+            got = await fetch_copy(server.sockets[0].getsockname()[:2], Feed.OPERATOR)
+        assert isinstance(got, FetchFailed)
+        self.assertIn("no answer within 80 ms", got.reason)
+        server.close()
+
+
+class PageTest(unittest.IsolatedAsyncioTestCase):
+    """Readiness and metrics pages."""
+
+    async def test_pages_answer_on_one_connection(self) -> None:
+        """Guards against probes that need a connection each, and unknown paths."""
+        pages = {"/ready": lambda: Page(503, "not ready\n")}
+        server = await serve_pages(("127.0.0.1", 0), pages)
+        reader, writer = await asyncio.open_connection(*server.sockets[0].getsockname()[:2])
+        for path, status in (("/ready", b"503"), ("/ready?x=1", b"503"), ("/other", b"404")):
+            writer.write(f"GET {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+            head = await reader.readuntil(b"\r\n\r\n")
+            self.assertEqual(status, head.split()[1])
+            await reader.readline()
+        writer.write(b"x" * 20_000)
+        self.assertEqual(b"", await reader.read())
+        writer.close()
+        server.close()
+
+
+if __name__ == "__main__":
+    unittest.main()
