--- a/bench/agent.py
+++ b/bench/agent.py
@@ -9,24 +9,13 @@
 
 from shallotshore import codec
 from shallotshore.agent import AgentConfig, AgentCore
+from shallotshore.agent_messages import Forward
 from shallotshore.catalog import Catalog
+from shallotshore.claim_messages import Claim, ClaimReply, ClaimSync
 from shallotshore.codes import Code
 from shallotshore.hashing import flow_key, name_id
 from shallotshore.membership import Membership
-from shallotshore.messages import (
-    Address,
-    Claim,
-    ClaimKind,
-    ClaimReply,
-    ClaimSync,
-    Entry,
-    Forward,
-    Message,
-    PacketKind,
-    UpstreamHealth,
-    UpstreamOpen,
-    UpstreamProbe,
-)
+from shallotshore.messages import Address, ClaimKind, Entry, Message, PacketKind
 from shallotshore.records import (
     Binding,
     Customer,
@@ -37,6 +26,7 @@
     key_of,
     to_text,
 )
+from shallotshore.upstream_messages import UpstreamHealth, UpstreamOpen, UpstreamProbe
 
 FLOWS = 2_000
 PEERS = 18  # 150,000 upstreams over 8,100 services
--- a/bench/decision.py
+++ b/bench/decision.py
@@ -13,9 +13,10 @@
     vip_of,
 )
 from shallotshore.balancer import BalancerConfig, BalancerCore
+from shallotshore.caller_messages import CallerData, FabricPacket
 from shallotshore.listed_peers import ListedPeers
 from shallotshore.membership import Membership
-from shallotshore.messages import Address, CallerData, FabricPacket
+from shallotshore.messages import Address
 
 FLOWS = 300_000
 BATCH = 64  # packets a tick: what one wake-up of the socket brings under load
--- a/bench/forwarding.py
+++ b/bench/forwarding.py
@@ -19,11 +19,12 @@
 from bench.large_catalog import SMALL_SERVICES, vip_of
 from shallotshore.application import Application, ApplicationConfig
 from shallotshore.balancer import BalancerConfig, BalancerCore
+from shallotshore.caller_messages import CallerData, FabricPacket
 from shallotshore.catalog import Catalog
 from shallotshore.datagrams import seal_frame
 from shallotshore.listed_peers import ListedPeers
 from shallotshore.membership import Membership
-from shallotshore.messages import Address, CallerData, FabricPacket
+from shallotshore.messages import Address
 from shallotshore.records import Binding, Customer, DataCentre, Record, Service, Upstream
 from shallotshore.security import MacKeys
 
--- a/bench/messages.py
+++ b/bench/messages.py
@@ -2,22 +2,11 @@
 
 __all__ = ["run"]
 
+from shallotshore.claim_messages import Claim, ClaimReply
 from shallotshore.codes import Code
+from shallotshore.control_messages import Delta, HealthEvent, Heartbeat, RevisionOffer
 from shallotshore.datagrams import seal_frame
-from shallotshore.messages import (
-    Claim,
-    ClaimKind,
-    ClaimReply,
-    Delta,
-    Entry,
-    HealthEvent,
-    HealthState,
-    Heartbeat,
-    Load,
-    Message,
-    RevisionOffer,
-    Source,
-)
+from shallotshore.messages import ClaimKind, Entry, HealthState, Load, Message, Source
 from shallotshore.records import Upstream, key_of, to_text
 from shallotshore.security import MacKeys
 
--- a/bench/plain_balancer.py
+++ b/bench/plain_balancer.py
@@ -14,10 +14,7 @@
 
 from result import Ok
 
-from shallotshore.codes import Code, outcome_of
-from shallotshore.hashing import flow_key, name_id, rank, request_key
-from shallotshore.messages import (
-    Address,
+from shallotshore.caller_messages import (
     CallerAnswer,
     CallerClose,
     CallerData,
@@ -25,19 +22,21 @@
     CallerRequest,
     CallerReset,
     FabricPacket,
-    Message,
-    PlatformRead,
-    PlatformReply,
-    Source,
+)
+from shallotshore.codes import Code, outcome_of
+from shallotshore.control_messages import PlatformRead, PlatformReply
+from shallotshore.hashing import flow_key, name_id, rank, request_key
+from shallotshore.messages import Address, Message, Source
+from shallotshore.record_reader import read_record
+from shallotshore.records import Customer, DataCentre, Upstream
+from shallotshore.systems import Core
+from shallotshore.upstream_messages import (
     UpstreamAnswer,
     UpstreamClose,
     UpstreamData,
     UpstreamOpen,
     UpstreamRequest,
 )
-from shallotshore.record_reader import read_record
-from shallotshore.records import Customer, DataCentre, Upstream
-from shallotshore.systems import Core
 from standins.deployments import SERVER_PORT, Server
 from standins.processes import Site
 
--- a/bench/propagation.py
+++ b/bench/propagation.py
@@ -7,7 +7,7 @@
 
 from bench.fleet import Fleet
 from shallotshore import codec
-from shallotshore.messages import Delta, DeltaRequest, RevisionNotice, RevisionOffer
+from shallotshore.control_messages import Delta, DeltaRequest, RevisionNotice, RevisionOffer
 from shallotshore.records import DataCentre
 from standins.pump import Process
 
--- a/shallotshore/admission.py
+++ b/shallotshore/admission.py
@@ -2,10 +2,11 @@
 
 __all__ = ["AdmissionSystem", "can_open", "may_accept", "mismatch", "refusal_of_new_work"]
 
+from shallotshore.agent_messages import Attempt, Forward
 from shallotshore.agent_state import AgentState
 from shallotshore.codes import Code
 from shallotshore.fair_queue import is_over_share
-from shallotshore.messages import Attempt, Forward, HealthState
+from shallotshore.messages import HealthState
 from shallotshore.upstream_link import restart_ramp
 
 # A process that starts beside a running upstream cannot know what its predecessor has handed over:
--- a/shallotshore/agent.py
+++ b/shallotshore/agent.py
@@ -7,24 +7,17 @@
 import msgspec
 
 from shallotshore.admission import AdmissionSystem
+from shallotshore.agent_messages import Attempt, Forward
 from shallotshore.agent_state import AgentConfig, AgentState
 from shallotshore.catalog import Catalog
 from shallotshore.claiming import ClaimingSystem
 from shallotshore.claims import ClaimsSystem
+from shallotshore.control_messages import StatusReply
 from shallotshore.flows import FlowIntakeSystem, FlowSystem
 from shallotshore.handover import HandoverSystem
 from shallotshore.hashing import name_id
 from shallotshore.membership import Membership
-from shallotshore.messages import (
-    Attempt,
-    Forward,
-    Message,
-    StatusReply,
-    UpstreamAnswer,
-    UpstreamClose,
-    UpstreamData,
-    UpstreamHealth,
-)
+from shallotshore.messages import Message
 from shallotshore.outcomes import AnswerSystem
 from shallotshore.peering import PropagationConfig
 from shallotshore.peers import PeersSystem, extend_leases, hand_over
@@ -33,6 +26,12 @@
 from shallotshore.requests import RequestIntakeSystem, RequestSystem
 from shallotshore.systems import Core
 from shallotshore.upstream_link import UpstreamLinkSystem
+from shallotshore.upstream_messages import (
+    UpstreamAnswer,
+    UpstreamClose,
+    UpstreamData,
+    UpstreamHealth,
+)
 from shallotshore.wakeup import PAUSE_MS, WakeupGuard
 
 SLICE_LIMIT = 1 << 14  # records of one service, or VMs of one data centre
--- /dev/null
+++ b/shallotshore/agent_messages.py
@@ -0,0 +1,139 @@
+"""Messages between balancers and agents: packets of flows, and attempts of requests."""
+
+__all__ = [
+    "Attempt",
+    "AttemptAnswer",
+    "CancelAttempt",
+    "Cancelled",
+    "Declined",
+    "FlowHint",
+    "FlowReply",
+    "FlowReset",
+    "Forward",
+]
+
+from dataclasses import dataclass
+
+from shallotshore.messages import Address, Load, Message, PacketKind
+
+
+@dataclass(slots=True)
+class Forward(Message):
+    """A caller's packet on its way to the owner of the flow."""
+
+    key: int
+    kind: PacketKind
+    service: int
+    customer: int
+    flow: int
+    caller: Address
+    vip: Address
+    balancer: Address
+    candidates: tuple[int, ...]
+    hops: int
+    revision: int
+    payload: bytes
+
+
+@dataclass(slots=True)
+class FlowReply(Message):
+    """A packet from an upstream to the caller of a flow."""
+
+    key: int
+    service: int
+    customer: int
+    flow: int
+    caller: Address
+    vip: Address
+    upstream: int
+    load: Load
+    payload: bytes
+
+
+@dataclass(slots=True)
+class FlowReset(Message):
+    """No candidate named in a `Forward` owns the flow, or its owner is lost."""
+
+    key: int
+    flow: int
+    caller: Address
+    vip: Address
+    upstream: int
+    code: int
+    revision: int
+
+
+@dataclass(slots=True)
+class FlowHint(Message):
+    """Tells a balancer which upstream owns a flow that took an extra hop."""
+
+    key: int
+    upstream: int
+    lease: int
+
+
+@dataclass(slots=True)
+class Attempt(Message):
+    """One attempt to run a request; `attempt` is unique for each try of each balancer."""
+
+    key: int
+    attempt: int
+    service: int
+    customer: int
+    repeatable: bool
+    age: int
+    budget: int
+    caller: Address
+    vip: Address
+    balancer: Address
+    candidates: tuple[int, ...]
+    hops: int
+    revision: int
+    payload: bytes
+
+
+@dataclass(slots=True)
+class AttemptAnswer(Message):
+    """One part of the answer to an attempt."""
+
+    key: int
+    attempt: int
+    service: int
+    customer: int
+    upstream: int
+    code: int
+    part: int
+    parts: int
+    checksum: int
+    load: Load
+    payload: bytes
+
+
+@dataclass(slots=True)
+class Declined(Message):
+    """The attempt was refused before start by the upstream named; `code` says why."""
+
+    key: int
+    attempt: int
+    upstream: int
+    code: int
+    load: Load
+    revision: int
+
+
+@dataclass(slots=True)
+class CancelAttempt(Message):
+    """Asks the agent to stop an attempt."""
+
+    key: int
+    attempt: int
+
+
+@dataclass(slots=True)
+class Cancelled(Message):
+    """Answer to `CancelAttempt`; `in_time` only when the upstream had not started."""
+
+    key: int
+    attempt: int
+    upstream: int
+    in_time: bool
--- a/shallotshore/agent_tables.py
+++ b/shallotshore/agent_tables.py
@@ -19,7 +19,8 @@
 from collections import deque
 from enum import IntEnum
 
-from shallotshore.messages import Address, Attempt, Forward, HandedClaim
+from shallotshore.agent_messages import Attempt, Forward
+from shallotshore.messages import Address, HandedClaim
 from shallotshore.tables import Table
 
 
--- a/shallotshore/answers.py
+++ b/shallotshore/answers.py
@@ -2,7 +2,7 @@
 
 __all__ = ["AnswerParts"]
 
-from shallotshore.messages import AttemptAnswer
+from shallotshore.agent_messages import AttemptAnswer
 
 MAX_PARTS = 4_096
 _MAX_BYTES = 8 << 20  # all parts held; an answer refused by the bound is asked for again
--- a/shallotshore/application.py
+++ b/shallotshore/application.py
@@ -15,8 +15,9 @@
 from shallotshore import codec, status
 from shallotshore.codec import Transport
 from shallotshore.control import ControlClient, ControlServer
+from shallotshore.control_messages import PlatformRead, StatusReply, StatusRequest
 from shallotshore.datagrams import DatagramEndpoint
-from shallotshore.messages import Address, Message, PlatformRead, StatusReply, StatusRequest
+from shallotshore.messages import Address, Message
 from shallotshore.metrics import Latencies, Metrics, RequestTimes, label_with
 from shallotshore.platform import PlatformClient
 from shallotshore.security import MacKeys, MaterialError, TlsMaterial
--- a/shallotshore/balancer.py
+++ b/shallotshore/balancer.py
@@ -10,12 +10,13 @@
 from shallotshore.balancer_state import BalancerState, CatalogView, Peers
 from shallotshore.candidates import Candidates
 from shallotshore.catalog import Catalog
+from shallotshore.control_messages import StatusReply
 from shallotshore.dispatch import Dispatch
 from shallotshore.forwarding import Forwarding
 from shallotshore.ingress import Ingress
 from shallotshore.listed_peers import ListedPeers
 from shallotshore.membership import Membership
-from shallotshore.messages import Address, Source, StatusReply
+from shallotshore.messages import Address, Source
 from shallotshore.propagation import Propagation, PropagationConfig
 from shallotshore.systems import Core, System
 from shallotshore.tables import MISSING
--- a/shallotshore/balancer_state.py
+++ b/shallotshore/balancer_state.py
@@ -6,10 +6,11 @@
 from collections.abc import Callable, Sequence
 from typing import Protocol
 
+from shallotshore.caller_messages import FabricPacket
 from shallotshore.health import AnswerWindow, Exclusions, HealthTable
 from shallotshore.hints import HintTable
 from shallotshore.loads import LoadTable
-from shallotshore.messages import Address, FabricPacket, Message
+from shallotshore.messages import Address, Message
 from shallotshore.placement import Placement
 from shallotshore.systems import Counters, Inbox, Outbox
 
--- a/shallotshore/claiming.py
+++ b/shallotshore/claiming.py
@@ -4,9 +4,10 @@
 
 from shallotshore.agent_state import AgentState
 from shallotshore.agent_tables import ClaimingState
+from shallotshore.claim_messages import Claim, ClaimReply, Release
 from shallotshore.claims import FLOW_LEASE, REQUEST_LEASE, judge_claim, take_back
 from shallotshore.codes import Code
-from shallotshore.messages import Claim, ClaimKind, ClaimReply, Release
+from shallotshore.messages import ClaimKind
 from shallotshore.placement import REQUEST_LIFETIME_MS, quorum
 from shallotshore.tables import MISSING
 
--- a/shallotshore/claims.py
+++ b/shallotshore/claims.py
@@ -22,19 +22,10 @@
 
 from shallotshore.agent_state import ROUND_BITS, AgentState
 from shallotshore.agent_tables import ClaimState, ClaimTable, FlowState
+from shallotshore.claim_messages import Claim, ClaimReply, Release, Void, VoidReply
 from shallotshore.codes import Code
 from shallotshore.cursor import Cursor
-from shallotshore.messages import (
-    Address,
-    Claim,
-    ClaimKind,
-    ClaimReply,
-    HandedClaim,
-    Message,
-    Release,
-    Void,
-    VoidReply,
-)
+from shallotshore.messages import Address, ClaimKind, HandedClaim, Message
 from shallotshore.tables import MISSING
 
 PACKET_DELAY = 2_000  # ms; greatest delay of a packet that the design allows for
--- a/shallotshore/codec.py
+++ b/shallotshore/codec.py
@@ -22,7 +22,13 @@
 from msgspec import Meta
 from result import Err, Ok, Result
 
-from shallotshore import messages
+from shallotshore import (
+    agent_messages,
+    caller_messages,
+    claim_messages,
+    control_messages,
+    upstream_messages,
+)
 from shallotshore.codes import Code
 from shallotshore.messages import Address, Message
 
@@ -35,51 +41,51 @@
 
 # Numbers of kinds are part of the protocol: they are never changed and never given out again.
 _KINDS: dict[int, type[Message]] = {
-    1: messages.CallerOpen,
-    2: messages.CallerData,
-    3: messages.CallerClose,
-    4: messages.CallerReset,
-    5: messages.CallerRequest,
-    6: messages.CallerCancel,
-    7: messages.CallerAnswer,
-    8: messages.FabricPacket,
-    16: messages.Forward,
-    17: messages.FlowReply,
-    18: messages.FlowReset,
-    19: messages.FlowHint,
-    20: messages.Attempt,
-    21: messages.AttemptAnswer,
-    22: messages.Declined,
-    23: messages.CancelAttempt,
-    24: messages.Cancelled,
-    32: messages.Claim,
-    33: messages.ClaimReply,
-    34: messages.Release,
-    35: messages.ClaimSync,
-    36: messages.ClaimQuery,
-    37: messages.Void,
-    38: messages.VoidReply,
-    39: messages.Handover,
-    40: messages.HandoverReceived,
-    41: messages.HandoverQuery,
-    48: messages.Heartbeat,
-    49: messages.HealthEvent,
-    56: messages.RevisionNotice,
-    57: messages.RevisionOffer,
-    58: messages.DeltaRequest,
-    59: messages.Delta,
-    64: messages.PlatformRead,
-    65: messages.PlatformReply,
-    72: messages.StatusRequest,
-    73: messages.StatusReply,
-    80: messages.UpstreamProbe,
-    81: messages.UpstreamHealth,
-    82: messages.UpstreamOpen,
-    83: messages.UpstreamData,
-    84: messages.UpstreamClose,
-    85: messages.UpstreamRequest,
-    86: messages.UpstreamCancel,
-    87: messages.UpstreamAnswer,
+    1: caller_messages.CallerOpen,
+    2: caller_messages.CallerData,
+    3: caller_messages.CallerClose,
+    4: caller_messages.CallerReset,
+    5: caller_messages.CallerRequest,
+    6: caller_messages.CallerCancel,
+    7: caller_messages.CallerAnswer,
+    8: caller_messages.FabricPacket,
+    16: agent_messages.Forward,
+    17: agent_messages.FlowReply,
+    18: agent_messages.FlowReset,
+    19: agent_messages.FlowHint,
+    20: agent_messages.Attempt,
+    21: agent_messages.AttemptAnswer,
+    22: agent_messages.Declined,
+    23: agent_messages.CancelAttempt,
+    24: agent_messages.Cancelled,
+    32: claim_messages.Claim,
+    33: claim_messages.ClaimReply,
+    34: claim_messages.Release,
+    35: claim_messages.ClaimSync,
+    36: claim_messages.ClaimQuery,
+    37: claim_messages.Void,
+    38: claim_messages.VoidReply,
+    39: claim_messages.Handover,
+    40: claim_messages.HandoverReceived,
+    41: claim_messages.HandoverQuery,
+    48: control_messages.Heartbeat,
+    49: control_messages.HealthEvent,
+    56: control_messages.RevisionNotice,
+    57: control_messages.RevisionOffer,
+    58: control_messages.DeltaRequest,
+    59: control_messages.Delta,
+    64: control_messages.PlatformRead,
+    65: control_messages.PlatformReply,
+    72: control_messages.StatusRequest,
+    73: control_messages.StatusReply,
+    80: upstream_messages.UpstreamProbe,
+    81: upstream_messages.UpstreamHealth,
+    82: upstream_messages.UpstreamOpen,
+    83: upstream_messages.UpstreamData,
+    84: upstream_messages.UpstreamClose,
+    85: upstream_messages.UpstreamRequest,
+    86: upstream_messages.UpstreamCancel,
+    87: upstream_messages.UpstreamAnswer,
 }
 _NESTED_KINDS = frozenset(range(1, 8))  # what a FabricPacket may carry: messages of callers
 
@@ -99,38 +105,38 @@
     return Transport.AUTHENTICATED
 
 
-@transport_of.register(messages.CallerOpen)
-@transport_of.register(messages.CallerData)
-@transport_of.register(messages.CallerClose)
-@transport_of.register(messages.CallerReset)
-@transport_of.register(messages.CallerRequest)
-@transport_of.register(messages.CallerCancel)
-@transport_of.register(messages.CallerAnswer)
-@transport_of.register(messages.FabricPacket)
-@transport_of.register(messages.UpstreamProbe)
-@transport_of.register(messages.UpstreamHealth)
-@transport_of.register(messages.UpstreamOpen)
-@transport_of.register(messages.UpstreamData)
-@transport_of.register(messages.UpstreamClose)
-@transport_of.register(messages.UpstreamRequest)
-@transport_of.register(messages.UpstreamCancel)
-@transport_of.register(messages.UpstreamAnswer)
+@transport_of.register(caller_messages.CallerOpen)
+@transport_of.register(caller_messages.CallerData)
+@transport_of.register(caller_messages.CallerClose)
+@transport_of.register(caller_messages.CallerReset)
+@transport_of.register(caller_messages.CallerRequest)
+@transport_of.register(caller_messages.CallerCancel)
+@transport_of.register(caller_messages.CallerAnswer)
+@transport_of.register(caller_messages.FabricPacket)
+@transport_of.register(upstream_messages.UpstreamProbe)
+@transport_of.register(upstream_messages.UpstreamHealth)
+@transport_of.register(upstream_messages.UpstreamOpen)
+@transport_of.register(upstream_messages.UpstreamData)
+@transport_of.register(upstream_messages.UpstreamClose)
+@transport_of.register(upstream_messages.UpstreamRequest)
+@transport_of.register(upstream_messages.UpstreamCancel)
+@transport_of.register(upstream_messages.UpstreamAnswer)
 def _(message: Message) -> Transport:
     return Transport.PLAIN
 
 
-@transport_of.register(messages.RevisionOffer)
-@transport_of.register(messages.DeltaRequest)
-@transport_of.register(messages.Delta)
-@transport_of.register(messages.HealthEvent)
-@transport_of.register(messages.StatusRequest)
-@transport_of.register(messages.StatusReply)
+@transport_of.register(control_messages.RevisionOffer)
+@transport_of.register(control_messages.DeltaRequest)
+@transport_of.register(control_messages.Delta)
+@transport_of.register(control_messages.HealthEvent)
+@transport_of.register(control_messages.StatusRequest)
+@transport_of.register(control_messages.StatusReply)
 def _(message: Message) -> Transport:
     return Transport.CONTROL
 
 
-@transport_of.register(messages.PlatformRead)
-@transport_of.register(messages.PlatformReply)
+@transport_of.register(control_messages.PlatformRead)
+@transport_of.register(control_messages.PlatformReply)
 def _(message: Message) -> Transport:
     return Transport.PLATFORM
 
--- a/shallotshore/control.py
+++ b/shallotshore/control.py
@@ -14,14 +14,8 @@
 from shallotshore import codec
 from shallotshore.codec import Transport
 from shallotshore.codes import Code
-from shallotshore.messages import (
-    Address,
-    Message,
-    PlatformRead,
-    PlatformReply,
-    StatusReply,
-    StatusRequest,
-)
+from shallotshore.control_messages import PlatformRead, PlatformReply, StatusReply, StatusRequest
+from shallotshore.messages import Address, Message
 from shallotshore.security import TlsMaterial
 from shallotshore.systems import Counters
 
--- a/shallotshore/dispatch.py
+++ b/shallotshore/dispatch.py
@@ -4,22 +4,15 @@
 
 from functools import singledispatchmethod
 
+from shallotshore.agent_messages import Attempt, AttemptAnswer, Cancelled, Declined
 from shallotshore.balancer_state import BalancerState
+from shallotshore.caller_messages import CallerAnswer, CallerCancel, CallerRequest
 from shallotshore.candidates import Candidates
 from shallotshore.codes import Code, Outcome
 from shallotshore.endings import Endings
 from shallotshore.hashing import request_key
 from shallotshore.ingress import CallerPacket, Ingress
-from shallotshore.messages import (
-    Attempt,
-    AttemptAnswer,
-    CallerAnswer,
-    CallerCancel,
-    CallerRequest,
-    Cancelled,
-    Declined,
-    Message,
-)
+from shallotshore.messages import Message
 from shallotshore.pending import PendingState
 from shallotshore.placement import REQUEST_LIFETIME_MS
 from shallotshore.retries import MAX_ATTEMPTS, RetryBudget, backoff
--- a/shallotshore/endings.py
+++ b/shallotshore/endings.py
@@ -2,10 +2,12 @@
 
 __all__ = ["Endings"]
 
+from shallotshore.agent_messages import AttemptAnswer, CancelAttempt
 from shallotshore.answers import AnswerParts
 from shallotshore.balancer_state import BalancerState
+from shallotshore.caller_messages import CallerAnswer
 from shallotshore.codes import Code, Outcome
-from shallotshore.messages import Address, AttemptAnswer, CallerAnswer, CancelAttempt
+from shallotshore.messages import Address
 from shallotshore.pending import PendingState, PendingTable
 from shallotshore.placement import REQUEST_LIFETIME_MS
 from shallotshore.shares import FairShare
--- a/shallotshore/flows.py
+++ b/shallotshore/flows.py
@@ -3,31 +3,22 @@
 __all__ = ["FlowIntakeSystem", "FlowSystem"]
 
 from shallotshore.admission import can_open, mismatch
+from shallotshore.agent_messages import FlowHint, FlowReply, FlowReset, Forward
 from shallotshore.agent_state import HEARD_LATELY, HOLDER_SILENCE, AgentState
 from shallotshore.agent_tables import ClaimingState, ClaimState, FlowState
+from shallotshore.claim_messages import Release
 from shallotshore.claiming import begin_claim, end_claim, give_back
 from shallotshore.claims import live_holder
 from shallotshore.codes import Code
 from shallotshore.cursor import Cursor
 from shallotshore.hashing import flow_key
-from shallotshore.messages import (
-    Address,
-    ClaimKind,
-    FlowHint,
-    FlowReply,
-    FlowReset,
-    Forward,
-    PacketKind,
-    Release,
-    UpstreamClose,
-    UpstreamData,
-    UpstreamOpen,
-)
+from shallotshore.messages import Address, ClaimKind, PacketKind
 from shallotshore.passing import next_candidate, pass_to
 from shallotshore.peers import lend, take_home, tell_incarnation
 from shallotshore.placement import quorum
 from shallotshore.tables import MISSING
 from shallotshore.upstream_link import note_data
+from shallotshore.upstream_messages import UpstreamClose, UpstreamData, UpstreamOpen
 
 CLAIM_TIME = 1_000  # ms; a caller resends its opening packet well within it
 HINT_LEASE = 30_000  # ms; the life of a flow claim
--- a/shallotshore/following.py
+++ b/shallotshore/following.py
@@ -2,8 +2,9 @@
 
 __all__ = ["Following"]
 
+from shallotshore.control_messages import DeltaRequest, RevisionOffer
 from shallotshore.intake import Intake
-from shallotshore.messages import Address, DeltaRequest, RevisionOffer, Source
+from shallotshore.messages import Address, Source
 from shallotshore.peering import Peering
 
 OFFER_MS = 1000
--- a/shallotshore/forwarding.py
+++ b/shallotshore/forwarding.py
@@ -5,25 +5,15 @@
 from array import array
 from functools import singledispatchmethod
 
+from shallotshore.agent_messages import FlowHint, FlowReply, FlowReset, Forward
 from shallotshore.balancer_state import BalancerState
+from shallotshore.caller_messages import CallerClose, CallerData, CallerOpen, CallerReset
 from shallotshore.candidates import MAX_CANDIDATES, Candidates
 from shallotshore.codes import Code
 from shallotshore.hashing import flow_key
 from shallotshore.hints import HINT_LEASE_MS
 from shallotshore.ingress import CallerPacket, Ingress
-from shallotshore.messages import (
-    Address,
-    CallerClose,
-    CallerData,
-    CallerOpen,
-    CallerReset,
-    FlowHint,
-    FlowReply,
-    FlowReset,
-    Forward,
-    Message,
-    PacketKind,
-)
+from shallotshore.messages import Address, Message, PacketKind
 from shallotshore.token_bucket import TokenBucket
 
 _RECENT_BITS = 11  # 2,048 packets: the traffic of some round trips between data centres
--- a/shallotshore/handover.py
+++ b/shallotshore/handover.py
@@ -12,16 +12,9 @@
 
 from shallotshore.agent_state import AgentState
 from shallotshore.agent_tables import HandoverTable
+from shallotshore.claim_messages import Handover, HandoverQuery, HandoverReceived
 from shallotshore.claims import handed_claims, take_handed
-from shallotshore.messages import (
-    Address,
-    HandedClaim,
-    Handover,
-    HandoverQuery,
-    HandoverReceived,
-    HealthState,
-    Message,
-)
+from shallotshore.messages import Address, HandedClaim, HealthState, Message
 from shallotshore.tables import MISSING
 
 CLAIMS_PER_PART = 16  # keeps a datagram below 1,200 bytes
--- a/shallotshore/ingress.py
+++ b/shallotshore/ingress.py
@@ -6,9 +6,7 @@
 from functools import singledispatchmethod
 
 from shallotshore.balancer_state import BalancerState
-from shallotshore.codes import Code, Outcome
-from shallotshore.messages import (
-    Address,
+from shallotshore.caller_messages import (
     CallerAnswer,
     CallerCancel,
     CallerClose,
@@ -17,8 +15,9 @@
     CallerRequest,
     CallerReset,
     FabricPacket,
-    Message,
 )
+from shallotshore.codes import Code, Outcome
+from shallotshore.messages import Address, Message
 
 
 @dataclass(slots=True)
--- a/shallotshore/intake.py
+++ b/shallotshore/intake.py
@@ -2,7 +2,8 @@
 
 __all__ = ["Intake"]
 
-from shallotshore.messages import Address, Delta, DeltaRequest, Source
+from shallotshore.control_messages import Delta, DeltaRequest
+from shallotshore.messages import Address, Source
 from shallotshore.peering import NEVER, Peering
 from shallotshore.replica import Applied, Update
 
--- a/shallotshore/metrics.py
+++ b/shallotshore/metrics.py
@@ -11,13 +11,8 @@
 import statsd
 from hdrh.histogram import HdrHistogram
 
-from shallotshore.messages import (
-    Address,
-    CallerAnswer,
-    CallerRequest,
-    FabricPacket,
-    Message,
-)
+from shallotshore.caller_messages import CallerAnswer, CallerRequest, FabricPacket
+from shallotshore.messages import Address, Message
 from shallotshore.systems import Counters
 
 OTHER = "other"
--- a/shallotshore/operator_commands.py
+++ b/shallotshore/operator_commands.py
@@ -12,8 +12,8 @@
 
 from shallotshore.check import check_directory, explain
 from shallotshore.control import ControlClient, PeerRefusedError
+from shallotshore.control_messages import StatusRequest
 from shallotshore.diff import diff_directories
-from shallotshore.messages import StatusRequest
 from shallotshore.security import MaterialError, TlsMaterial
 from shallotshore.settings import Settings, read_settings, report_problems
 from shallotshore.status import render_text
--- a/shallotshore/outcomes.py
+++ b/shallotshore/outcomes.py
@@ -15,24 +15,16 @@
 from dataclasses import replace
 from functools import singledispatch
 
+from shallotshore.agent_messages import Attempt, AttemptAnswer, CancelAttempt, Cancelled, Declined
 from shallotshore.agent_state import AgentState
 from shallotshore.agent_tables import RequestState
 from shallotshore.claiming import give_back
 from shallotshore.codes import Code
-from shallotshore.messages import (
-    Address,
-    Attempt,
-    AttemptAnswer,
-    CancelAttempt,
-    Cancelled,
-    Declined,
-    Message,
-    UpstreamAnswer,
-    UpstreamCancel,
-)
+from shallotshore.messages import Address, Message
 from shallotshore.passing import next_candidate, pass_to
 from shallotshore.tables import MISSING
 from shallotshore.upstream_link import note_upstream, restart_ramp
+from shallotshore.upstream_messages import UpstreamAnswer, UpstreamCancel
 
 MAX_PARTS = 4_096  # parts of one answer: 4 MB at 1 KB a part
 PASSED_LIFE = 10_000  # ms; the greatest lifetime of a request
--- a/shallotshore/passing.py
+++ b/shallotshore/passing.py
@@ -4,8 +4,8 @@
 
 from dataclasses import replace
 
+from shallotshore.agent_messages import Attempt, Forward
 from shallotshore.agent_state import AgentState
-from shallotshore.messages import Attempt, Forward
 
 MAX_HOPS = 6  # three candidates, a holder, and a second holder when claims change hands meanwhile
 
--- a/shallotshore/peers.py
+++ b/shallotshore/peers.py
@@ -6,6 +6,7 @@
 
 from shallotshore.agent_state import AgentState
 from shallotshore.agent_tables import ClaimState, FlowState
+from shallotshore.claim_messages import Claim, ClaimQuery, ClaimReply, ClaimSync
 from shallotshore.claiming import DISPUTE_ROUND
 from shallotshore.claims import (
     FLOW_LEASE,
@@ -16,17 +17,8 @@
     record_flow_claim,
 )
 from shallotshore.codes import Code
-from shallotshore.messages import (
-    Address,
-    Claim,
-    ClaimKind,
-    ClaimQuery,
-    ClaimReply,
-    ClaimSync,
-    HealthState,
-    Heartbeat,
-    Message,
-)
+from shallotshore.control_messages import Heartbeat
+from shallotshore.messages import Address, ClaimKind, HealthState, Message
 from shallotshore.placement import WITNESSES
 from shallotshore.tables import MISSING
 
--- a/shallotshore/pending.py
+++ b/shallotshore/pending.py
@@ -6,7 +6,8 @@
 from array import array
 from enum import IntEnum
 
-from shallotshore.messages import Address, CallerAnswer
+from shallotshore.caller_messages import CallerAnswer
+from shallotshore.messages import Address
 from shallotshore.placement import REQUEST_LIFETIME_MS
 from shallotshore.tables import MISSING, Table
 
--- a/shallotshore/platform.py
+++ b/shallotshore/platform.py
@@ -7,7 +7,8 @@
 
 from shallotshore.codes import Code
 from shallotshore.control import ControlClient, PeerRefusedError
-from shallotshore.messages import Address, Message, PlatformRead, PlatformReply
+from shallotshore.control_messages import PlatformRead, PlatformReply
+from shallotshore.messages import Address, Message
 from shallotshore.systems import Counters
 
 _READS_IN_PROGRESS = 16  # a core keeps one watch and one poll per service and address
--- a/shallotshore/platform_reader.py
+++ b/shallotshore/platform_reader.py
@@ -3,10 +3,11 @@
 __all__ = ["PlatformReader"]
 
 from shallotshore.codes import Code
+from shallotshore.control_messages import PlatformRead, PlatformReply
 from shallotshore.hashing import address_key, rank
 from shallotshore.intake import Intake
 from shallotshore.membership import READERS
-from shallotshore.messages import Address, PlatformRead, PlatformReply, Source
+from shallotshore.messages import Address, Source
 from shallotshore.peering import NEVER, Peering
 
 WATCH_MS = 10_000  # a watch costs one read, so it lasts long
--- a/shallotshore/propagation.py
+++ b/shallotshore/propagation.py
@@ -6,10 +6,11 @@
 from typing import Protocol
 
 from shallotshore.catalog import Catalog
+from shallotshore.control_messages import RevisionNotice
 from shallotshore.following import Following
 from shallotshore.intake import Intake
 from shallotshore.membership import Membership
-from shallotshore.messages import Address, RevisionNotice, Source
+from shallotshore.messages import Address, Source
 from shallotshore.peering import NEVER, Peering, PropagationConfig
 from shallotshore.platform_reader import PlatformReader
 from shallotshore.relay import Relay
--- a/shallotshore/relay.py
+++ b/shallotshore/relay.py
@@ -5,16 +5,9 @@
 from collections import deque
 from collections.abc import Iterator
 
+from shallotshore.control_messages import Delta, DeltaRequest, RevisionNotice, RevisionOffer
 from shallotshore.intake import Intake
-from shallotshore.messages import (
-    Address,
-    Delta,
-    DeltaRequest,
-    Entry,
-    RevisionNotice,
-    RevisionOffer,
-    Source,
-)
+from shallotshore.messages import Address, Entry, Source
 from shallotshore.peering import Peering
 from shallotshore.platform_reader import PlatformReader
 
--- a/shallotshore/requests.py
+++ b/shallotshore/requests.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 
 from shallotshore.admission import may_accept, mismatch
+from shallotshore.agent_messages import Attempt
 from shallotshore.agent_state import AgentState
 from shallotshore.agent_tables import ClaimingState, ClaimState, RequestState
 from shallotshore.claiming import begin_claim, end_claim
@@ -12,7 +13,7 @@
 from shallotshore.codes import Code
 from shallotshore.cursor import Cursor
 from shallotshore.fair_queue import enqueue, next_queued
-from shallotshore.messages import Attempt, ClaimKind, UpstreamCancel, UpstreamRequest
+from shallotshore.messages import ClaimKind
 from shallotshore.outcomes import (
     abandon,
     attempt_for,
@@ -26,6 +27,7 @@
 from shallotshore.passing import next_candidate
 from shallotshore.tables import MISSING
 from shallotshore.upstream_link import restart_ramp
+from shallotshore.upstream_messages import UpstreamCancel, UpstreamRequest
 
 MAX_LIFETIME = 10_000  # ms; age plus budget of a request
 LEAVING_GRACE = 1_500  # ms to start accepted requests; with the spread of a revision below 3 s
--- a/shallotshore/status.py
+++ b/shallotshore/status.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from shallotshore import __version__
-from shallotshore.messages import StatusReply
+from shallotshore.control_messages import StatusReply
 
 REPORT_LIMIT = 256 * 1024  # bytes, so that a report fits one call and a terminal's history
 _LINES = 4000
--- a/shallotshore/upstream_link.py
+++ b/shallotshore/upstream_link.py
@@ -3,7 +3,7 @@
 __all__ = ["UpstreamLinkSystem", "note_data", "note_upstream", "restart_ramp"]
 
 from shallotshore.agent_state import AgentState
-from shallotshore.messages import UpstreamHealth, UpstreamProbe
+from shallotshore.upstream_messages import UpstreamHealth, UpstreamProbe
 
 PROBE_INTERVAL = 50  # ms; also the time within which work may cross a restart unnoticed
 
--- a/shallotshore/verdicts.py
+++ b/shallotshore/verdicts.py
@@ -5,8 +5,8 @@
 from array import array
 
 from shallotshore.balancer_state import BalancerState
+from shallotshore.claim_messages import Void, VoidReply
 from shallotshore.codes import Code
-from shallotshore.messages import Void, VoidReply
 from shallotshore.pending import CLAIM_LEASE_MS
 from shallotshore.placement import quorum
 from shallotshore.tables import MISSING, Table
--- a/shallotshore/watching.py
+++ b/shallotshore/watching.py
@@ -5,7 +5,8 @@
 from array import array
 
 from shallotshore.balancer_state import BalancerState
-from shallotshore.messages import HealthEvent, HealthState, Heartbeat
+from shallotshore.control_messages import HealthEvent, Heartbeat
+from shallotshore.messages import HealthState
 from shallotshore.tables import MISSING, Table
 from shallotshore.token_bucket import TokenBucket
 
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -6,9 +6,7 @@
 
 import msgspec
 
-from shallotshore.codes import Code, Outcome
-from shallotshore.messages import (
-    Address,
+from shallotshore.caller_messages import (
     CallerAnswer,
     CallerCancel,
     CallerClose,
@@ -17,6 +15,8 @@
     CallerRequest,
     CallerReset,
 )
+from shallotshore.codes import Code, Outcome
+from shallotshore.messages import Address
 from shallotshore.systems import Core
 from shallotshore.tables import MISSING
 from standins.application import FeedPacket, Order, answer_of, checksum_of, decode_feed, encode
--- a/standins/configuration_service.py
+++ b/standins/configuration_service.py
@@ -6,7 +6,8 @@
 from enum import Enum
 
 from shallotshore.codes import Code
-from shallotshore.messages import Address, Entry, PlatformRead, PlatformReply, Source
+from shallotshore.control_messages import PlatformRead, PlatformReply
+from shallotshore.messages import Address, Entry, Source
 from shallotshore.systems import Core
 
 READS_PER_SECOND = 2000  # the platform's limit across all readers; a waiting watch counts as one
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -21,7 +21,7 @@
 
 from shallotshore.application import clock
 from shallotshore.control import ControlClient, PeerRefusedError
-from shallotshore.messages import StatusRequest
+from shallotshore.control_messages import StatusRequest
 from shallotshore.systems import Counters
 from standins.checker import SECONDS_TO_OBEY, judge
 from standins.demo_table import rows_of, table
--- a/standins/fabric.py
+++ b/standins/fabric.py
@@ -5,7 +5,8 @@
 import random
 from dataclasses import dataclass
 
-from shallotshore.messages import Address, FabricPacket, Message
+from shallotshore.caller_messages import FabricPacket
+from shallotshore.messages import Address, Message
 from shallotshore.systems import Core
 
 
--- a/standins/run.py
+++ b/standins/run.py
@@ -13,8 +13,9 @@
 from absl import app, flags
 
 from shallotshore import messages
+from shallotshore.caller_messages import FabricPacket
 from shallotshore.hashing import flow_key, request_key
-from shallotshore.messages import Address, FabricPacket, Message
+from shallotshore.messages import Address, Message
 from standins.pump import Process
 from standins.scenario import Scenario
 from standins.world import World
--- a/standins/sightings.py
+++ b/standins/sightings.py
@@ -2,7 +2,8 @@
 
 __all__ = ["Sightings"]
 
-from shallotshore.messages import Address, Attempt, Forward, Message
+from shallotshore.agent_messages import Attempt, Forward
+from shallotshore.messages import Address, Message
 from standins.pump import Process, Pump
 
 AGENT_SUFFIX = ".agent"
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -8,8 +8,10 @@
 
 from shallotshore.codes import Code
 from shallotshore.hashing import name_id
-from shallotshore.messages import (
-    Address,
+from shallotshore.messages import Address
+from shallotshore.systems import Core
+from shallotshore.tables import MISSING
+from shallotshore.upstream_messages import (
     UpstreamAnswer,
     UpstreamCancel,
     UpstreamClose,
@@ -19,8 +21,6 @@
     UpstreamProbe,
     UpstreamRequest,
 )
-from shallotshore.systems import Core
-from shallotshore.tables import MISSING
 from standins.application import (
     FeedPacket,
     Order,
--- a/standins/upstream_state.py
+++ b/standins/upstream_state.py
@@ -14,8 +14,9 @@
 from dataclasses import dataclass, field
 from enum import Enum, IntEnum
 
-from shallotshore.messages import Address, UpstreamRequest
+from shallotshore.messages import Address
 from shallotshore.tables import Table
+from shallotshore.upstream_messages import UpstreamRequest
 from standins.application import FeedPacket, Order
 
 
--- a/tests/agents.py
+++ b/tests/agents.py
@@ -23,24 +23,12 @@
 import xxhash
 
 from shallotshore.agent import AgentConfig, AgentCore
+from shallotshore.agent_messages import Attempt, Forward
 from shallotshore.catalog import Catalog
 from shallotshore.codes import Code
 from shallotshore.hashing import flow_key, name_id, request_key
 from shallotshore.membership import Membership
-from shallotshore.messages import (
-    Address,
-    Attempt,
-    Entry,
-    Forward,
-    Message,
-    PacketKind,
-    UpstreamAnswer,
-    UpstreamData,
-    UpstreamHealth,
-    UpstreamOpen,
-    UpstreamProbe,
-    UpstreamRequest,
-)
+from shallotshore.messages import Address, Entry, Message, PacketKind
 from shallotshore.records import (
     Binding,
     Customer,
@@ -51,6 +39,14 @@
     key_of,
     to_text,
 )
+from shallotshore.upstream_messages import (
+    UpstreamAnswer,
+    UpstreamData,
+    UpstreamHealth,
+    UpstreamOpen,
+    UpstreamProbe,
+    UpstreamRequest,
+)
 
 VIP: Address = ("10.9.0.1", 443)
 OTHER_VIP: Address = ("10.9.0.2", 443)
--- a/tests/balancer_fakes.py
+++ b/tests/balancer_fakes.py
@@ -3,16 +3,10 @@
 import random
 from dataclasses import dataclass, field
 
+from shallotshore.agent_messages import Attempt, AttemptAnswer
 from shallotshore.balancer import BalancerConfig, BalancerCore
-from shallotshore.messages import (
-    Address,
-    Attempt,
-    AttemptAnswer,
-    CallerRequest,
-    FabricPacket,
-    Load,
-    Message,
-)
+from shallotshore.caller_messages import CallerRequest, FabricPacket
+from shallotshore.messages import Address, Load, Message
 
 FABRIC = ("fabric", 1)
 CALLER = ("caller", 7)
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -4,24 +4,18 @@
 import unittest
 
 from shallotshore.agent import AgentConfig, AgentCore
+from shallotshore.agent_messages import AttemptAnswer, FlowHint, FlowReply, FlowReset
 from shallotshore.catalog import Catalog
 from shallotshore.codes import Code
-from shallotshore.hashing import flow_key, request_key
-from shallotshore.messages import (
-    AttemptAnswer,
+from shallotshore.control_messages import (
     Delta,
     DeltaRequest,
-    Entry,
-    FlowHint,
-    FlowReply,
-    FlowReset,
     Heartbeat,
-    Message,
-    PacketKind,
     RevisionNotice,
     RevisionOffer,
-    Source,
 )
+from shallotshore.hashing import flow_key, request_key
+from shallotshore.messages import Entry, Message, PacketKind, Source
 from shallotshore.records import Customer, to_text
 from tests.agents import BALANCER, CALLER, VIP, Fleet, attempt, packet, records
 
--- a/tests/test_application.py
+++ b/tests/test_application.py
@@ -7,18 +7,15 @@
 
 from shallotshore.application import TICK_INTERVAL, Application, ApplicationConfig, clock
 from shallotshore.codes import Code
-from shallotshore.messages import (
-    Address,
+from shallotshore.control_messages import (
     HealthEvent,
-    HealthState,
-    Message,
     PlatformRead,
     PlatformReply,
     RevisionNotice,
-    Source,
     StatusReply,
     StatusRequest,
 )
+from shallotshore.messages import Address, HealthState, Message, Source
 from shallotshore.status import render_text
 from shallotshore.systems import Core
 from tests.loopback import free_address, until
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -2,18 +2,17 @@
 
 import unittest
 
-from shallotshore.codes import Code, Outcome
-from shallotshore.hashing import flow_key
-from shallotshore.messages import (
+from shallotshore.agent_messages import FlowReply, Forward
+from shallotshore.caller_messages import (
     CallerAnswer,
     CallerData,
     CallerOpen,
     CallerRequest,
     CallerReset,
     FabricPacket,
-    FlowReply,
-    Forward,
 )
+from shallotshore.codes import Code, Outcome
+from shallotshore.hashing import flow_key
 from tests.balancer_fakes import (
     CALLER,
     CUSTOMER,
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -8,10 +8,12 @@
 from shallotshore.agent_state import ROUND_BITS
 from shallotshore.agent_tables import ClaimState
 from shallotshore.catalog import Catalog
+from shallotshore.claim_messages import Claim, Release, Void, VoidReply
 from shallotshore.claims import REQUEST_LEASE, TOMBSTONE_LEASE, judge_claim, live_holder, take_back
 from shallotshore.codes import Code
+from shallotshore.control_messages import Heartbeat
 from shallotshore.membership import Membership
-from shallotshore.messages import Claim, ClaimKind, Heartbeat, Release, Void, VoidReply
+from shallotshore.messages import ClaimKind
 from tests.agents import SERVICE, records
 
 OLD = 100_000  # ms of uptime: the witness vouches for every request
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -11,14 +11,24 @@
 from hypothesis import strategies as st
 from result import Err, Ok
 
-from shallotshore import codec, messages
+from shallotshore import (
+    agent_messages,
+    caller_messages,
+    claim_messages,
+    codec,
+    control_messages,
+    upstream_messages,
+)
+from shallotshore.caller_messages import FabricPacket
 from shallotshore.codes import Code
-from shallotshore.messages import Address, FabricPacket, Message
+from shallotshore.messages import Address, Message
 
+MODULES = (agent_messages, caller_messages, claim_messages, control_messages, upstream_messages)
 ALL_TYPES = sorted(
     (
         value
-        for value in vars(messages).values()
+        for module in MODULES
+        for value in vars(module).values()
         if isinstance(value, type) and issubclass(value, Message) and value is not Message
     ),
     key=lambda message_type: message_type.__name__,
@@ -106,12 +116,12 @@
         self.assertEqual(codec.decode(data), Err(Code.MESSAGE_MALFORMED))
 
     def test_a_fabric_packet_carries_only_callers_messages(self) -> None:
-        inner = FabricPacket(("a", 1), ("b", 2), messages.CallerClose(1))
+        inner = FabricPacket(("a", 1), ("b", 2), caller_messages.CallerClose(1))
         outer = FabricPacket(("a", 1), ("b", 2), inner)
         self.assertEqual(codec.decode(codec.encode(outer)), Err(Code.MESSAGE_MALFORMED))
 
     def test_codes_tell_the_faults_apart(self) -> None:
-        whole = codec.encode(messages.CallerOpen(1, b"payload"))
+        whole = codec.encode(caller_messages.CallerOpen(1, b"payload"))
         self.assertEqual(codec.decode(b""), Err(Code.MESSAGE_TRUNCATED))
         self.assertEqual(codec.decode(whole[:-1]), Err(Code.MESSAGE_TRUNCATED))
         self.assertEqual(codec.decode(b"\xff" + whole), Err(Code.MESSAGE_KIND_UNKNOWN))
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -7,18 +7,14 @@
 from shallotshore import codec
 from shallotshore.codes import Code
 from shallotshore.control import EXCHANGE, ControlClient, ControlServer, PeerRefusedError
-from shallotshore.messages import (
-    Address,
-    Entry,
+from shallotshore.control_messages import (
     HealthEvent,
-    HealthState,
-    Message,
     PlatformRead,
     PlatformReply,
-    Source,
     StatusReply,
     StatusRequest,
 )
+from shallotshore.messages import Address, Entry, HealthState, Message, Source
 from shallotshore.systems import Counters
 from tests.loopback import free_address, until
 
--- a/tests/test_datagrams.py
+++ b/tests/test_datagrams.py
@@ -9,21 +9,14 @@
 from hypothesis import strategies as st
 from result import Err
 
+from shallotshore.caller_messages import CallerClose, CallerData, FabricPacket
 from shallotshore.codes import Code
+from shallotshore.control_messages import Delta, RevisionNotice
 from shallotshore.datagrams import DatagramEndpoint, open_frame, seal_frame
-from shallotshore.messages import (
-    Address,
-    CallerClose,
-    CallerData,
-    Delta,
-    FabricPacket,
-    Message,
-    RevisionNotice,
-    Source,
-    UpstreamProbe,
-)
+from shallotshore.messages import Address, Message, Source
 from shallotshore.security import MacKeys, MaterialError
 from shallotshore.systems import Counters
+from shallotshore.upstream_messages import UpstreamProbe
 from tests.loopback import free_address, until
 
 OLD, NEW = b"o" * 32, b"n" * 32
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -2,18 +2,11 @@
 
 import unittest
 
+from shallotshore.agent_messages import Attempt, CancelAttempt, Declined
+from shallotshore.caller_messages import CallerAnswer, CallerCancel, CallerRequest
+from shallotshore.claim_messages import Void, VoidReply
 from shallotshore.codes import Code, Outcome
-from shallotshore.messages import (
-    Attempt,
-    CallerAnswer,
-    CallerCancel,
-    CallerRequest,
-    CancelAttempt,
-    Declined,
-    Load,
-    Void,
-    VoidReply,
-)
+from shallotshore.messages import Load
 from shallotshore.retries import MAX_ATTEMPTS
 from tests.balancer_fakes import (
     CUSTOMER,
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -4,9 +4,10 @@
 import unittest
 from collections import Counter
 
+from shallotshore.agent_messages import AttemptAnswer, FlowReply, FlowReset
 from shallotshore.codes import Code
 from shallotshore.hashing import request_key
-from shallotshore.messages import AttemptAnswer, FlowReply, FlowReset, PacketKind
+from shallotshore.messages import PacketKind
 from shallotshore.records import Upstream
 from tests.agents import VIP, Fleet, attempt, packet
 
--- a/tests/test_flows.py
+++ b/tests/test_flows.py
@@ -3,25 +3,17 @@
 import unittest
 from dataclasses import replace
 
+from shallotshore.agent_messages import FlowReply, FlowReset, Forward
 from shallotshore.agent_tables import ClaimState, FlowState
+from shallotshore.claim_messages import Claim, ClaimReply
 from shallotshore.claiming import DISPUTE_ROUND
 from shallotshore.claims import drop_flow_claim, judge_claim, live_holder
 from shallotshore.codes import Code
+from shallotshore.control_messages import RevisionNotice
 from shallotshore.hashing import flow_key, name_id
-from shallotshore.messages import (
-    Claim,
-    ClaimKind,
-    ClaimReply,
-    FlowReply,
-    FlowReset,
-    Forward,
-    PacketKind,
-    RevisionNotice,
-    UpstreamClose,
-    UpstreamData,
-    UpstreamOpen,
-)
+from shallotshore.messages import ClaimKind, PacketKind
 from shallotshore.records import DataCentre, Upstream
+from shallotshore.upstream_messages import UpstreamClose, UpstreamData, UpstreamOpen
 from tests.agents import ACME, CALLER, GROVE, OTHER_VIP, SERVICE, VIP, Fleet, packet
 
 
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -2,21 +2,18 @@
 
 import unittest
 
-from shallotshore.codes import Code
-from shallotshore.hashing import flow_key
-from shallotshore.hints import HintTable
-from shallotshore.messages import (
+from shallotshore.agent_messages import FlowHint, FlowReset, Forward
+from shallotshore.caller_messages import (
     CallerClose,
     CallerData,
     CallerOpen,
     CallerReset,
     FabricPacket,
-    FlowHint,
-    FlowReset,
-    Forward,
-    Load,
-    PacketKind,
 )
+from shallotshore.codes import Code
+from shallotshore.hashing import flow_key
+from shallotshore.hints import HintTable
+from shallotshore.messages import Load, PacketKind
 from tests.balancer_fakes import (
     CALLER,
     CUSTOMER,
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -2,9 +2,10 @@
 
 import unittest
 
+from shallotshore.claim_messages import Claim, Handover
 from shallotshore.claims import judge_claim
 from shallotshore.codes import Code
-from shallotshore.messages import Claim, ClaimKind, Handover
+from shallotshore.messages import ClaimKind
 from tests.agents import SERVICE, Fleet
 
 KEY = 9
--- a/tests/test_live.py
+++ b/tests/test_live.py
@@ -7,15 +7,10 @@
 import unittest
 from pathlib import Path
 
+from shallotshore.caller_messages import CallerAnswer, CallerRequest, FabricPacket
 from shallotshore.codes import Code, Outcome
 from shallotshore.control import ControlClient, PeerRefusedError
-from shallotshore.messages import (
-    CallerAnswer,
-    CallerRequest,
-    FabricPacket,
-    StatusReply,
-    StatusRequest,
-)
+from shallotshore.control_messages import StatusReply, StatusRequest
 from shallotshore.status import render_text
 from shallotshore.systems import Core, Counters
 from standins.caller import Caller
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -6,8 +6,9 @@
 
 import statsd
 
+from shallotshore.caller_messages import CallerAnswer, CallerClose, CallerRequest, FabricPacket
 from shallotshore.catalog import Catalog
-from shallotshore.messages import CallerAnswer, CallerClose, CallerRequest, FabricPacket, Message
+from shallotshore.messages import Message
 from shallotshore.metrics import OTHER, Latencies, Metrics, RequestTimes, label_with
 from shallotshore.records import Binding, Customer, Service
 from shallotshore.systems import Counters
--- a/tests/test_mutations.py
+++ b/tests/test_mutations.py
@@ -10,8 +10,8 @@
 from unittest import mock
 
 from shallotshore.catalog import Catalog, Route
+from shallotshore.claim_messages import ClaimReply
 from shallotshore.codes import Code
-from shallotshore.messages import ClaimReply
 from standins.deployments import KOLTSEGTER, VATULELE
 from tests.test_scenarios import WORKERS, load
 
--- a/tests/test_propagation.py
+++ b/tests/test_propagation.py
@@ -7,17 +7,15 @@
 from bench.fleet import Fleet, SpreadCore
 from shallotshore import codec
 from shallotshore.codes import Code
-from shallotshore.hashing import name_id
-from shallotshore.messages import (
-    Address,
+from shallotshore.control_messages import (
     Delta,
     DeltaRequest,
-    Entry,
     PlatformRead,
     RevisionNotice,
     RevisionOffer,
-    Source,
 )
+from shallotshore.hashing import name_id
+from shallotshore.messages import Address, Entry, Source
 from shallotshore.platform_reader import POLL_MS
 from shallotshore.propagation import PropagationConfig
 from shallotshore.records import Binding, Customer, DataCentre, Service, Upstream
--- a/tests/test_pump.py
+++ b/tests/test_pump.py
@@ -3,7 +3,8 @@
 import random
 import unittest
 
-from shallotshore.messages import Message, RevisionNotice
+from shallotshore.control_messages import RevisionNotice
+from shallotshore.messages import Message
 from shallotshore.systems import Core
 from standins.network import Link, Network
 from standins.pump import TICK, Pump
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -3,18 +3,11 @@
 import unittest
 from dataclasses import replace
 
+from shallotshore.agent_messages import Attempt, AttemptAnswer, CancelAttempt, Cancelled, Declined
 from shallotshore.codes import Code
 from shallotshore.hashing import name_id, request_key
-from shallotshore.messages import (
-    Attempt,
-    AttemptAnswer,
-    CancelAttempt,
-    Cancelled,
-    Declined,
-    UpstreamAnswer,
-    UpstreamCancel,
-)
 from shallotshore.records import DataCentre, Upstream
+from shallotshore.upstream_messages import UpstreamAnswer, UpstreamCancel
 from tests.agents import ACME, GROVE, OTHER_VIP, VIP, YOUTH, FakeUpstream, Fleet, attempt
 
 
--- a/tests/test_security.py
+++ b/tests/test_security.py
@@ -10,7 +10,7 @@
 from shallotshore.application import Application, ApplicationConfig
 from shallotshore.codes import Code
 from shallotshore.control import ControlClient, PeerRefusedError
-from shallotshore.messages import StatusRequest
+from shallotshore.control_messages import StatusRequest
 from shallotshore.security import MaterialError, TlsFiles, TlsMaterial
 from shallotshore.systems import Core, Counters
 from tests.loopback import free_address, until
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -4,15 +4,10 @@
 import unittest
 
 from shallotshore.codes import Code
+from shallotshore.control_messages import PlatformRead, PlatformReply
 from shallotshore.hashing import name_id
-from shallotshore.messages import (
-    PlatformRead,
-    PlatformReply,
-    Source,
-    UpstreamAnswer,
-    UpstreamOpen,
-    UpstreamRequest,
-)
+from shallotshore.messages import Source
+from shallotshore.upstream_messages import UpstreamAnswer, UpstreamOpen, UpstreamRequest
 from standins.application import FeedPacket, Order, answer_of, encode
 from standins.configuration_service import READS_PER_SECOND, ConfigurationService, Mode
 from standins.deployments import KOLTSEGTER, deployment
--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -2,8 +2,10 @@
 
 import unittest
 
+from shallotshore.agent_messages import Attempt
+from shallotshore.caller_messages import CallerAnswer, CallerCancel
+from shallotshore.claim_messages import Void, VoidReply
 from shallotshore.codes import Code, Outcome
-from shallotshore.messages import Attempt, CallerAnswer, CallerCancel, Void, VoidReply
 from shallotshore.waiting_line import WaitingLine
 from tests.balancer_fakes import Bench, only
 
--- a/tests/test_wakeup.py
+++ b/tests/test_wakeup.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from shallotshore.messages import RevisionNotice
+from shallotshore.control_messages import RevisionNotice
 from shallotshore.systems import Core
 from shallotshore.wakeup import WakeupGuard
 
--- a/tests/test_watching.py
+++ b/tests/test_watching.py
@@ -3,7 +3,8 @@
 import random
 import unittest
 
-from shallotshore.messages import HealthEvent, HealthState, Heartbeat
+from shallotshore.control_messages import HealthEvent, Heartbeat
+from shallotshore.messages import HealthState
 from shallotshore.retries import RetryBudget, backoff
 from tests.balancer_fakes import IDLE, PEER, SERVICE, Bench, only
 
