--- a/shallotshore/packets/http_server.py
+++ b/shallotshore/packets/http_server.py
@@ -14,7 +14,7 @@
     from shallotshore.messages import Address
 
 REQUEST_LIMIT = 8_192  # bytes; a probe sends less than 200
-_REASONS = {200: "OK", 404: "Not Found", 503: "Service Unavailable"}
+_REASONS = {200: "OK", 404: "Not Found", 500: "Internal Error", 503: "Service Unavailable"}
 
 
 class Page(NamedTuple):
@@ -81,7 +81,7 @@
         self._received = 0
         path = self._path.partition(b"?")[0].decode("latin-1")
         make = self._pages.get(path)
-        page = make() if make is not None else Page(404, "unknown path\n")
+        page = self._made(make, path) if make is not None else Page(404, "unknown path\n")
         body = page.text.encode()
         keep = self._parser.should_keep_alive()
         head = (
@@ -93,3 +93,12 @@
         self._transport.write(head.encode("ascii") + body)
         if not keep:
             self._transport.close()
+
+    def _made(self, make: Callable[[], Page], path: str) -> Page:
+        """Makes a page; a fault in it must not leave the asker without an answer."""
+        try:
+            return make()
+        except Exception as error:
+            context = {"message": f"page {path} cannot be made", "exception": error}
+            asyncio.get_running_loop().call_exception_handler(context)
+            return Page(500, f"{error!r}\n")
--- /dev/null
+++ b/standins/packet_processes.py
@@ -0,0 +1,227 @@
+"""Runs the platform's real programs on loopback addresses, with stand-ins around them."""
+
+__all__ = ["LoopbackFleet"]
+
+import asyncio
+import base64
+import json
+import os
+import signal
+import sys
+import tempfile
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from standins.packet_client import PacketClient
+from standins.packet_upstream import PacketUpstream
+from standins.packet_world import decode_packet
+
+ROOT = Path(__file__).resolve().parent.parent
+NODE_PORT, CLIENT_PORT, UPSTREAM_PORT, OUTBOUND_PORT, READY_PORT = 7720, 8172, 8080, 8162, 8167
+STORE = ("127.0.3.1", 8169)
+VIP = ("198.18.0.1", 443)
+CLIENT_HOST = "127.0.9.1"
+SERVICE = "spend"
+
+
+class _Datagrams(asyncio.DatagramProtocol):
+    def __init__(self, take: Callable[[bytes], None]) -> None:
+        self._take = take
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Hands a datagram over."""
+        self._take(data)
+
+
+class LoopbackFleet:
+    """Balancers and agents as processes; store, upstreams and clients in this one.
+
+    Attributes:
+        upstreams: Stand-ins by host.
+        lines: Log lines of all processes, as objects.
+    """
+
+    def __init__(self) -> None:
+        self.upstreams: dict[str, PacketUpstream] = {}
+        self.lines: list[dict[str, Any]] = []
+        self._items: dict[str, tuple[int, object]] = {}
+        self._revision = 0
+        self._processes: dict[str, asyncio.subprocess.Process] = {}
+        self._readers: list[asyncio.Task[None]] = []
+        self._clients: dict[int, PacketClient] = {}
+        self._entries: dict[int, str] = {}
+        self._transports: list[asyncio.DatagramTransport] = []
+        self._folder = tempfile.TemporaryDirectory()
+
+    async def start(self) -> None:
+        """Starts the store and the socket of the clients."""
+        self._loop = asyncio.get_running_loop()
+        self._store = await asyncio.start_server(self._serve_store, *STORE)
+        self._client_socket = await self._bind((CLIENT_HOST, CLIENT_PORT), self._take_for_client)
+
+    async def close(self) -> None:
+        """Ends the processes that were started here, by their ids."""
+        for process in self._processes.values():
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+        for reader in self._readers:
+            reader.cancel()
+        for transport in self._transports:
+            transport.close()
+        self._store.close()
+        self._folder.cleanup()
+
+    def publish(self, key: str, value: object) -> None:
+        """Writes an entry of the store."""
+        self._revision += 1
+        self._items[key] = (self._revision, value)
+
+    async def start_balancer(self, host: str) -> None:
+        """Starts a balancer, or starts it again."""
+        await self._start("balancer", host)
+
+    async def start_agent(self, host: str) -> None:
+        """Starts an agent, and its upstream unless that is there already."""
+        if host not in self.upstreams:
+            to_agent = await self._bind((host, UPSTREAM_PORT), lambda data: self._serve(host, data))
+            upstream = PacketUpstream(
+                lambda frame: to_agent.sendto(frame, (host, OUTBOUND_PORT)), self._later
+            )
+            self.upstreams[host] = upstream
+        await self._start("agent", host)
+
+    async def stop(self, host: str, number: int = signal.SIGTERM) -> int:
+        """Sends a signal and returns the exit status."""
+        process = self._processes[host]
+        process.send_signal(number)
+        return await process.wait()
+
+    def open_flow(self, port: int, balancer: str) -> PacketClient:
+        """Starts a client whose packets go to a balancer; `move` changes that."""
+        client = PacketClient(
+            (CLIENT_HOST, port), VIP, lambda frame: self._send(port, frame), self._later
+        )
+        self._clients[port] = client
+        self._entries[port] = balancer
+        client.open()
+        return client
+
+    def move(self, port: int, balancer: str) -> None:
+        """Lets the packets of a client enter by another balancer."""
+        self._entries[port] = balancer
+
+    async def until(self, condition: Callable[[], object], seconds: float = 5.0) -> bool:
+        """Waits for a condition and returns whether it came true."""
+        for _ in range(int(seconds / 0.02)):
+            if condition():
+                return True
+            await asyncio.sleep(0.02)
+        return bool(condition())
+
+    async def get(self, host: str, port: int, path: str) -> tuple[int, str]:
+        """Returns status and text of a page."""
+        try:
+            reader, writer = await asyncio.open_connection(host, port)
+        except OSError:
+            return 0, ""
+        writer.write(f"GET {path} HTTP/1.1\r\nHost: {host}\r\nConnection: close\r\n\r\n".encode())
+        answer = await reader.read()
+        writer.close()
+        head, _, text = answer.partition(b"\r\n\r\n")
+        return int(head.split()[1]), text.decode()
+
+    async def _start(self, role: str, host: str) -> None:
+        settings = {
+            "name": f"{role}-{host}",
+            "data_centre": "bud-a",
+            "host": host,
+            "client_address": f"{host}:{CLIENT_PORT}",
+            "upstream_address": f"{host}:{UPSTREAM_PORT}",
+            "outbound_address": f"{host}:{OUTBOUND_PORT}",
+            "service": SERVICE,
+            "ready_address": f"{host}:{READY_PORT}",
+            "node_port": NODE_PORT,
+            "seeds": [],
+            "store_address": f"{STORE[0]}:{STORE[1]}",
+        }
+        path = Path(self._folder.name) / f"{host}.json"
+        path.write_text(json.dumps(settings))
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "platform/run.py",
+            role,
+            cwd=ROOT,
+            env={**os.environ, "SHALLOTSHORE_NODE_FILE": str(path)},
+            stdout=asyncio.subprocess.PIPE,
+        )
+        self._processes[host] = process
+        self._readers.append(asyncio.ensure_future(self._read_lines(process)))
+
+    async def _read_lines(self, process: asyncio.subprocess.Process) -> None:
+        assert process.stdout is not None
+        while line := await process.stdout.readline():
+            self.lines.append(json.loads(line))
+
+    async def _bind(
+        self, address: tuple[str, int], take: Callable[[bytes], None]
+    ) -> asyncio.DatagramTransport:
+        transport, _ = await self._loop.create_datagram_endpoint(
+            lambda: _Datagrams(take), local_addr=address
+        )
+        self._transports.append(transport)
+        return transport
+
+    def _now(self) -> int:
+        return int(self._loop.time() * 1000)
+
+    def _later(self, delay: int, action: Callable[[], object]) -> None:
+        self._loop.call_later(delay / 1000, action)
+
+    def _serve(self, host: str, data: bytes) -> None:
+        self.upstreams[host].take(data, self._now())
+
+    def _send(self, port: int, frame: bytes) -> None:
+        self._client_socket.sendto(frame, (self._entries[port], CLIENT_PORT))
+
+    def _take_for_client(self, data: bytes) -> None:
+        packet = decode_packet(data, is_from_upstream=True).unwrap()
+        client = self._clients.get(packet.client[1])
+        if client is not None:
+            client.take(data, self._now())
+
+    async def _serve_store(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            while head := await reader.readline():
+                while (await reader.readline()).strip():
+                    pass
+                text = json.dumps(await self._page(head.split()[1].decode())).encode()
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(text), text))
+        except (ConnectionError, asyncio.CancelledError):
+            return
+        finally:
+            writer.close()
+
+    async def _page(self, path: str) -> dict[str, object]:
+        query = dict(part.split("=") for part in path.partition("?")[2].split("&"))
+        after = int(query.get("after", "0"))
+        for _ in range(int(query.get("waitMs", "0")) // 20):
+            if self._select(query["prefix"], after):
+                break
+            await asyncio.sleep(0.02)
+        items = self._select(query["prefix"], after)
+        return {"items": items, "events": items, "hasMore": False, "currentRev": self._revision}
+
+    def _select(self, prefix: str, after: int) -> list[dict[str, object]]:
+        return [
+            {
+                "key": key,
+                "rev": revision,
+                "value": base64.b64encode(json.dumps(value).encode()).decode(),
+            }
+            for key, (revision, value) in self._items.items()
+            if key.startswith(prefix) and revision > after
+        ]
--- a/standins/packet_world.py
+++ b/standins/packet_world.py
@@ -5,46 +5,42 @@
 import heapq
 import itertools
 import random
-import sys
 from collections.abc import Callable
-from pathlib import Path
 from typing import Any
 
-sys.path.append(str(Path(__file__).resolve().parent.parent / "platform"))
+from adapter.packets import decode_packet, encode_reset
 
-from adapter.packets import decode_packet, encode_reset  # noqa: E402  the path is set first
-
-from shallotshore.messages import Address  # noqa: E402
-from shallotshore.packets import node_messages  # noqa: E402
-from shallotshore.packets.agent import PacketAgent  # noqa: E402
-from shallotshore.packets.agent_state import AgentSettings  # noqa: E402
-from shallotshore.packets.balancer import PacketBalancer  # noqa: E402
-from shallotshore.packets.balancer_state import BalancerSettings  # noqa: E402
-from shallotshore.packets.feed_content import (  # noqa: E402
+from shallotshore.messages import Address
+from shallotshore.packets import node_messages
+from shallotshore.packets.agent import PacketAgent
+from shallotshore.packets.agent_state import AgentSettings
+from shallotshore.packets.balancer import PacketBalancer
+from shallotshore.packets.balancer_state import BalancerSettings
+from shallotshore.packets.feed_content import (
     ConfigurationChange,
     DataCentreChange,
     UpstreamChange,
 )
-from shallotshore.packets.feeds import STORE  # noqa: E402
-from shallotshore.packets.hosts import host_number  # noqa: E402
-from shallotshore.packets.packet import ResetPacket, ToClient, ToUpstream  # noqa: E402
-from shallotshore.packets.store_messages import (  # noqa: E402
+from shallotshore.packets.feeds import STORE
+from shallotshore.packets.hosts import host_number
+from shallotshore.packets.packet import ResetPacket, ToClient, ToUpstream
+from shallotshore.packets.store_messages import (
     FetchedFeed,
     FetchFailed,
     FetchFeed,
     ReadFeed,
     WatchFeed,
 )
-from shallotshore.packets.view import (  # noqa: E402
+from shallotshore.packets.view import (
     Configuration,
     Feed,
     Route,
     ServiceLimits,
     Upstream,
 )
-from standins.packet_client import PacketClient  # noqa: E402
-from standins.packet_store import StoreStandin  # noqa: E402
-from standins.packet_upstream import PacketUpstream  # noqa: E402
+from standins.packet_client import PacketClient
+from standins.packet_store import StoreStandin
+from standins.packet_upstream import PacketUpstream
 
 NODE_PORT = 7720
 START_MS = 100_000
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -8,11 +8,8 @@
 import unittest
 from pathlib import Path
 
-from standins.packet_wire import ACK, RETURNED, SYN, is_intact, write_packet
-from standins.packet_world import PacketWorld
-
-from adapter.entries import decode_item, decode_removal  # isort: skip  path set by packet_world
-from adapter.packets import decode_packet, encode_reset  # isort: skip
+from adapter.entries import decode_item, decode_removal
+from adapter.packets import decode_packet, encode_reset
 
 from shallotshore.codes import Code
 from shallotshore.packets.feed_content import (
@@ -23,6 +20,8 @@
 )
 from shallotshore.packets.node_settings import AGENT, BALANCER, read_node_settings
 from shallotshore.packets.packet import OPENS, RESETS, ResetPacket
+from standins.packet_wire import ACK, RETURNED, SYN, is_intact, write_packet
+from standins.packet_world import PacketWorld
 
 ROOT = Path(__file__).resolve().parent.parent
 CLIENT, VIP = ("100.64.0.7", 40001), ("198.18.0.1", 443)
--- /dev/null
+++ b/tests/test_platform_processes.py
@@ -0,0 +1,94 @@
+"""The platform's programs as real processes on loopback: start, flows, kills, stop."""
+
+import signal
+import unittest
+
+from standins.packet_processes import READY_PORT, SERVICE, VIP, LoopbackFleet
+
+BALANCERS = ("127.0.1.1", "127.0.1.2")
+AGENT = "127.0.2.1"
+METRICS_PORT = 9464
+CONFIG = {
+    "version": 3,
+    "routes": [{"host": VIP[0], "prefix": f"/{VIP[1]}/", "service": SERVICE}],
+    "services": [{"name": SERVICE}],
+}
+ENTRY = {
+    "service": SERVICE,
+    "address": f"{AGENT}:8080",
+    "zone": "bud-a",
+    "slots": 3,
+    "state": "ready",
+    "coldRemainingMs": 0,
+    "seq": 1,
+}
+
+
+class ProcessTest(unittest.IsolatedAsyncioTestCase):
+    """Two balancers, one agent."""
+
+    async def asyncSetUp(self) -> None:
+        self.fleet = LoopbackFleet()
+        await self.fleet.start()
+        self.fleet.publish("op/config", CONFIG)
+        self.fleet.publish("servers/i-1", ENTRY)
+        await self.fleet.start_agent(AGENT)
+        for host in BALANCERS:
+            await self.fleet.start_balancer(host)
+        for host in BALANCERS:
+            await self.become_ready(host)
+
+    async def asyncTearDown(self) -> None:
+        await self.fleet.close()
+
+    async def become_ready(self, host: str) -> None:
+        for _ in range(200):
+            status, _ = await self.fleet.get(host, READY_PORT, "/api/ready")
+            if status == 200:
+                return
+            await self.fleet.until(lambda: False, 0.05)
+        self.fail(f"{host} did not become ready")
+
+    async def test_flows_survive_kills_of_balancers_and_of_the_agent(self) -> None:
+        """Guards against flows that end with a process, whatever the sockets and signals do."""
+        fleet = self.fleet
+        client = fleet.open_flow(40_001, BALANCERS[0])
+        client.request(b"one")
+        self.assertTrue(await fleet.until(lambda: len(client.answers) == 1))
+        await fleet.stop(BALANCERS[0], signal.SIGKILL)
+        fleet.move(40_001, BALANCERS[1])
+        client.request(b"two")
+        self.assertTrue(await fleet.until(lambda: len(client.answers) == 2))
+        await fleet.stop(AGENT, signal.SIGKILL)
+        await fleet.start_agent(AGENT)
+        client.request(b"three")
+        self.assertTrue(await fleet.until(lambda: len(client.answers) == 3))
+        await fleet.start_balancer(BALANCERS[0])
+        fleet.move(40_001, BALANCERS[0])
+        client.request(b"four")
+        self.assertTrue(await fleet.until(lambda: len(client.answers) == 4))
+        self.assertIsNone(client.reset_at)
+        self.assertEqual(0, client.damaged)
+        self.assertEqual([b"one", b"two", b"three", b"four"], fleet.upstreams[AGENT].ran)
+
+    async def test_stop_is_announced_and_ends_cleanly(self) -> None:
+        """Guards against a stop that cuts flows, hangs, or leaves no line."""
+        fleet = self.fleet
+        client = fleet.open_flow(40_002, BALANCERS[0])
+        client.request(b"one")
+        self.assertTrue(await fleet.until(lambda: client.answers))
+        _, text = await fleet.get(BALANCERS[0], METRICS_PORT, "/metrics")
+        self.assertIn('shallotshore_events_total{name="flows.opening"} 1.0', text)
+        self.assertEqual(0, await fleet.stop(BALANCERS[0]))
+        self.assertEqual(0, await fleet.stop(AGENT))
+        await fleet.until(lambda: len(self.events("ended")) == 2)
+        for event in ("started", "stopping", "ended"):
+            self.assertGreaterEqual(len(self.events(event)), 1, event)
+        self.assertTrue(self.events("flow_offered"))
+
+    def events(self, name: str) -> list[dict[str, object]]:
+        return [line for line in self.fleet.lines if line["event"] == name]
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from unittest import mock
 
-from standins import packet_world  # noqa: F401  puts the adapter on the path
+import standins  # noqa: F401  puts the adapter on the path
 
 import adapter.store as store_module  # isort: skip
 from adapter.store import StoreClient  # isort: skip
@@ -204,10 +204,16 @@
 
     async def test_pages_answer_on_one_connection(self) -> None:
         """Guards against probes that need a connection each, and unknown paths."""
-        pages = {"/ready": lambda: Page(503, "not ready\n")}
+        pages = {"/ready": lambda: Page(503, "not ready\n"), "/faulty": lambda: Page(*())}
+        asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
         server = await serve_pages(("127.0.0.1", 0), pages)
         reader, writer = await asyncio.open_connection(*server.sockets[0].getsockname()[:2])
-        for path, status in (("/ready", b"503"), ("/ready?x=1", b"503"), ("/other", b"404")):
+        for path, status in (
+            ("/ready", b"503"),
+            ("/ready?x=1", b"503"),
+            ("/other", b"404"),
+            ("/faulty", b"500"),
+        ):
             writer.write(f"GET {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
             head = await reader.readuntil(b"\r\n\r\n")
             self.assertEqual(status, head.split()[1])
