Keep a flow whose agent has just started again; a soak of the real programs

Change: agents that are not heard are asked every 200 ms; an agent that learns that its upstream holds a probed flow tells the balancer that searched; silence counts as a denial only 300 ms after the search began. bench/process_soak kills, pauses and restarts processes.

--- /dev/null
+++ b/bench/process_soak.py
@@ -0,0 +1,157 @@
+"""Random faults on the platform's real programs: `python -m bench.process_soak --seeds 50`.
+
+Balancers and agents are killed, paused and restarted by signals, in series and overlapping, while
+clients keep their flows. Upstreams stay, so that no flow may be reset and no request may get lost
+or run twice.
+"""
+
+__all__ = ["main", "run_seed"]
+
+import argparse
+import asyncio
+import random
+import signal
+import sys
+from collections import Counter
+
+from standins.packet_client import PacketClient
+from standins.packet_processes import SERVICE, VIP, LoopbackFleet
+
+BALANCERS = ("127.0.1.1", "127.0.1.2", "127.0.1.3")
+AGENTS = ("127.0.2.1", "127.0.2.2", "127.0.2.3")
+CLIENTS = 12
+FAULTS = 8
+RECOVERY_S = 12.0  # as the users' pages allow after a final fault
+
+
+class Soak:
+    """One seed: a fleet, its clients and a series of faults."""
+
+    def __init__(self, seed: int) -> None:
+        self._rng = random.Random(seed)
+        self._fleet = LoopbackFleet()
+        self._clients: list[PacketClient] = []
+        self._sent: Counter[int] = Counter()
+        self._down: set[str] = set()
+
+    async def run(self) -> list[str]:
+        """Returns what went wrong."""
+        fleet = self._fleet
+        await fleet.start()
+        try:
+            await self._begin()
+            load = asyncio.ensure_future(self._press())
+            await asyncio.gather(*(self._fault(number) for number in range(FAULTS)))
+            load.cancel()
+            await fleet.until(lambda: not self._unanswered(), RECOVERY_S)
+            return self._problems()
+        finally:
+            await fleet.close()
+
+    async def _begin(self) -> None:
+        fleet = self._fleet
+        route = {"host": VIP[0], "prefix": f"/{VIP[1]}/", "service": SERVICE}
+        fleet.publish("op/config", {"version": 2, "routes": [route]})
+        for number, host in enumerate(AGENTS):
+            entry = {
+                "service": SERVICE,
+                "address": f"{host}:8080",
+                "zone": "bud-a",
+                "slots": 3,
+                "state": "ready",
+            }
+            fleet.publish(f"servers/i-{number}", entry)
+        await asyncio.gather(*(fleet.start_agent(host) for host in AGENTS))
+        await asyncio.gather(*(fleet.start_balancer(host) for host in BALANCERS))
+        for number in range(CLIENTS):
+            self._clients.append(fleet.open_flow(40_000 + number, BALANCERS[number % 3]))
+        await fleet.until(lambda: all(client.opened_at for client in self._clients), 3.0)
+        for client in self._clients:
+            if client.opened_at is None:
+                client.open()
+
+    async def _press(self) -> None:
+        """Sends requests on all flows, through whichever balancer is up."""
+        while True:
+            await asyncio.sleep(0.1)
+            up = [host for host in BALANCERS if host not in self._down] or list(BALANCERS)
+            for number, client in enumerate(self._clients):
+                self._fleet.move(40_000 + number, self._rng.choice(up))
+                if client.opened_at is not None and not client.is_waiting:
+                    self._sent[number] += 1
+                    client.request(b"%d/%d" % (number, self._sent[number]))
+
+    async def _fault(self, number: int) -> None:
+        await asyncio.sleep(0.5 + self._rng.random() * FAULTS)
+        host = self._rng.choice(BALANCERS + AGENTS)
+        if host in self._down:
+            return
+        self._down.add(host)
+        kind = self._rng.choice((signal.SIGKILL, signal.SIGTERM, signal.SIGSTOP))
+        if kind == signal.SIGSTOP:
+            self._fleet.send_signal(host, signal.SIGSTOP)
+            await asyncio.sleep(0.2 + self._rng.random() * 2)
+            self._fleet.send_signal(host, signal.SIGCONT)
+        else:
+            await self._fleet.stop(host, kind)
+            await asyncio.sleep(self._rng.random())
+            await (self._fleet.start_balancer if host in BALANCERS else self._fleet.start_agent)(
+                host
+            )
+            await asyncio.sleep(1.0)
+        self._down.discard(host)
+
+    def _unanswered(self) -> list[int]:
+        return [
+            number
+            for number, client in enumerate(self._clients)
+            if len(client.answers) < self._sent[number]
+        ]
+
+    def _problems(self) -> list[str]:
+        problems = []
+        for number, client in enumerate(self._clients):
+            if client.opened_at is None:
+                problems.append(f"flow {number} did not open")
+            if client.reset_at is not None:
+                problems.append(f"flow {number} was reset though its upstream lives")
+            if client.damaged:
+                problems.append(f"flow {number} got {client.damaged} changed packets")
+        for number in self._unanswered():
+            problems.append(f"flow {number} has a request without an answer")
+        ran = Counter(data for one in self._fleet.upstreams.values() for data in one.ran)
+        problems += [
+            f"request {data!r} ran {count} times" for data, count in ran.items() if count > 1
+        ]
+        problems += [
+            f"an upstream got {one.damaged} changed packets"
+            for one in self._fleet.upstreams.values()
+            if one.damaged
+        ]
+        if sum(self._sent.values()) < CLIENTS:
+            problems.append("hardly any request was sent")
+        return problems
+
+
+def run_seed(seed: int) -> list[str]:
+    """Plays one seed and returns what went wrong."""
+    return asyncio.run(Soak(seed).run())
+
+
+def main(arguments: list[str]) -> int:
+    """Plays seeds one after the other; returns 1 when one of them failed."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, default=5)
+    parser.add_argument("--first", type=int, default=1)
+    options = parser.parse_args(arguments)
+    failed = 0
+    for seed in range(options.first, options.first + options.seeds):
+        problems = run_seed(seed)
+        failed += bool(problems)
+        print(f"seed {seed}: {'; '.join(problems) or 'ok'}", flush=True)
+    print(f"{options.seeds} seeds, {failed} failed")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/shallotshore/packets/members.py
+++ b/shallotshore/packets/members.py
@@ -19,6 +19,7 @@
 MEMBER_KEPT_MS = 20_000
 SUBSCRIBE_MS = 800  # a subscription lasts 3 s at the agent
 SUBSCRIBE_LOOK_MS = 50  # between two looks at who is due
+SILENT_SUBSCRIBE_MS = 200  # to an agent that is not heard: it may just have started
 
 
 class MemberTable(Table):
@@ -132,13 +133,14 @@
         held = (feeds.operator.revision, feeds.upstreams.revision)
         if now < self._next_at and held == self._told:
             return
-        due_before = now - SUBSCRIBE_MS if held == self._told else now
+        is_told = held == self._told
         self._told = held
         self._next_at = now + SUBSCRIBE_LOOK_MS
         upstreams = self._state.upstreams
         for host in upstreams.keys():
             row = upstreams.row(host)
-            if upstreams.asked_at[row] <= due_before:
+            patience = SUBSCRIBE_MS if upstreams.is_reported(row, now) else SILENT_SUBSCRIBE_MS
+            if not is_told or now - upstreams.asked_at[row] >= patience:
                 upstreams.asked_at[row] = now
                 self._state.send(
                     host, Subscribe(self._state.data_centre, upstreams.incarnation[row], *held)
--- a/shallotshore/packets/search.py
+++ b/shallotshore/packets/search.py
@@ -16,6 +16,8 @@
 # An agent that is silent for so long, through six heartbeats, cannot carry a flow: its VM is down
 # or cut off, and a client that waits for it is served better by a reset.
 SILENT_AGENT_MS = 1_500
+# One that has just started has not been heard either: it answers the search itself by then.
+SILENT_SEARCH_MS = 300
 
 
 def begin_search(state: BalancerState, row: int, now: int) -> None:
@@ -59,9 +61,15 @@
 
 
 def is_denied_by_all(state: BalancerState, row: int, now: int) -> bool:
-    """Whether every agent that may know a flow has denied it."""
+    """Whether every agent that may know a flow has denied it, or is gone."""
+    flows = state.flows
     hosts = list(state.upstreams.keys())
-    return bool(hosts) and _all_denied(state, hosts, state.flows.denied[row] or {}, now)
+    if not hosts:
+        return False
+    denied = flows.denied[row] or {}
+    if now - flows.searched_at[row] < SILENT_SEARCH_MS:
+        return all(host in denied for host in hosts)
+    return _all_denied(state, hosts, denied, now)
 
 
 def service_of(state: BalancerState, host: int) -> int:
--- a/shallotshore/packets/upstream_packets.py
+++ b/shallotshore/packets/upstream_packets.py
@@ -7,7 +7,7 @@
 from shallotshore.codes import Code
 from shallotshore.packets.agent_state import AgentState
 from shallotshore.packets.agent_tables import CLIENT_ENDED, UPSTREAM_ENDED, FlowStage
-from shallotshore.packets.node_messages import Carry, CarryKind, Missing
+from shallotshore.packets.node_messages import Carry, CarryKind, Missing, OwnedFlow
 from shallotshore.packets.openings import pass_on
 from shallotshore.packets.packet import ENDS, OPENS, RESETS, RETURNED, Packet, ToClient
 from shallotshore.tables import MISSING
@@ -46,6 +46,8 @@
             flows.answer_sequence[row] = packet.sequence
         elif flows.stage[row] in (FlowStage.PROBED, FlowStage.FOREIGN):
             state.note_open(row)
+            # The balancer that searches may not have subscribed to this process yet.
+            state.send(flows.origin[row], OwnedFlow(packet.key))
         if packet.size and flows.awaits[row]:
             waited = now - flows.awaited_at[row]
             state.latencies.record("first_answer", packet.route_name, waited)
--- a/standins/packet_client.py
+++ b/standins/packet_client.py
@@ -41,6 +41,11 @@
         self._unanswered: bytes | None = None
         self._queue: list[bytes] = []
 
+    @property
+    def is_waiting(self) -> bool:
+        """Whether a request is not answered yet."""
+        return self._unanswered is not None or bool(self._queue)
+
     def open(self) -> None:
         """Sends the opening packet and its copies."""
         for copy, delay in enumerate(COPIES_MS):
@@ -72,6 +77,8 @@
             self._unanswered = None
             self._put(ACK)
             self._send_next()
+        elif packet.size:
+            self._put(ACK)
 
     def _send_opening(self, copy: int) -> None:
         if self.opened_at is None and self.reset_at is None:
--- a/standins/packet_processes.py
+++ b/standins/packet_processes.py
@@ -92,6 +92,10 @@
             self.upstreams[host] = upstream
         await self._start("agent", host)
 
+    def send_signal(self, host: str, number: int) -> None:
+        """Sends a signal to a process that was started here."""
+        self._processes[host].send_signal(number)
+
     async def stop(self, host: str, number: int = signal.SIGTERM) -> int:
         """Sends a signal and returns the exit status."""
         process = self._processes[host]
--- a/standins/packet_upstream.py
+++ b/standins/packet_upstream.py
@@ -10,6 +10,7 @@
 from standins.packet_wire import ACK, FIN, RETURNED, SYN, is_intact, write_packet
 
 _FLAGS_AT = 2
+RESEND_MS, RESEND_LIMIT_MS, RESENDS = 200, 1_600, 8
 
 
 class PacketUpstream:
@@ -85,11 +86,13 @@
         if sequence is None or packet.acknowledged != sequence + 1:
             return False
         del self._half_open[packet.key]
-        self._flows[packet.key] = [sequence + 1, packet.sequence]
+        # Own next number, the client's next number, what the client has acknowledged.
+        self._flows[packet.key] = [sequence + 1, packet.sequence, 0]
         return True
 
     def _continue(self, packet: Packet) -> None:
         flow = self._flows[packet.key]
+        flow[2] = max(flow[2], packet.acknowledged)
         if packet.flags & ENDS:
             del self._flows[packet.key]
             self._answer(packet, FIN | ACK, flow[0], packet.sequence + 1)
@@ -123,8 +126,22 @@
     def _respond(self, packet: Packet, data: bytes) -> None:
         flow = self._flows.get(packet.key)
         if flow is not None:
-            self._answer(packet, ACK, flow[0], flow[1], data)
+            sequence = flow[0]
             flow[0] += len(data)
+            self._send_until_acknowledged(packet, sequence, data, RESEND_MS, RESENDS)
+
+    def _send_until_acknowledged(
+        self, packet: Packet, sequence: int, data: bytes, pause: int, left: int
+    ) -> None:
+        flow = self._flows.get(packet.key)
+        if flow is None or flow[2] >= sequence + len(data) or left == 0:
+            return
+        self._answer(packet, ACK, sequence, flow[1], data)
+        again = min(2 * pause, RESEND_LIMIT_MS)
+        self._later(
+            pause,
+            lambda: self._send_until_acknowledged(packet, sequence, data, again, left - 1),
+        )
 
     def _answer(
         self, packet: Packet, flags: int, sequence: int, acknowledged: int, data: bytes = b""
--- a/tests/test_packet_flows.py
+++ b/tests/test_packet_flows.py
@@ -193,6 +193,24 @@
         world.run(2_000)
         self.assertIsNotNone(client.reset_at)
 
+    def test_flow_is_kept_when_its_agent_starts_again_late(self) -> None:
+        """Guards against a reset since the agent was not heard yet (process soak, seed 3)."""
+        world = make_world()
+        client = world.open_flow(4000)
+        world.run(300)
+        owner = next(host for host in AGENTS if world.upstreams[host].flows)
+        world.upstreams[owner].work_ms = 2_500
+        client.request(b"x")
+        world.run(50)
+        del world.agents[owner]
+        for host in BALANCERS:
+            world.add_balancer(host, seeds=BALANCERS)
+        world.run(1_320)
+        world.add_agent(owner, is_first_start=False)
+        world.run(3_000)
+        self.assertIsNone(client.reset_at)
+        self.assertEqual([b"200 x"], client.answers)
+
     def test_opening_goes_to_another_upstream_when_a_vm_is_gone(self) -> None:
         """Guards against clients that wait 200 ms for the copy that finds a live upstream."""
         world = make_world()
