--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STAMP := $(VENV)/.installed
 SEEDS ?= 200
 
-.PHONY: setup format lint test demo bench soak fuzz report binary clean lock
+.PHONY: setup format lint test demo bench soak soak-processes fuzz report binary clean lock
 
 setup: $(STAMP)
 
@@ -37,6 +37,10 @@
 soak: setup
 	$(BIN)/python -m bench.soak --seeds $(SEEDS)
 
+# Real processes on loopback, killed, paused and restarted; about 13 s a seed.
+soak-processes: setup
+	$(BIN)/python -m bench.process_soak --seeds $(SEEDS)
+
 # The same checks as in the tests with 20,000 examples each; about two minutes.
 fuzz: setup
 	FUZZ_EXAMPLES=20000 $(BIN)/python -m tests BadInput RoundTrip
