--- a/tests/__init__.py
+++ b/tests/__init__.py
@@ -1,1 +1,3 @@
-"""Unit tests and scenarios; run them all with `python -m tests`."""
+"""Tests; they mirror the modules."""
+
+import standins  # noqa: F401  puts the adapter of the users' platform on the path
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -7,8 +7,6 @@
 from collections.abc import Callable
 from unittest import mock
 
-import standins  # noqa: F401  puts the adapter on the path
-
 import adapter.store as store_module  # isort: skip
 from adapter.store import StoreClient  # isort: skip
 
