Read the clock in one place

Cause: both applications had the same clock function, and the members' table had a column that nothing read; found on reading the whole change once more. Change: shallotshore/clock; the column is gone. Behaviour is the same.

--- a/shallotshore/application.py
+++ b/shallotshore/application.py
@@ -1,10 +1,9 @@
 """The application object: runs one core on asyncio and owns its sockets, timers and metrics."""
 
-__all__ = ["Application", "ApplicationConfig", "clock"]
+__all__ = ["Application", "ApplicationConfig"]
 
 import asyncio
 import signal
-import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any, Protocol
@@ -13,6 +12,7 @@
 import structlog
 
 from shallotshore import codec, status
+from shallotshore.clock import clock
 from shallotshore.codec import Transport
 from shallotshore.control import ControlClient, ControlServer
 from shallotshore.control_messages import PlatformRead, StatusReply, StatusRequest
@@ -47,11 +47,6 @@
         """Runs every system."""
 
 
-def clock() -> int:
-    """Returns monotonic milliseconds; time that the machine was suspended counts."""
-    return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
-
-
 @dataclass(slots=True)
 class ApplicationConfig:
     """What the application needs besides its core.
--- a/shallotshore/packets/application.py
+++ b/shallotshore/packets/application.py
@@ -2,19 +2,19 @@
 
 from __future__ import annotations
 
-__all__ = ["Adapter", "PacketApplication", "RunnableCore", "clock"]
+__all__ = ["Adapter", "PacketApplication", "RunnableCore"]
 
 import asyncio
 import os
 import signal
 import socket
-import time
 from collections.abc import Callable
 from functools import singledispatchmethod
 from typing import TYPE_CHECKING, Protocol
 
 from result import Err, Result
 
+from shallotshore.clock import clock
 from shallotshore.codes import Code
 from shallotshore.packets import node_messages
 from shallotshore.packets.datagram_port import DatagramPort
@@ -104,11 +104,6 @@
         """Returns a client of the platform's store."""
 
 
-def clock() -> int:
-    """Returns milliseconds of a clock that goes on while the VM is suspended."""
-    return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
-
-
 class PacketApplication:
     """Owns the sockets, timers and tasks around one core.
 
--- a/shallotshore/packets/members.py
+++ b/shallotshore/packets/members.py
@@ -25,12 +25,11 @@
 class MemberTable(Table):
     """Balancers by host; `heard_at` is when one was last heard, in ms, or named by another."""
 
-    __slots__ = ("data_centre", "heard_at")
+    __slots__ = ("heard_at",)
 
-    COLUMNS = {"heard_at": "q", "data_centre": "Q"}
+    COLUMNS = {"heard_at": "q"}
 
     heard_at: array[int]
-    data_centre: array[int]
 
 
 class MemberSystem:
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -19,7 +19,7 @@
 import structlog
 from absl import flags
 
-from shallotshore.application import clock
+from shallotshore.clock import clock
 from shallotshore.control import ControlClient, PeerRefusedError
 from shallotshore.control_messages import StatusRequest
 from shallotshore.systems import Counters
--- a/standins/live.py
+++ b/standins/live.py
@@ -16,7 +16,8 @@
 from pathlib import Path
 from typing import Any
 
-from shallotshore.application import Application, ApplicationConfig, clock
+from shallotshore.application import Application, ApplicationConfig
+from shallotshore.clock import clock
 from shallotshore.datagrams import DatagramEndpoint
 from shallotshore.messages import Address, Message
 from shallotshore.security import MacKeys
--- a/tests/test_application.py
+++ b/tests/test_application.py
@@ -5,7 +5,8 @@
 import signal
 import unittest
 
-from shallotshore.application import TICK_INTERVAL, Application, ApplicationConfig, clock
+from shallotshore.application import TICK_INTERVAL, Application, ApplicationConfig
+from shallotshore.clock import clock
 from shallotshore.codes import Code
 from shallotshore.control_messages import (
     HealthEvent,
