Treat a flow returned before any sign of its upstream as accepted elsewhere

Cause: the agent took a client's acknowledgement for its own upstream's acceptance when both numbers were within 1 MiB of each other. Real numbers are random, so that about one in 4,096 flows with two acceptances is concerned.

Change: a flow that is returned while neither an exact acknowledgement nor a later packet of the upstream has confirmed it is denied, not lost, and the balancer goes on to the owner. The stand-in of an upstream draws its numbers at random.

--- a/shallotshore/packets/agent_tables.py
+++ b/shallotshore/packets/agent_tables.py
@@ -36,10 +36,11 @@
 
     Columns: `stage` is a FlowStage; `answer_sequence` is the number that the upstream chose when it
     accepted; `client_next` is the number after the client's last byte; `awaits` is 1 while the
-    client's data is not answered; `ends` has CLIENT_ENDED and
-    UPSTREAM_ENDED; `touched` is the time of its last packet and `awaited_at` when the client
-    began to wait, in ms; `origin` is the balancer that delivered the last packet; `candidates`
-    are the hosts that an opening packet can be passed on to, `hops` how often it was.
+    client's data is not answered; `is_confirmed` is 1 when the client has acknowledged just the
+    upstream's acceptance, or the upstream has sent more than that; `ends` has CLIENT_ENDED and
+    UPSTREAM_ENDED; `touched` is the time of its last packet and `awaited_at` when the client began
+    to wait, in ms; `origin` is the balancer that delivered the last packet; `candidates` are the
+    hosts that an opening packet can be passed on to, `hops` how often it was.
     """
 
     __slots__ = (
@@ -51,6 +52,7 @@
         "client_next",
         "ends",
         "hops",
+        "is_confirmed",
         "origin",
         "stage",
         "touched",
@@ -61,6 +63,7 @@
         "answer_sequence": "L",
         "client_next": "L",
         "awaits": "B",
+        "is_confirmed": "B",
         "ends": "B",
         "touched": "q",
         "awaited_at": "q",
@@ -73,6 +76,7 @@
     answer_sequence: array[int]
     client_next: array[int]
     awaits: array[int]
+    is_confirmed: array[int]
     ends: array[int]
     touched: array[int]
     awaited_at: array[int]
--- a/shallotshore/packets/client_packets.py
+++ b/shallotshore/packets/client_packets.py
@@ -14,7 +14,8 @@
 from shallotshore.packets.packet import ENDS, RESETS, SEQUENCE_MASK, Decode, Packet
 from shallotshore.tables import MISSING
 
-# Bytes that an upstream may have sent before the client's first packet arrives here.
+# Bytes that an upstream may have sent before the client's first packet arrives here. A client that
+# acknowledges a number further from the upstream's own goes on with another upstream.
 ACKNOWLEDGED_WINDOW = 1 << 20
 
 
@@ -53,8 +54,10 @@
         _take_unknown(state, carry, packet, now)
         return
     stage = flows.stage[row]
-    if stage == FlowStage.ACCEPTED and _is_accepted_here(state, row, packet):
+    distance = (packet.acknowledged - flows.answer_sequence[row]) & SEQUENCE_MASK
+    if stage == FlowStage.ACCEPTED and distance < ACKNOWLEDGED_WINDOW:
         flows.origin[row] = carry.origin
+        flows.is_confirmed[row] = distance == 1
         state.note_open(row)
         _log_opened(state, row, packet, carry, now)
     elif stage == FlowStage.PROBED:
@@ -67,12 +70,6 @@
     _deliver(state, row, carry, packet, now)
 
 
-def _is_accepted_here(state: AgentState, row: int, packet: Packet) -> bool:
-    """Whether the client goes on with the upstream beside this agent, not with another one."""
-    distance = (packet.acknowledged - state.flows.answer_sequence[row]) & SEQUENCE_MASK
-    return distance < ACKNOWLEDGED_WINDOW
-
-
 def _take_unknown(state: AgentState, carry: Carry, packet: Packet, now: int) -> None:
     flows = state.flows
     if carry.service != state.service or state.is_certain(now):
--- a/shallotshore/packets/upstream_packets.py
+++ b/shallotshore/packets/upstream_packets.py
@@ -44,10 +44,12 @@
             if flows.stage[row] == FlowStage.OFFERED:
                 state.set_stage(row, FlowStage.ACCEPTED)
             flows.answer_sequence[row] = packet.sequence
-        elif flows.stage[row] in (FlowStage.PROBED, FlowStage.FOREIGN):
-            state.note_open(row)
-            # The balancer that searches may not have subscribed to this process yet.
-            state.send(flows.origin[row], OwnedFlow(packet.key))
+        else:
+            flows.is_confirmed[row] = True
+            if flows.stage[row] in (FlowStage.PROBED, FlowStage.FOREIGN):
+                state.note_open(row)
+                # The balancer that searches may not have subscribed to this process yet.
+                state.send(flows.origin[row], OwnedFlow(packet.key))
         if packet.size and flows.awaits[row]:
             waited = now - flows.awaited_at[row]
             state.latencies.record("first_answer", packet.route_name, waited)
@@ -79,7 +81,12 @@
         if stage == FlowStage.OFFERED:
             _pass_returned(state, row, packet, now)
         return
-    if stage == FlowStage.OPEN:
+    if stage == FlowStage.OPEN and not flows.is_confirmed[row]:
+        # Two upstreams had accepted, with close numbers, and the client has chosen the other one.
+        state.forget(row)
+        state.counters.add("flows.accepted_elsewhere")
+        state.send(origin, Missing(packet.key, False, packet.frame))
+    elif stage == FlowStage.OPEN:
         # The upstream has started again, or has given the flow up.
         state.forget(row)
         state.counters.add("flows.lost")
--- a/standins/packet_processes.py
+++ b/standins/packet_processes.py
@@ -87,7 +87,7 @@
         if host not in self.upstreams:
             to_agent = await self._bind((host, UPSTREAM_PORT), lambda data: self._serve(host, data))
             upstream = PacketUpstream(
-                lambda frame: to_agent.sendto(frame, (host, OUTBOUND_PORT)), self._later
+                lambda frame: to_agent.sendto(frame, (host, OUTBOUND_PORT)), self._later, seed=host
             )
             self.upstreams[host] = upstream
         await self._start("agent", host)
--- a/standins/packet_upstream.py
+++ b/standins/packet_upstream.py
@@ -2,7 +2,8 @@
 
 __all__ = ["PacketUpstream"]
 
-from collections.abc import Callable
+import random
+from collections.abc import Callable, Iterator
 
 from adapter.packets import decode_packet
 
@@ -10,6 +11,7 @@
 from standins.packet_wire import ACK, FIN, RETURNED, SYN, is_intact, write_packet
 
 _FLAGS_AT = 2
+SEQUENCE_BITS = 31  # numbers do not wrap around within a test
 RESEND_MS, RESEND_LIMIT_MS, RESENDS = 200, 1_600, 8
 
 
@@ -24,9 +26,12 @@
         strangers: Packets that came for flows not held here.
         damaged: Packets that were not as their sender wrote them.
         is_silent: Whether it answers nothing.
+        sequences: First numbers of its flows; random, so that two upstreams do not choose alike.
     """
 
-    def __init__(self, send: Callable[[bytes], None], later: Callable, slots: int = 3) -> None:
+    def __init__(
+        self, send: Callable[[bytes], None], later: Callable, slots: int = 3, seed: str = ""
+    ) -> None:
         self._send = send
         self._later = later
         self.slots = slots
@@ -38,7 +43,8 @@
         self.damaged = 0
         self.is_silent = False
         self.accepts = True
-        self._next_sequence = 1_000
+        rng = random.Random(seed)
+        self.sequences: Iterator[int] = iter(lambda: rng.getrandbits(SEQUENCE_BITS), -1)
         self.restart()
 
     def restart(self) -> None:
@@ -76,8 +82,7 @@
             return
         if packet.key not in self._half_open:
             self.openings.append(now)
-            self._next_sequence += 100_000
-            self._half_open[packet.key] = self._next_sequence
+            self._half_open[packet.key] = next(self.sequences)
         sequence = self._half_open[packet.key]
         self._answer(packet, SYN | ACK, sequence, packet.sequence + 1)
 
--- a/standins/packet_world.py
+++ b/standins/packet_world.py
@@ -130,7 +130,7 @@
         self.agents[host] = PacketAgent(settings, rng, decode_packet)
         if host not in self.upstreams:
             send = self._from_upstream(host)
-            self.upstreams[host] = PacketUpstream(send, self.later, slots)
+            self.upstreams[host] = PacketUpstream(send, self.later, slots, host)
 
     def publish(self, host: str, is_leaving: bool = False, cold_ms: int = 0) -> None:
         """Publishes the record of a host's upstream."""
--- a/tests/test_packet_flows.py
+++ b/tests/test_packet_flows.py
@@ -1,7 +1,9 @@
 """Flows of the packet front end under faults, on a virtual clock."""
 
+import itertools
 import unittest
 
+from standins.packet_client import PacketClient
 from standins.packet_world import DELAY_MS, VIP, PacketWorld
 
 OTHER_VIP = ("198.18.0.2", 443)
@@ -60,6 +62,30 @@
         self.assertIsNotNone(client.reset_at)
 
 
+class DoubleAcceptanceTest(unittest.TestCase):
+    """Flows that two upstreams accept, since the first acceptance was lost on its way."""
+
+    def test_client_goes_on_with_one_of_two_close_sequence_numbers(self) -> None:
+        """Guards against a reset by the agent whose upstream the client did not choose.
+
+        Both agents take the client's acknowledgement for their own upstream's (soak seed 3).
+        """
+        world = make_world(agents=AGENTS[:2])
+        for number, upstream in enumerate(world.upstreams.values()):
+            upstream.sequences = itertools.count(1_000 + 50 * number)
+        clients = [world.open_flow(4000 + number) for number in range(10)]
+        take = PacketClient.take
+        for client in clients:
+            client.take = lambda frame, now: None  # type: ignore[method-assign]
+        world.run(150)
+        for client in clients:
+            client.take = take.__get__(client)  # type: ignore[method-assign]
+            client.request(b"x")
+        world.run(1_000)
+        self.assertEqual([None] * 10, [client.reset_at for client in clients])
+        self.assertEqual([[b"200 x"]] * 10, [client.answers for client in clients])
+
+
 class BalancerFaultTest(unittest.TestCase):
     """Flows while balancers and agents end and start."""
 
