Check whether a VM answers before its silent agent counts as holding no flow

Cause: an agent that was silent for 1.5 s counted as holding no flow, whatever the reason.

Change: while a search waits for a silent agent, the balancer connects to the agent's VM. A refused or taken connection shows that only the process is away, and the flow waits for it; a VM that does neither within 400 ms is gone, and its flows are given up after 1.5 s as before.

Before: in the new test on the virtual clock flows were reset; after: none, and flows of a VM without power are still reset.

--- a/shallotshore/packets/application.py
+++ b/shallotshore/packets/application.py
@@ -8,7 +8,7 @@
 import os
 import signal
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from functools import singledispatchmethod
 from typing import TYPE_CHECKING, Protocol
 
@@ -29,6 +29,8 @@
 from shallotshore.packets.peer_copies import fetch_copy, serve_copies
 from shallotshore.packets.store_messages import FetchFeed, ReadFeed, WatchFeed
 from shallotshore.packets.view import Feed, FeedState
+from shallotshore.packets.vm_checks import CheckVm, VmChecked
+from shallotshore.packets.vm_probe import is_vm_answering
 from shallotshore.systems import Counters, Outbox
 
 if TYPE_CHECKING:
@@ -135,7 +137,7 @@
         self._writer = LogWriter(core.log, settings.name, clock)
         self._ports: list[DatagramPort] = []
         self._servers: list[asyncio.AbstractServer] = []
-        self._fetches: set[asyncio.Task[None]] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
         self._timers: dict[str, asyncio.TimerHandle] = {}
         self._store: StoreReader | None = None
         self._tick_handle: asyncio.Handle | None = None
@@ -196,7 +198,7 @@
     def _close(self) -> None:
         for timer in self._timers.values():
             timer.cancel()
-        for task in self._fetches:
+        for task in self._tasks:
             task.cancel()
         if self._store is not None:
             self._store.close()
@@ -305,14 +307,25 @@
 
     @_send.register(FetchFeed)
     def _(self, message: FetchFeed, destination: Address) -> None:
-        task = asyncio.ensure_future(self._fetch(message.feed, destination))
-        self._fetches.add(task)
-        task.add_done_callback(self._fetches.discard)
+        self._start(self._fetch(message.feed, destination))
+
+    @_send.register(CheckVm)
+    def _(self, message: CheckVm, destination: Address) -> None:
+        self._start(self._check(message.host, destination))
+
+    def _start(self, work: Coroutine[object, object, None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     async def _fetch(self, feed: Feed, source: Address) -> None:
         answer = await fetch_copy(source, feed)
         self._deliver(source, answer)
 
+    async def _check(self, host: int, address: Address) -> None:
+        is_answering = await is_vm_answering(address)
+        self._deliver(address, VmChecked(host, is_answering))
+
     def _client_of(self, client: Address) -> Address:
         """Returns where the fabric takes packets for a client."""
         return (client[0], self._settings.client_address[1])
--- a/shallotshore/packets/balancer.py
+++ b/shallotshore/packets/balancer.py
@@ -13,6 +13,7 @@
 from shallotshore.packets.ownership import OwnershipSystem
 from shallotshore.packets.packet import Decode, Packet
 from shallotshore.packets.routing import RoutingSystem
+from shallotshore.packets.vm_checks import VmCheckSystem
 from shallotshore.packets.waiting_flows import WaitingFlowSystem
 
 PAUSE_MS = 1_000  # a longer gap between ticks means that the VM stood still
@@ -51,6 +52,7 @@
             DirectorySystem(state),
             self._members,
             OwnershipSystem(state, decode),
+            VmCheckSystem(state),
             SubscriptionSystem(state),
             RoutingSystem(state),
             WaitingFlowSystem(state),
--- a/shallotshore/packets/ownership.py
+++ b/shallotshore/packets/ownership.py
@@ -69,7 +69,7 @@
         upstreams.in_flight[row] = min(report.in_flight, 65_535)
         upstreams.flows[row] = report.flows
         upstreams.health[row] = report.health
-        upstreams.reported_at[row] = now
+        upstreams.note_heard(row, now)
         if report.cold_ms:
             upstreams.cold_until[row] = max(upstreams.cold_until[row], now + report.cold_ms)
         state.feeds.offer(source, report.operator_revision, report.upstreams_revision, now)
@@ -83,7 +83,7 @@
             return
         upstreams.in_flight[row] = min(load.in_flight, 65_535)
         upstreams.flows[row] = load.flows
-        upstreams.reported_at[row] = now
+        upstreams.note_heard(row, now)
         self._take_keys(host, upstreams.service[row], load.opened, load.closed, now)
 
     def _take_keys(self, host: int, service: int, opened: bytes, closed: bytes, now: int) -> None:
--- a/shallotshore/packets/search.py
+++ b/shallotshore/packets/search.py
@@ -10,13 +10,11 @@
 from shallotshore.packets.flow_cache import FlowStage
 from shallotshore.packets.node_messages import Carry, CarryKind
 from shallotshore.packets.packet import Packet
+from shallotshore.packets.vm_checks import is_gone
 from shallotshore.tables import MISSING
 
 ASKED_LIMIT = 200  # agents asked for a flow that the route's own services do not know
-# An agent that is silent for so long, through six heartbeats, cannot carry a flow: its VM is down
-# or cut off, and a client that waits for it is served better by a reset.
-SILENT_AGENT_MS = 1_500
-# One that has just started has not been heard either: it answers the search itself by then.
+# An agent that has just started has not been heard either: it answers the search itself by then.
 SILENT_SEARCH_MS = 300
 
 
@@ -94,11 +92,7 @@
 def _all_denied(
     state: BalancerState, hosts: Iterable[int], denied: dict[int, int], now: int
 ) -> bool:
-    upstreams = state.upstreams
-    for host in hosts:
-        if host in denied:
-            continue
-        row = upstreams.row(host)
-        if now - max(upstreams.reported_at[row], upstreams.added_at[row]) < SILENT_AGENT_MS:
-            return False
-    return True
+    rows = [state.upstreams.row(host) for host in hosts if host not in denied]
+    # Every silent agent is looked at, so that their VMs are checked at the same time.
+    gone = [is_gone(state, row, now) for row in rows]
+    return all(gone)
--- a/shallotshore/packets/upstream_table.py
+++ b/shallotshore/packets/upstream_table.py
@@ -12,6 +12,7 @@
 from shallotshore.packets.hosts import host_number
 from shallotshore.packets.node_messages import UpstreamHealth
 from shallotshore.packets.view import Upstream
+from shallotshore.packets.vm_checks import VmState
 from shallotshore.tables import MISSING, Table
 
 UPSTREAM_LIMIT = 200_000  # rows; above the 150,000 upstreams planned for
@@ -32,17 +33,19 @@
     """Upstreams by host.
 
     Columns: `service` and `data_centre` are ids; `listing` is a Listing; `leaving` is 1 when the
-    upstream takes no new flows; `added_at`, `lapsed_at`, `cold_until`, `reported_at`, `asked_at`
-    and `opened_at` are times in ms; `incarnation`, `in_flight`, `flows` and `health` are the
-    agent's last report;
-    `is_heard` is 1 while the agent reports; `opened` counts flows opened by this balancer that
-    the report cannot contain yet.
+    upstream takes no new flows; `added_at`, `lapsed_at`, `cold_until`, `reported_at`, `asked_at`,
+    `opened_at`, `check_wanted_at` and `checked_at` are times in ms; `vm_state` is a VmState;
+    `incarnation`, `in_flight`, `flows` and `health` are the agent's last report; `is_heard` is 1
+    while the agent reports; `opened` counts flows opened by this balancer that the report cannot
+    contain yet.
     """
 
     __slots__ = (
         "_by_service",
         "added_at",
         "asked_at",
+        "check_wanted_at",
+        "checked_at",
         "cold_until",
         "data_centre",
         "flows",
@@ -58,6 +61,7 @@
         "reported_at",
         "service",
         "slots",
+        "vm_state",
     )
 
     COLUMNS = {
@@ -78,6 +82,9 @@
         "is_heard": "B",
         "opened": "H",
         "opened_at": "q",
+        "check_wanted_at": "q",
+        "checked_at": "q",
+        "vm_state": "B",
     }
 
     service: array[int]
@@ -97,6 +104,9 @@
     is_heard: array[int]
     opened: array[int]
     opened_at: array[int]
+    check_wanted_at: array[int]
+    checked_at: array[int]
+    vm_state: array[int]
 
     def __init__(self) -> None:
         super().__init__(UPSTREAM_LIMIT)
@@ -157,6 +167,11 @@
             if self.listing[row] != Listing.LISTED and now - last > FORMER_KEPT_MS:
                 self.forget(host)
 
+    def note_heard(self, row: int, now: int) -> None:
+        """Notes a report of the agent, which shows that its VM lives."""
+        self.reported_at[row] = now
+        self.vm_state[row] = VmState.UNKNOWN
+
     def is_reported(self, row: int, now: int) -> bool:
         """Whether the agent has reported lately."""
         return now - self.reported_at[row] < REPORT_FRESH_MS and self.reported_at[row] > 0
--- /dev/null
+++ b/shallotshore/packets/vm_checks.py
@@ -0,0 +1,113 @@
+"""Tells a VM that is gone from one whose agent is silent, by whether its network stack answers."""
+
+from __future__ import annotations
+
+__all__ = ["CHECK_TIMEOUT_MS", "CheckVm", "VmCheckSystem", "VmChecked", "VmState", "is_gone"]
+
+from enum import IntEnum
+from typing import TYPE_CHECKING
+
+from shallotshore.packets.hosts import host_text
+from shallotshore.tables import MISSING
+
+if TYPE_CHECKING:
+    from shallotshore.packets.balancer_state import BalancerState
+
+CHECK_TIMEOUT_MS = 400  # a connection to a VM that lives takes one round trip, at most 30 ms
+CHECK_AFTER_MS = 700  # of silence; an agent reports every 250 ms
+CHECK_AGAIN_MS = 500
+LOOK_MS = 50
+# An agent whose VM does not answer either, and that is silent for so long, holds no flow that a
+# client should wait for.
+GONE_AFTER_MS = 1_500
+
+
+class VmState(IntEnum):
+    """What the last check of a VM has shown, since its agent was last heard."""
+
+    UNKNOWN = 0
+    ANSWERS = 1  # it takes or refuses connections: only the agent is silent
+    SILENT = 2  # without power, cut off or suspended
+
+
+class CheckVm:
+    """Asks the edge to find out whether a VM answers.
+
+    Attributes:
+        host: Its IP number.
+    """
+
+    __slots__ = ("host",)
+
+    def __init__(self, host: int) -> None:
+        self.host = host
+
+
+class VmChecked:
+    """What a check has found.
+
+    Attributes:
+        host: IP number of the VM.
+        is_answering: Whether it took or refused a connection in time.
+    """
+
+    __slots__ = ("host", "is_answering")
+
+    def __init__(self, host: int, is_answering: bool) -> None:
+        self.host = host
+        self.is_answering = is_answering
+
+
+def is_gone(state: BalancerState, row: int, now: int) -> bool:
+    """Whether an agent is silent because its VM is gone; asks for a check as needed."""
+    upstreams = state.upstreams
+    silent = now - max(upstreams.reported_at[row], upstreams.added_at[row])
+    if silent < CHECK_AFTER_MS:
+        return False
+    upstreams.check_wanted_at[row] = now
+    return silent >= GONE_AFTER_MS and upstreams.vm_state[row] == VmState.SILENT
+
+
+class VmCheckSystem:
+    """Checks the VMs of silent agents that a search waits for."""
+
+    __slots__ = ("_looked_at", "_state")
+
+    def __init__(self, state: BalancerState) -> None:
+        self._state = state
+        self._looked_at = 0
+
+    def run(self, now: int) -> None:
+        """Runs the step at `now` (ms)."""
+        for _, checked in self._state.inbox.take(VmChecked):
+            self._take(checked, now)
+        if now - self._looked_at < LOOK_MS:
+            return
+        self._looked_at = now
+        upstreams = self._state.upstreams
+        for row in upstreams.rows():
+            is_wanted = now - upstreams.check_wanted_at[row] <= LOOK_MS
+            if is_wanted and now - upstreams.checked_at[row] >= CHECK_AGAIN_MS:
+                upstreams.checked_at[row] = now
+                self._ask(upstreams.key[row])
+
+    def _ask(self, host: int) -> None:
+        state = self._state
+        state.outbox.send((host_text(host), state.node_port), CheckVm(host))
+        state.counters.add("vms.checked")
+
+    def _take(self, checked: VmChecked, now: int) -> None:
+        upstreams = self._state.upstreams
+        row = upstreams.row(checked.host)
+        if row == MISSING:
+            return
+        vm_state = VmState.ANSWERS if checked.is_answering else VmState.SILENT
+        if upstreams.vm_state[row] != vm_state:
+            self._state.log.write(
+                now,
+                "vm_checked",
+                upstream=host_text(checked.host),
+                state=vm_state.name,
+                silent_ms=now - max(upstreams.reported_at[row], upstreams.added_at[row]),
+            )
+        upstreams.vm_state[row] = vm_state
--- a/standins/packet_world.py
+++ b/standins/packet_world.py
@@ -38,6 +38,7 @@
     ServiceLimits,
     Upstream,
 )
+from shallotshore.packets.vm_checks import CHECK_TIMEOUT_MS, CheckVm, VmChecked
 from standins.packet_client import PacketClient
 from standins.packet_store import StoreStandin
 from standins.packet_upstream import PacketUpstream
@@ -207,6 +208,8 @@
             self.store.call(message, self.now, self._reply(host, core))
         elif isinstance(message, FetchFeed):
             self._fetch(host, core, destination, message)
+        elif isinstance(message, CheckVm):
+            self._check(host, core, destination, message)
         elif isinstance(message, ToUpstream):
             upstream = self.upstreams[host]
             self.later(0, lambda: upstream.take(message.frame, self.now))
@@ -230,6 +233,12 @@
             answer = FetchedFeed(other.feeds.copy(request.feed).state())
         self.later(2 * DELAY_MS, lambda: self._receive(host, core, source, answer))
 
+    def _check(self, host: str, core: Any, destination: Address, request: CheckVm) -> None:
+        is_alive = destination[0] in self.upstreams and not {host, destination[0]} & self.drops
+        delay = 2 * DELAY_MS if is_alive else CHECK_TIMEOUT_MS
+        answer = VmChecked(request.host, is_alive)
+        self.later(delay, lambda: self._receive(host, core, destination, answer))
+
     def _to_node(self, source: str, destination: str, frame: bytes) -> None:
         if {source, destination} & self.drops:
             return
--- a/tests/test_packet_flows.py
+++ b/tests/test_packet_flows.py
@@ -128,6 +128,37 @@
         self.assertEqual([None] * 20, [client.reset_at for client in clients])
         self.assertEqual([[b"200 x"]] * 20, [client.answers for client in clients])
 
+    def test_flows_wait_for_an_agent_that_starts_slowly(self) -> None:
+        """Guards against resets while an agent is down and its upstream lives (soak seed 3)."""
+        world = make_world()
+        clients = [world.open_flow(4000 + number) for number in range(20)]
+        world.run(300)
+        for host in BALANCERS:
+            world.add_balancer(host, seeds=BALANCERS)
+        del world.agents[AGENTS[0]]
+        for client in clients:
+            client.request(b"x")
+        world.run(2_500)
+        world.add_agent(AGENTS[0], is_first_start=False)
+        world.run(2_000)
+        self.assertEqual([None] * 20, [client.reset_at for client in clients])
+        self.assertEqual([[b"200 x"]] * 20, [client.answers for client in clients])
+
+    def test_flows_of_a_vm_that_is_gone_are_reset(self) -> None:
+        """Guards against clients that wait for a VM without power until their deadline."""
+        world = make_world()
+        clients = [world.open_flow(4000 + number) for number in range(20)]
+        world.run(300)
+        lost = world.upstreams[AGENTS[0]].flows
+        self.assertGreater(lost, 0)
+        for host in BALANCERS:
+            world.add_balancer(host, seeds=BALANCERS)
+        world.drops.add(AGENTS[0])
+        for client in clients:
+            client.request(b"x")
+        world.run(2_000)
+        self.assertEqual(lost, sum(client.reset_at is not None for client in clients))
+
     def test_flow_of_a_former_route_is_found_after_a_restart(self) -> None:
         """Guards against a search among the route's present services only (trouble-1, FLOW 3)."""
         world = make_world()
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -71,6 +71,26 @@
         self.assertEqual(0, client.damaged)
         self.assertEqual([b"one", b"two", b"three", b"four"], fleet.upstreams[AGENT].ran)
 
+    async def test_flow_waits_for_an_agent_that_is_down_for_long(self) -> None:
+        """Guards against a reset by a balancer that takes a silent agent's VM for gone."""
+        fleet = self.fleet
+        client = fleet.open_flow(40_003, BALANCERS[0])
+        client.request(b"one")
+        self.assertTrue(await fleet.until(lambda: len(client.answers) == 1))
+        for host in BALANCERS:
+            await fleet.stop(host, signal.SIGKILL)
+        await fleet.stop(AGENT, signal.SIGKILL)
+        await fleet.start_balancer(BALANCERS[1])
+        await self.become_ready(BALANCERS[1])
+        fleet.move(40_003, BALANCERS[1])
+        client.request(b"two")
+        await fleet.until(lambda: client.reset_at, 2.5)
+        await fleet.start_agent(AGENT)
+        self.assertTrue(await fleet.until(lambda: len(client.answers) == 2))
+        self.assertIsNone(client.reset_at)
+        states = [line["state"] for line in self.events("vm_checked")]
+        self.assertEqual({"ANSWERS"}, set(states))
+
     async def test_stop_is_announced_and_ends_cleanly(self) -> None:
         """Guards against a stop that cuts flows, hangs, or leaves no line."""
         fleet = self.fleet
--- /dev/null
+++ b/tests/test_vm_probe.py
@@ -0,0 +1,43 @@
+"""Checks of VMs over loopback connections."""
+
+import socket
+import unittest
+
+from shallotshore.packets.vm_probe import is_vm_answering
+
+HOST = "127.0.4.1"
+
+
+class VmProbeTest(unittest.IsolatedAsyncioTestCase):
+    """What a connection shows of a VM."""
+
+    async def test_refused_connection_shows_a_live_vm(self) -> None:
+        """Guards against resets of flows whose agent is only starting again."""
+        with socket.socket() as bound:
+            bound.bind((HOST, 0))  # reserves a port that nobody listens to
+            self.assertTrue(await is_vm_answering(bound.getsockname()))
+
+    async def test_accepted_connection_shows_a_live_vm(self) -> None:
+        """Guards against resets of flows whose agent is suspended but whose VM is not."""
+        with socket.create_server((HOST, 0)) as server:
+            self.assertTrue(await is_vm_answering(server.getsockname()))
+
+    async def test_silence_is_noticed_in_time(self) -> None:
+        """Guards against checks that wait without end for a VM without power."""
+        with socket.create_server((HOST, 0), backlog=0) as server:
+            # A full queue of new connections answers nothing, as a dead VM does.
+            filling = []
+            for _ in range(4):
+                client = socket.socket()
+                client.setblocking(False)
+                client.connect_ex(server.getsockname())
+                filling.append(client)
+            try:
+                self.assertFalse(await is_vm_answering(server.getsockname()))
+            finally:
+                for client in filling:
+                    client.close()
+
+
+if __name__ == "__main__":
+    unittest.main()
