Report often only to balancers that send new flows; copy feeds within the data centre

Every agent reported each change of its load to all 25 balancers, and copied the whole list of upstreams from whichever balancer offered it first, each time any record changed.

Change: an agent reports changes and heartbeats of 250 ms to balancers that sent it a new flow within 2 s, and heartbeats of 500 ms to the others. Copies come from the own data centre where possible and wait 0.1 s (operator) or 1 s (upstreams) unless the agent's own record has changed, which a subscription now tells.

Found on the way: a heartbeat that came to a restarted balancer before its first subscription made it take the agent's flows for known; they were searched for instead. A report now says when it names all flows, and only then is the agent's incarnation known.

--- a/shallotshore/packets/agent_state.py
+++ b/shallotshore/packets/agent_state.py
@@ -87,6 +87,7 @@
 
     Attributes:
         slots: Requests that the upstream works on at the same time.
+        record_revision: Revision of the record of the upstream; 0 when none is known.
         is_leaving: Whether the upstream takes no new flows.
         is_out: Whether the data centre is out.
         health: What the agent sees of its upstream.
@@ -112,6 +113,7 @@
         "limit",
         "open_flows",
         "recent_offers",
+        "record_revision",
         "service",
         "settings",
         "slots",
@@ -132,6 +134,7 @@
         self.incarnation = rng.getrandbits(62) + 1
         self.started_at = MISSING
         self.slots = UNKNOWN_SLOTS
+        self.record_revision = 0
         self.is_leaving = False
         self.is_out = False
         self.health = UpstreamHealth.ANSWERS
--- a/shallotshore/packets/agent_tables.py
+++ b/shallotshore/packets/agent_tables.py
@@ -8,7 +8,8 @@
 from enum import IntEnum
 
 from shallotshore.cursor import Cursor
-from shallotshore.tables import Table
+from shallotshore.packets.upstream_use import USE_MS
+from shallotshore.tables import MISSING, Table
 
 FLOW_LIMIT = 20_000  # rows; ten times the connections of one upstream
 SUBSCRIBER_LIMIT = 1_000
@@ -96,39 +97,47 @@
 class SubscriberTable(Table):
     """Balancers by host.
 
-    Columns: `data_centre` is an id; `renewed_at`, `sent_at` and `full_at` are the times of its
-    last subscription, of the last report and of the last whole report, in ms; `told_health` and
+    Columns: `data_centre` is an id; `renewed_at`, `used_at`, `sent_at` and `full_at` are the times
+    of its last subscription and its last opening packet, and of the last report and the last whole
+    report to it, in ms; `told_health` and
     `told_in_flight` are what the last reports said; `opened` and
-    `closed` collect keys of flows for the next report.
+    `closed` collect keys of flows for the next report; `is_complete` is 1 when `opened` begins with
+    all open flows.
     """
 
     __slots__ = (
         "closed",
         "data_centre",
         "full_at",
+        "is_complete",
         "opened",
         "renewed_at",
         "sent_at",
         "told_health",
         "told_in_flight",
+        "used_at",
     )
 
     COLUMNS = {
         "data_centre": "Q",
         "renewed_at": "q",
+        "used_at": "q",
         "sent_at": "q",
         "full_at": "q",
         "told_health": "B",
         "told_in_flight": "H",
+        "is_complete": "B",
     }
     OBJECT_COLUMNS = {"opened": b"", "closed": b""}
 
     data_centre: array[int]
     renewed_at: array[int]
+    used_at: array[int]
     sent_at: array[int]
     full_at: array[int]
     told_health: array[int]
     told_in_flight: array[int]
+    is_complete: array[int]
     opened: list[bytes]
     closed: list[bytes]
 
@@ -138,3 +147,13 @@
     def is_live(self, row: int, now: int) -> bool:
         """Whether a subscription is in force."""
         return now - self.renewed_at[row] < SUBSCRIPTION_MS
+
+    def note_use(self, host: int, now: int) -> None:
+        """Notes that a balancer sends new flows here."""
+        row = self.row(host)
+        if row != MISSING:
+            self.used_at[row] = now
+
+    def is_user(self, row: int, now: int) -> bool:
+        """Whether a balancer has sent a new flow here lately."""
+        return now - self.used_at[row] < USE_MS
--- a/shallotshore/packets/feeds.py
+++ b/shallotshore/packets/feeds.py
@@ -42,6 +42,10 @@
 OFFER_PATIENCE_MS = (
     400  # a reader of the store waits so long for its own watch before it asks a peer
 )
+# A process that only copies waits until balancers of its own data centre have offered a change too,
+# since bytes between data centres are dear, and takes changes in quick succession together. Other
+# upstreams' records concern an agent only as a reserve for balancers that start without a store.
+COPY_PATIENCE_MS = {Feed.OPERATOR: 100, Feed.UPSTREAMS: 1_000}
 FETCH_RETRY_MS = 100
 NEVER = -(1 << 40)
 STORE: Address = ("", 0)  # the edge knows the store's address
@@ -55,6 +59,8 @@
         revision: Revision of the newest change held; 0 when nothing was ever read.
         confirmed_at: When the store last answered, in ms.
         failing_since: When calls to the store began to fail, or NEVER.
+        is_offer_near: Whether the best offer comes from the own data centre.
+        is_offer_urgent: Whether it concerns this process itself.
         content: The records.
     """
 
@@ -71,6 +77,8 @@
         "is_asking",
         "is_complete",
         "is_fetching",
+        "is_offer_near",
+        "is_offer_urgent",
         "next_call_at",
         "next_fetch_at",
         "revision",
@@ -91,6 +99,8 @@
         self.best_offer = 0
         self.best_offer_at = NEVER
         self.best_offer_from: Address | None = None
+        self.is_offer_near = False
+        self.is_offer_urgent = False
         self.content = FeedContent()
 
     def is_current(self, now: int) -> bool:
@@ -119,16 +129,28 @@
         """Returns the copy of a feed."""
         return self.operator if feed is Feed.OPERATOR else self.upstreams
 
-    def offer(self, source: Address, operator: int, upstreams: int, now: int) -> None:
-        """Notes which revisions another process holds."""
+    def offer(
+        self, source: Address, operator: int, upstreams: int, now: int, is_near: bool
+    ) -> None:
+        """Notes which revisions another process holds.
+
+        Args:
+            source: Address of the process.
+            operator: Its revision of the operator's feed.
+            upstreams: Its revision of the upstreams' feed.
+            now: Time in ms.
+            is_near: Whether the process is in the own data centre.
+        """
         for copy, revision in ((self.operator, operator), (self.upstreams, upstreams)):
             if revision <= copy.revision:
                 continue
             if copy.best_offer <= copy.revision:
                 copy.best_offer_at = now
-            if revision >= copy.best_offer:
+            is_nearer = is_near or not copy.is_offer_near
+            if revision > copy.best_offer or (revision == copy.best_offer and is_nearer):
                 copy.best_offer = revision
                 copy.best_offer_from = source
+                copy.is_offer_near = is_near
 
 
 class FeedSystem:
@@ -194,13 +216,18 @@
         source = copy.best_offer_from
         if copy.is_fetching or source is None or copy.best_offer <= copy.revision:
             return
-        patience = OFFER_PATIENCE_MS if self._reads_store and copy.revision else 0
-        if now < copy.next_fetch_at or now - copy.best_offer_at < patience:
+        if now < copy.next_fetch_at or now - copy.best_offer_at < self._patience(copy):
             return
         copy.is_fetching = True
         self._outbox.send(source, FetchFeed(copy.feed))
         self._counters.add("peers.copies_fetched")
 
+    def _patience(self, copy: FeedCopy) -> int:
+        """Returns how long an offer of more than is held waits, in ms."""
+        if copy.revision == 0 or copy.is_offer_urgent:
+            return 0
+        return OFFER_PATIENCE_MS if self._reads_store else COPY_PATIENCE_MS[copy.feed]
+
     def _answered(self, copy: FeedCopy, now: int) -> None:
         if copy.failing_since != NEVER:
             self._log.write(
@@ -268,7 +295,7 @@
 
     def _take_copy(self, state: FeedState, now: int) -> None:
         copy = self._feeds.copy(state.feed)
-        copy.is_fetching = False
+        copy.is_fetching = copy.is_offer_urgent = False
         copy.next_fetch_at = now
         if state.revision > copy.revision:
             content = FeedContent.from_state(state)
--- a/shallotshore/packets/members.py
+++ b/shallotshore/packets/members.py
@@ -69,7 +69,8 @@
             if named not in self._members:
                 self._note(named, now - MEMBER_KEPT_MS // 2)
         source = (host_text(host), state.node_port)
-        state.feeds.offer(source, hello.operator_revision, hello.upstreams_revision, now)
+        is_near = hello.data_centre == state.data_centre
+        state.feeds.offer(source, hello.operator_revision, hello.upstreams_revision, now, is_near)
         if hello.wants_reply:
             self._greet(host, False)
 
@@ -141,6 +142,10 @@
             patience = SUBSCRIBE_MS if upstreams.is_reported(row, now) else SILENT_SUBSCRIBE_MS
             if not is_told or now - upstreams.asked_at[row] >= patience:
                 upstreams.asked_at[row] = now
-                self._state.send(
-                    host, Subscribe(self._state.data_centre, upstreams.incarnation[row], *held)
-                )
+                self._ask(row, held)
+
+    def _ask(self, row: int, held: tuple[int, int]) -> None:
+        state = self._state
+        upstreams = state.upstreams
+        known = (upstreams.incarnation[row], *held, upstreams.record_revision[row])
+        state.send(upstreams.key[row], Subscribe(state.data_centre, *known))
--- a/shallotshore/packets/node_messages.py
+++ b/shallotshore/packets/node_messages.py
@@ -106,12 +106,14 @@
             with all open flows of that data centre.
         operator_revision: What the balancer holds of the operator's feed.
         upstreams_revision: What the balancer holds of the upstreams' feed.
+        record_revision: Revision of the record of the agent's upstream; 0 when there is none.
     """
 
     data_centre: int
     incarnation: int
     operator_revision: int
     upstreams_revision: int
+    record_revision: int = 0  # senders of an earlier version leave it out
 
 
 class Report(msgspec.Struct, array_like=True, tag=5, gc=False):
@@ -130,6 +132,7 @@
         upstreams_revision: What the agent holds of the upstreams' feed.
         opened: Keys of flows that opened, 8 bytes each.
         closed: Keys of flows that ended, 8 bytes each.
+        is_complete: Whether `opened` begins a list of all open flows that concern the receiver.
     """
 
     incarnation: int
@@ -144,6 +147,7 @@
     upstreams_revision: int
     opened: bytes
     closed: bytes
+    is_complete: bool = False  # senders of an earlier version leave it out
 
 
 class LoadReport(msgspec.Struct, array_like=True, tag=8, gc=False):
--- a/shallotshore/packets/openings.py
+++ b/shallotshore/packets/openings.py
@@ -44,6 +44,7 @@
 
 def take_opening(state: AgentState, carry: Carry, packet: Packet, now: int) -> None:
     """Decides about an opening packet of a client."""
+    state.subscribers.note_use(carry.origin, now)
     flows = state.flows
     row = flows.row(packet.key)
     if row != MISSING and flows.stage[row] in (FlowStage.OFFERED, FlowStage.ACCEPTED):
--- a/shallotshore/packets/own_upstream.py
+++ b/shallotshore/packets/own_upstream.py
@@ -59,6 +59,7 @@
                     cold_ms=record.cold_ms,
                 )
             self._record = record
+            state.record_revision = record.revision
             state.is_leaving = record.is_leaving
             state.slots = max(1, record.slots)
         is_out = state.settings.data_centre in state.feeds.operator.content.data_centres_out
--- a/shallotshore/packets/ownership.py
+++ b/shallotshore/packets/ownership.py
@@ -59,11 +59,14 @@
         row = upstreams.assign(host, report.service, now)
         if row == MISSING:
             return
-        if upstreams.incarnation[row] != report.incarnation or not upstreams.is_heard[row]:
+        if report.is_complete or not upstreams.is_heard[row]:
             state.log.write(now, "agent_heard", upstream=source[0], incarnation=report.incarnation)
         if upstreams.health[row] != report.health:
             state.log.write(now, "upstream_health", upstream=source[0], health=report.health.name)
-        upstreams.incarnation[row] = report.incarnation
+        if report.is_complete:
+            # Only now are all of its flows known; a subscription that names another incarnation is
+            # answered with them.
+            upstreams.incarnation[row] = report.incarnation
         upstreams.is_heard[row] = True
         upstreams.data_centre[row] = report.data_centre
         upstreams.in_flight[row] = min(report.in_flight, 65_535)
@@ -72,7 +75,9 @@
         upstreams.note_heard(row, now)
         if report.cold_ms:
             upstreams.cold_until[row] = max(upstreams.cold_until[row], now + report.cold_ms)
-        state.feeds.offer(source, report.operator_revision, report.upstreams_revision, now)
+        is_near = report.data_centre == state.data_centre
+        held = (report.operator_revision, report.upstreams_revision)
+        state.feeds.offer(source, *held, now, is_near)
         self._take_keys(host, report.service, report.opened, report.closed, now)
 
     def _take_load(self, source: Address, load: LoadReport, now: int) -> None:
--- a/shallotshore/packets/reports.py
+++ b/shallotshore/packets/reports.py
@@ -13,13 +13,16 @@
 )
 from shallotshore.packets.hosts import host_number
 from shallotshore.packets.node_messages import LoadReport, Report, Subscribe
+from shallotshore.packets.upstream_use import IDLE_REPORT_MS, REPORT_MS
 from shallotshore.tables import MISSING
 
 if TYPE_CHECKING:
     from shallotshore.messages import Address
 
-REPORT_MS = 250  # whole reports, which show that the agent lives
 CHANGE_GAP_MS = 40  # shortest time between two reports of changes
+# Owners of new flows are named together: a client's packets enter by another balancer only when the
+# set of balancers changes, and a search finds the owner meanwhile.
+OPENED_GAP_MS = 120
 # Bytes between data centres are dear: there a change waits longer.
 FAR_CHANGE_GAP_MS = 120
 KEYS_IN_REPORT = 120  # keys of 8 bytes; a report stays within one packet of 1,400 bytes
@@ -58,9 +61,14 @@
             return
         subscribers.data_centre[row] = subscribe.data_centre
         subscribers.renewed_at[row] = now
-        state.feeds.offer(source, subscribe.operator_revision, subscribe.upstreams_revision, now)
+        held = (subscribe.operator_revision, subscribe.upstreams_revision)
+        is_near = subscribe.data_centre == state.data_centre
+        state.feeds.offer(source, *held, now, is_near)
+        if subscribe.record_revision > state.record_revision:
+            state.feeds.upstreams.is_offer_urgent = True
         if subscribe.incarnation != state.incarnation:
             subscribers.opened[row] = self._open_keys(subscribe.data_centre)
+            subscribers.is_complete[row] = True
             subscribers.sent_at[row] = subscribers.full_at[row] = 0
             self._next_at = now
 
@@ -86,7 +94,7 @@
                 subscribers.remove(subscribers.key[row])
             elif now - subscribers.full_at[row] >= self._heartbeat(row, now):
                 self._send_report(row, in_flight, now)
-            elif now - subscribers.sent_at[row] >= self._patience(row, in_flight):
+            elif now - subscribers.sent_at[row] >= self._patience(row, in_flight, now):
                 self._send_load(row, in_flight, now)
 
     def _heartbeat(self, row: int, now: int) -> int:
@@ -94,18 +102,19 @@
         subscribers = self._state.subscribers
         if not subscribers.is_live(row, now):
             return FORMER_REPORT_MS
-        return 0 if subscribers.told_health[row] != self._state.health else REPORT_MS
+        if subscribers.told_health[row] != self._state.health:
+            return 0
+        return REPORT_MS if subscribers.is_user(row, now) else IDLE_REPORT_MS
 
-    def _patience(self, row: int, in_flight: int) -> int:
-        """Returns the time between two reports of the load to a subscriber, in ms."""
+    def _patience(self, row: int, in_flight: int, now: int) -> int:
+        """Returns the time between two reports of changes to a subscriber, in ms."""
         state = self._state
         subscribers = state.subscribers
-        if subscribers.opened[row]:
-            return CHANGE_GAP_MS
-        if in_flight == subscribers.told_in_flight[row]:
-            return REPORT_MS
-        is_near = subscribers.data_centre[row] == state.data_centre
-        return CHANGE_GAP_MS if is_near else FAR_CHANGE_GAP_MS
+        patience = OPENED_GAP_MS if subscribers.opened[row] else IDLE_REPORT_MS
+        if in_flight != subscribers.told_in_flight[row] and subscribers.is_user(row, now):
+            is_near = subscribers.data_centre[row] == state.data_centre
+            patience = CHANGE_GAP_MS if is_near else FAR_CHANGE_GAP_MS
+        return patience
 
     def _send_load(self, row: int, in_flight: int, now: int) -> None:
         opened, closed = self._take_keys(row, in_flight, now)
@@ -130,7 +139,9 @@
             state.feeds.upstreams.revision,
             opened,
             closed,
+            bool(state.subscribers.is_complete[row]),
         )
+        state.subscribers.is_complete[row] = False
         state.send(state.subscribers.key[row], report)
 
     def _take_keys(self, row: int, in_flight: int, now: int) -> tuple[bytes, bytes]:
--- a/shallotshore/packets/routing.py
+++ b/shallotshore/packets/routing.py
@@ -59,7 +59,7 @@
         if not self._configured_at or not len(state.upstreams):
             return False
         is_heard = all(
-            state.upstreams.is_reported(row, now)
+            state.upstreams.is_reported(row, now) and state.upstreams.incarnation[row]
             for row in state.upstreams.rows()
             if state.upstreams.listing[row] == Listing.LISTED
         )
--- a/shallotshore/packets/upstream_table.py
+++ b/shallotshore/packets/upstream_table.py
@@ -11,6 +11,7 @@
 from shallotshore.hashing import name_id
 from shallotshore.packets.hosts import host_number
 from shallotshore.packets.node_messages import UpstreamHealth
+from shallotshore.packets.upstream_use import fresh_ms
 from shallotshore.packets.view import Upstream
 from shallotshore.packets.vm_checks import VmState
 from shallotshore.tables import MISSING, Table
@@ -18,7 +19,6 @@
 UPSTREAM_LIMIT = 200_000  # rows; above the 150,000 upstreams planned for
 FORMER_KEPT_MS = 60_000  # flows may live so long on an upstream that is listed no more
 LAPSE_GRACE_MS = 2_200  # an entry that lapsed in an outage is back within 2 s, or it is gone
-REPORT_FRESH_MS = 700  # an agent reports every 250 ms; two lost reports are tolerated
 
 
 class Listing(IntEnum):
@@ -35,9 +35,10 @@
     Columns: `service` and `data_centre` are ids; `listing` is a Listing; `leaving` is 1 when the
     upstream takes no new flows; `added_at`, `lapsed_at`, `cold_until`, `reported_at`, `asked_at`,
     `opened_at`, `check_wanted_at` and `checked_at` are times in ms; `vm_state` is a VmState;
-    `incarnation`, `in_flight`, `flows` and `health` are the agent's last report; `is_heard` is 1
-    while the agent reports; `opened` counts flows opened by this balancer that the report cannot
-    contain yet.
+    `record_revision` is that of the record in force; `incarnation` is that of the agent which has
+    named all its flows; `in_flight`, `flows` and `health` are the agent's last report; `is_heard`
+    is 1 while the agent reports; `opened` counts flows opened by this balancer that the report
+    cannot contain yet.
     """
 
     __slots__ = (
@@ -58,6 +59,7 @@
         "listing",
         "opened",
         "opened_at",
+        "record_revision",
         "reported_at",
         "service",
         "slots",
@@ -85,6 +87,7 @@
         "check_wanted_at": "q",
         "checked_at": "q",
         "vm_state": "B",
+        "record_revision": "Q",
     }
 
     service: array[int]
@@ -107,6 +110,7 @@
     check_wanted_at: array[int]
     checked_at: array[int]
     vm_state: array[int]
+    record_revision: array[int]
 
     def __init__(self) -> None:
         super().__init__(UPSTREAM_LIMIT)
@@ -174,7 +178,8 @@
 
     def is_reported(self, row: int, now: int) -> bool:
         """Whether the agent has reported lately."""
-        return now - self.reported_at[row] < REPORT_FRESH_MS and self.reported_at[row] > 0
+        age = now - self.reported_at[row]
+        return age < fresh_ms(now - self.opened_at[row]) and self.reported_at[row] > 0
 
     def may_open(self, row: int, now: int) -> bool:
         """Whether new flows may go to an upstream, as far as its records say."""
@@ -194,5 +199,6 @@
         self.data_centre[row] = name_id("data_centre", upstream.data_centre)
         self.slots[row] = max(1, upstream.slots)
         self.leaving[row] = upstream.is_leaving
+        self.record_revision[row] = upstream.revision
         if upstream.cold_ms:
             self.cold_until[row] = max(self.cold_until[row], now + upstream.cold_ms)
