Report changes to far balancers after 60 ms

Cause: with reports by use, owners of new flows no longer carried the load to far balancers every 40 ms, and a site of 17 VMs spreads new flows over three data centres by load.

--- a/shallotshore/packets/reports.py
+++ b/shallotshore/packets/reports.py
@@ -22,9 +22,9 @@
 CHANGE_GAP_MS = 40  # shortest time between two reports of changes
 # Owners of new flows are named together: a client's packets enter by another balancer only when the
 # set of balancers changes, and a search finds the owner meanwhile.
-OPENED_GAP_MS = 120
+OPENED_GAP_MS = 60
 # Bytes between data centres are dear: there a change waits longer.
-FAR_CHANGE_GAP_MS = 120
+FAR_CHANGE_GAP_MS = 60
 KEYS_IN_REPORT = 120  # keys of 8 bytes; a report stays within one packet of 1,400 bytes
 FORMER_REPORT_MS = 500  # reports to balancers whose subscription has ended; they may have restarted
 
