Work out once a tick which agents a search still waits for

Cause: after a power loss of a grown fleet a balancer searches for some 80 flows at once. It walked through all 64 upstreams for each of them every 20 ms, and once more for each denial.

Change: the hosts that are not gone are worked out once a tick and compared as sets; a denial stops at the first agent that has not answered.

--- a/shallotshore/packets/search.py
+++ b/shallotshore/packets/search.py
@@ -2,7 +2,15 @@
 
 from __future__ import annotations
 
-__all__ = ["begin_search", "carry", "is_denied_by_all", "note_denial", "search_on", "service_of"]
+__all__ = [
+    "begin_search",
+    "carry",
+    "is_denied_by_all",
+    "note_denial",
+    "search_on",
+    "service_of",
+    "undecided_hosts",
+]
 
 from collections.abc import Iterable
 
@@ -58,16 +66,28 @@
         search_on(state, row, packet, route)
 
 
-def is_denied_by_all(state: BalancerState, row: int, now: int) -> bool:
-    """Whether every agent that may know a flow has denied it, or is gone."""
+def undecided_hosts(state: BalancerState, now: int) -> set[int]:
+    """Returns the hosts that may own a flow which they have not denied: all that are not gone."""
+    upstreams = state.upstreams
+    return {upstreams.key[row] for row in upstreams.rows() if not is_gone(state, row, now)}
+
+
+def is_denied_by_all(state: BalancerState, row: int, undecided: set[int], now: int) -> bool:
+    """Whether every agent that may know a flow has denied it, or is gone.
+
+    Args:
+        state: The balancer's tables.
+        row: Row of the flow.
+        undecided: What `undecided_hosts` has returned in this tick.
+        now: Time in ms.
+    """
     flows = state.flows
-    hosts = list(state.upstreams.keys())
-    if not hosts:
+    if not len(state.upstreams):
         return False
     denied = flows.denied[row] or {}
     if now - flows.searched_at[row] < SILENT_SEARCH_MS:
-        return all(host in denied for host in hosts)
-    return _all_denied(state, hosts, denied, now)
+        return denied.keys() >= set(state.upstreams.keys())
+    return denied.keys() >= undecided
 
 
 def service_of(state: BalancerState, host: int) -> int:
@@ -92,7 +112,5 @@
 def _all_denied(
     state: BalancerState, hosts: Iterable[int], denied: dict[int, int], now: int
 ) -> bool:
-    rows = [state.upstreams.row(host) for host in hosts if host not in denied]
-    # Every silent agent is looked at, so that their VMs are checked at the same time.
-    gone = [is_gone(state, row, now) for row in rows]
-    return all(gone)
+    asked = (state.upstreams.row(host) for host in hosts if host not in denied)
+    return all(is_gone(state, row, now) for row in asked)
--- a/shallotshore/packets/waiting_flows.py
+++ b/shallotshore/packets/waiting_flows.py
@@ -8,7 +8,7 @@
 from shallotshore.packets.balancer_state import BalancerState, RouteView
 from shallotshore.packets.flow_cache import TRIED_LIMIT, FlowStage
 from shallotshore.packets.routing import offer_flow, reset_client
-from shallotshore.packets.search import is_denied_by_all
+from shallotshore.packets.search import is_denied_by_all, undecided_hosts
 from shallotshore.packets.selection import is_free, pick_service, rank_upstreams
 from shallotshore.tables import MISSING
 
@@ -40,11 +40,18 @@
         self._looked_at = now
         flows = self._state.flows
         flows.sweep(now)
+        searching = []
         for row in flows.take_watched():
             if flows.stage[row] == FlowStage.OPENING:
                 self._look_at_offer(row, now)
             elif flows.stage[row] == FlowStage.SEARCHING:
-                self._look_at_search(row, now)
+                searching.append(row)
+        if searching:
+            # After a power loss a balancer searches for hundreds of flows at once; what is the
+            # same for all of them is worked out once.
+            undecided = undecided_hosts(self._state, now)
+            for row in searching:
+                self._look_at_search(row, undecided, now)
 
     def _look_at_offer(self, row: int, now: int) -> None:
         state = self._state
@@ -83,7 +90,7 @@
         hosts = rank_upstreams(state, pick_service(state, route), tried, now)
         return bool(hosts) and is_free(state, hosts[0], now)
 
-    def _look_at_search(self, row: int, now: int) -> None:
+    def _look_at_search(self, row: int, undecided: set[int], now: int) -> None:
         state = self._state
         flows = state.flows
         searched = now - flows.searched_at[row]
@@ -91,7 +98,8 @@
             return
         patience = SEARCH_MS if state.feeds.upstreams.is_current(now) else DOUBTFUL_SEARCH_MS
         packet = flows.pending[row]
-        if searched < patience or packet is None or not is_denied_by_all(state, row, now):
+        is_early = searched < patience
+        if packet is None or is_early or not is_denied_by_all(state, row, undecided, now):
             flows.watch(row)
             return
         flows.stage[row] = FlowStage.LOST
