Disturb datagrams and connections in the soak of the real programs

A proxy on loopback stands between the processes: it delays, loses and cuts datagrams, one way or both, and resets or silences connections to the store, beside the signals of before. Processes take a setting bind_host for it: where to listen when others reach the VM by another number.

--- a/bench/process_soak.py
+++ b/bench/process_soak.py
@@ -1,8 +1,9 @@
 """Random faults on the platform's real programs: `python -m bench.process_soak --seeds 50`.
 
 Balancers and agents are killed, paused and restarted by signals, in series and overlapping, while
-clients keep their flows. Upstreams stay, so that no flow may be reset and no request may get lost
-or run twice.
+a proxy delays, loses and cuts what they send to each other, one way or both, and resets or silences
+their connections to the store. Clients keep their flows. Upstreams stay, so that no flow may be
+reset and no request may get lost or run twice.
 """
 
 __all__ = ["main", "run_seed"]
@@ -14,13 +15,15 @@
 import sys
 from collections import Counter
 
+from standins.loopback_proxy import Disturbance, LoopbackProxy
 from standins.packet_client import PacketClient
-from standins.packet_processes import SERVICE, VIP, LoopbackFleet
+from standins.packet_processes import NODE_PORT, SERVICE, VIP, LoopbackFleet
 
 BALANCERS = ("127.0.1.1", "127.0.1.2", "127.0.1.3")
 AGENTS = ("127.0.2.1", "127.0.2.2", "127.0.2.3")
 CLIENTS = 12
-FAULTS = 8
+FAULTS = 8  # signals
+DISTURBANCES = 6
 RECOVERY_S = 12.0  # as the users' pages allow after a final fault
 
 
@@ -29,7 +32,8 @@
 
     def __init__(self, seed: int) -> None:
         self._rng = random.Random(seed)
-        self._fleet = LoopbackFleet()
+        self._proxy = LoopbackProxy(NODE_PORT, random.Random(seed))
+        self._fleet = LoopbackFleet(self._proxy)
         self._clients: list[PacketClient] = []
         self._sent: Counter[int] = Counter()
         self._down: set[str] = set()
@@ -41,7 +45,9 @@
         try:
             await self._begin()
             load = asyncio.ensure_future(self._press())
-            await asyncio.gather(*(self._fault(number) for number in range(FAULTS)))
+            faults = [self._fault() for _ in range(FAULTS)]
+            disturbances = [self._disturb() for _ in range(DISTURBANCES)]
+            await asyncio.gather(*faults, *disturbances)
             load.cancel()
             await fleet.until(lambda: not self._unanswered(), RECOVERY_S)
             return self._problems()
@@ -81,7 +87,36 @@
                     self._sent[number] += 1
                     client.request(b"%d/%d" % (number, self._sent[number]))
 
-    async def _fault(self, number: int) -> None:
+    async def _disturb(self) -> None:
+        """Disturbs what one process sends, receives, or says to the store, for a while."""
+        await asyncio.sleep(0.5 + self._rng.random() * FAULTS)
+        host = self._rng.choice(BALANCERS + AGENTS)
+        kind = self._rng.choice(
+            ("delay", "loss", "cut in", "cut out", "store silent", "store reset")
+        )
+        duration = 0.3 + self._rng.random() * 1.5
+        if kind == "store reset":
+            self._proxy.reset_store(host)
+        elif kind == "store silent":
+            self._proxy.silent_stores.add(host)
+            await asyncio.sleep(duration)
+            self._proxy.silent_stores.discard(host)
+        else:
+            await self._disturb_datagrams(host, kind, duration)
+
+    async def _disturb_datagrams(self, host: str, kind: str, duration: float) -> None:
+        disturbance = {
+            "delay": Disturbance(delay_ms=200),
+            "loss": Disturbance(loss=0.3),
+        }.get(kind, Disturbance(loss=1.0))
+        pairs = [(host, other) for other in BALANCERS + AGENTS if kind != "cut in"]
+        pairs += [(other, host) for other in BALANCERS + AGENTS if kind != "cut out"]
+        self._proxy.disturbances |= dict.fromkeys(pairs, disturbance)
+        await asyncio.sleep(duration)
+        for pair in pairs:
+            self._proxy.disturbances.pop(pair, None)
+
+    async def _fault(self) -> None:
         await asyncio.sleep(0.5 + self._rng.random() * FAULTS)
         host = self._rng.choice(BALANCERS + AGENTS)
         if host in self._down:
--- a/shallotshore/packets/application.py
+++ b/shallotshore/packets/application.py
@@ -166,7 +166,7 @@
         self._loop.add_signal_handler(signal.SIGTERM, self._stop)
         self._loop.add_signal_handler(signal.SIGINT, self._stop)
         self._loop.add_signal_handler(signal.SIGHUP, self._note_hangup)
-        node_address = (settings.host, settings.node_port)
+        node_address = (settings.bind_host, settings.node_port)
         self._node_port = self._listen(self._sockets.nodes, "nodes", self._take_node_message)
         packets = self._sockets.packets
         if core.reads_store:
@@ -183,7 +183,7 @@
         pages = {self._adapter.ready_path: self._ready_page}
         if settings.ready_address is not None:
             self._servers.append(await serve_pages(settings.ready_address, pages))
-        metrics_address = (settings.host, self._adapter.metrics_port)
+        metrics_address = (settings.bind_host, self._adapter.metrics_port)
         metrics_pages = {self._adapter.metrics_path: self._metrics_page}
         self._servers.append(await serve_pages(metrics_address, metrics_pages))
         self._timers["flush"] = self._loop.call_later(FIRST_FLUSH_MS / 1000, self._flush)
--- a/shallotshore/packets/node_settings.py
+++ b/shallotshore/packets/node_settings.py
@@ -25,7 +25,9 @@
     Attributes:
         name: Name of the VM, for logs.
         data_centre: Name of its data centre.
-        host: Own IP number.
+        host: Own IP number, by which the other processes reach this one.
+        bind_host: IP number to listen to other processes at, where it differs from `host`, as
+            behind an address translation.
         client_address: Where a balancer takes the packets of clients. Clients are reached at the
             same port.
         upstream_address: Where an agent's upstream takes packets.
@@ -42,6 +44,7 @@
     """
 
     __slots__ = (
+        "bind_host",
         "client_address",
         "cold_over",
         "cold_slack",
@@ -62,10 +65,12 @@
     def __init__(self, **values: Any) -> None:
         for spec in _SPECS:
             setattr(self, spec.name, values.get(spec.name, spec.default))
+        self.bind_host = self.bind_host or self.host
 
     name: str
     data_centre: str
     host: str
+    bind_host: str
     client_address: tuple[str, int]
     upstream_address: tuple[str, int]
     outbound_address: tuple[str, int]
@@ -163,6 +168,7 @@
     _Spec("name", _parse_text, (), "unnamed"),
     _Spec("data_centre", _parse_text, _BOTH),
     _Spec("host", _parse_host, _BOTH),
+    _Spec("bind_host", _parse_host, ()),
     _Spec("client_address", _parse_address, _BOTH),
     _Spec("upstream_address", _parse_address, (AGENT,)),
     _Spec("outbound_address", _parse_address, (AGENT,)),
--- a/shallotshore/packets/node_sockets.py
+++ b/shallotshore/packets/node_sockets.py
@@ -40,7 +40,7 @@
             packets = _bound(settings.client_address)
         else:
             packets = _bound(settings.outbound_address)
-        return cls(_bound((settings.host, settings.node_port)), packets)
+        return cls(_bound((settings.bind_host, settings.node_port)), packets)
 
 
 def _bound(address: tuple[str, int]) -> socket.socket:
--- a/standins/packet_processes.py
+++ b/standins/packet_processes.py
@@ -13,6 +13,7 @@
 from pathlib import Path
 from typing import Any
 
+from standins.loopback_proxy import LoopbackProxy
 from standins.packet_client import PacketClient
 from standins.packet_upstream import PacketUpstream
 from standins.packet_world import decode_packet
@@ -37,12 +38,16 @@
 class LoopbackFleet:
     """Balancers and agents as processes; store, upstreams and clients in this one.
 
+    With a proxy the processes listen at hosts of their own and reach each other and the store
+    through it; callers of this class name the public hosts.
+
     Attributes:
         upstreams: Stand-ins by host.
         lines: Log lines of all processes, as objects.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, proxy: LoopbackProxy | None = None) -> None:
+        self._proxy = proxy
         self.upstreams: dict[str, PacketUpstream] = {}
         self.lines: list[dict[str, Any]] = []
         self._items: dict[str, tuple[int, object]] = {}
@@ -71,6 +76,8 @@
         for transport in self._transports:
             transport.close()
         self._store.close()
+        if self._proxy is not None:
+            self._proxy.close()
         self._folder.cleanup()
 
     def publish(self, key: str, value: object) -> None:
@@ -85,9 +92,10 @@
     async def start_agent(self, host: str) -> None:
         """Starts an agent, and its upstream unless that is there already."""
         if host not in self.upstreams:
-            to_agent = await self._bind((host, UPSTREAM_PORT), lambda data: self._serve(host, data))
+            real = self._real(host)
+            to_agent = await self._bind((real, UPSTREAM_PORT), lambda data: self._serve(host, data))
             upstream = PacketUpstream(
-                lambda frame: to_agent.sendto(frame, (host, OUTBOUND_PORT)), self._later, seed=host
+                lambda frame: to_agent.sendto(frame, (real, OUTBOUND_PORT)), self._later, seed=host
             )
             self.upstreams[host] = upstream
         await self._start("agent", host)
@@ -136,19 +144,28 @@
         head, _, text = answer.partition(b"\r\n\r\n")
         return int(head.split()[1]), text.decode()
 
+    def _real(self, host: str) -> str:
+        """Returns the host at which a process listens."""
+        prefix, _, network, number = host.split(".")
+        return host if self._proxy is None else f"{prefix}.1.{network}.{number}"
+
     async def _start(self, role: str, host: str) -> None:
+        real, store = self._real(host), STORE
+        if self._proxy is not None:
+            store = await self._proxy.add(host, real, STORE)
         settings = {
             "name": f"{role}-{host}",
             "data_centre": "bud-a",
             "host": host,
-            "client_address": f"{host}:{CLIENT_PORT}",
-            "upstream_address": f"{host}:{UPSTREAM_PORT}",
-            "outbound_address": f"{host}:{OUTBOUND_PORT}",
+            "bind_host": real,
+            "client_address": f"{real}:{CLIENT_PORT}",
+            "upstream_address": f"{real}:{UPSTREAM_PORT}",
+            "outbound_address": f"{real}:{OUTBOUND_PORT}",
             "service": SERVICE,
-            "ready_address": f"{host}:{READY_PORT}",
+            "ready_address": f"{real}:{READY_PORT}",
             "node_port": NODE_PORT,
             "seeds": [],
-            "store_address": f"{STORE[0]}:{STORE[1]}",
+            "store_address": f"{store[0]}:{store[1]}",
         }
         path = Path(self._folder.name) / f"{host}.json"
         path.write_text(json.dumps(settings))
@@ -187,7 +204,7 @@
         self.upstreams[host].take(data, self._now())
 
     def _send(self, port: int, frame: bytes) -> None:
-        self._client_socket.sendto(frame, (self._entries[port], CLIENT_PORT))
+        self._client_socket.sendto(frame, (self._real(self._entries[port]), CLIENT_PORT))
 
     def _take_for_client(self, data: bytes) -> None:
         packet = decode_packet(data, is_from_upstream=True).unwrap()
