--- /dev/null
+++ b/tests/test_node_messages.py
@@ -0,0 +1,39 @@
+"""Messages between processes of two versions during a rolling upgrade."""
+
+import unittest
+
+import msgspec
+
+from shallotshore.packets.node_messages import Report, Subscribe, UpstreamHealth, decode, encode
+
+# Fields as version 0.1.0 of the packet front end first sent them.
+FIRST_SUBSCRIBE = [4, 11, 12, 13, 14]
+FIRST_REPORT = [5, 1, 2, 3, 80, 1, 0, 2, 5, 13, 14, b"opened01", b""]
+
+
+class RollingUpgradeTest(unittest.TestCase):
+    """Guards against processes of two versions that drop each other's messages."""
+
+    def test_messages_of_the_first_version_are_read(self) -> None:
+        """Fails when a new field has no default."""
+        subscribe = decode(msgspec.msgpack.encode(FIRST_SUBSCRIBE)).unwrap()
+        self.assertEqual(Subscribe(11, 12, 13, 14, 0), subscribe)
+        report = decode(msgspec.msgpack.encode(FIRST_REPORT)).unwrap()
+        expected = Report(
+            1, 2, 3, 80, UpstreamHealth.ANSWERS, 0, 2, 5, 13, 14, b"opened01", b"", False
+        )
+        self.assertEqual(expected, report)
+
+    def test_new_fields_come_last(self) -> None:
+        """Fails when a field moves, which the first version would take for another one."""
+        subscribe = msgspec.msgpack.decode(encode(Subscribe(11, 12, 13, 14, 15)))
+        self.assertEqual(FIRST_SUBSCRIBE, subscribe[: len(FIRST_SUBSCRIBE)])
+        report = Report(
+            1, 2, 3, 80, UpstreamHealth.ANSWERS, 0, 2, 5, 13, 14, b"opened01", b"", True
+        )
+        fields = msgspec.msgpack.decode(encode(report))
+        self.assertEqual(FIRST_REPORT, fields[: len(FIRST_REPORT)])
+
+
+if __name__ == "__main__":
+    unittest.main()
