Prefer other upstreams to one that returns openings or resets waiting flows

Cause: an upstream that fails fast has nothing in hand, reports no load and draws new flows; what returns opening packets (full, or broken) did so for as long as it lasted.

Change: the agent counts such failures against answers with a half-life of 2 s and adds up to four requests per slot to the load that it reports. A single failure adds nothing, and when all upstreams of a service fail alike the choice is as before.

--- a/shallotshore/packets/agent_state.py
+++ b/shallotshore/packets/agent_state.py
@@ -15,6 +15,7 @@
     FlowTable,
     SubscriberTable,
 )
+from shallotshore.packets.failures import FailureShare
 from shallotshore.packets.held_openings import HeldOpenings
 from shallotshore.packets.node_messages import UpstreamHealth
 from shallotshore.packets.node_state import NodeState
@@ -94,6 +95,7 @@
         heard_at: When the upstream last sent a packet, in ms.
         in_flight: Flows with data of the client that is not answered yet.
         open_flows: Flows that are open and have not ended.
+        failures: How often the upstream fails what it is given.
         recent_offers: When the latest opening packets were handed over, in ms.
         unanswered_opening_at: When the upstream was first handed an opening packet since it last
             sent anything, in ms; 0 when it owes no answer.
@@ -102,6 +104,7 @@
     """
 
     __slots__ = (
+        "failures",
         "held",
         "flows",
         "health",
@@ -143,6 +146,7 @@
         self.unanswered_data_at = 0
         self.in_flight = 0
         self.open_flows = 0
+        self.failures = FailureShare()
         self.recent_offers: list[int] = []
 
     def deliver(self, frame: bytes) -> None:
--- a/shallotshore/packets/node_messages.py
+++ b/shallotshore/packets/node_messages.py
@@ -126,7 +126,8 @@
         port: Port of the upstream.
         health: What the agent sees of its upstream.
         cold_ms: How much longer the upstream is taken to be cold.
-        in_flight: Flows with data of the client that is not answered yet.
+        in_flight: Flows with data of the client that is not answered yet, flows that wait at the
+            agent, and an addition for an upstream that fails.
         flows: Open flows.
         operator_revision: What the agent holds of the operator's feed.
         upstreams_revision: What the agent holds of the upstreams' feed.
--- a/shallotshore/packets/reports.py
+++ b/shallotshore/packets/reports.py
@@ -89,6 +89,7 @@
         state = self._state
         subscribers = state.subscribers
         in_flight = state.load(now) + len(state.held)
+        in_flight += state.failures.extra_load(state.slots, now)
         for row in subscribers.rows():
             if now - subscribers.renewed_at[row] > FORMER_KEPT_MS:
                 subscribers.remove(subscribers.key[row])
--- a/shallotshore/packets/upstream_packets.py
+++ b/shallotshore/packets/upstream_packets.py
@@ -54,6 +54,10 @@
             waited = now - flows.awaited_at[row]
             state.latencies.record("first_answer", packet.route_name, waited)
             state.set_awaits(row, False)
+            state.failures.note_answer(now)
+        if packet.flags & RESETS and flows.awaits[row]:
+            state.failures.note_failure(now)
+            state.counters.add("flows.reset_by_upstream")
         if packet.flags & ENDS:
             state.note_end(row, UPSTREAM_ENDED)
         if packet.flags & RESETS:
@@ -79,6 +83,7 @@
     origin, stage = flows.origin[row], flows.stage[row]
     if packet.is_opening:
         if stage == FlowStage.OFFERED:
+            state.failures.note_failure(now)
             _pass_returned(state, row, packet, now)
         return
     if stage == FlowStage.OPEN and not flows.is_confirmed[row]:
--- a/tests/test_packet_flows.py
+++ b/tests/test_packet_flows.py
@@ -365,6 +365,33 @@
         self.assertEqual(handed, world.agents[AGENTS[0]].counters["flows.offered"])
         self.assertNotIn(None, [client.opened_at for client in first + second])
 
+    def test_upstream_that_returns_openings_is_avoided(self) -> None:
+        """Guards against an upstream that draws new flows because it fails them at once."""
+        world = make_world()
+        world.upstreams[AGENTS[0]].accepts = False
+        for number in range(40):
+            world.open_flow(4000 + number)
+            world.run(50)
+        handed = world.agents[AGENTS[0]].counters["flows.offered"]
+        clients = [world.open_flow(5000 + number) for number in range(20)]
+        world.run(1_000)
+        self.assertLessEqual(world.agents[AGENTS[0]].counters["flows.offered"] - handed, 4)
+        self.assertNotIn(None, [client.opened_at for client in clients])
+
+    def test_upstream_that_works_again_gets_new_flows(self) -> None:
+        """Guards against a suspicion that outlives its reason."""
+        world = make_world()
+        world.upstreams[AGENTS[0]].accepts = False
+        for number in range(40):
+            world.open_flow(4000 + number)
+            world.run(50)
+        world.upstreams[AGENTS[0]].accepts = True
+        world.run(10_000)
+        for number in range(60):
+            world.open_flow(5000 + number)
+            world.run(20)
+        self.assertGreater(world.upstreams[AGENTS[0]].flows, 10)
+
     def test_reused_address_takes_nothing_of_the_former_service(self) -> None:
         """Guards against packets for a service that left the address (ROUTE)."""
         world = make_world(agents=AGENTS[:1])
