--- a/shallotshore/packets/application.py
+++ b/shallotshore/packets/application.py
@@ -19,7 +19,8 @@
 from shallotshore.packets import node_messages
 from shallotshore.packets.datagram_port import DatagramPort
 from shallotshore.packets.event_log import EventLog
-from shallotshore.packets.feeds import STORE, Feeds
+from shallotshore.packets.feed_copies import Feeds
+from shallotshore.packets.feeds import STORE
 from shallotshore.packets.http_server import Page, serve_pages
 from shallotshore.packets.latencies import Latencies
 from shallotshore.packets.log_writer import LogWriter
--- a/shallotshore/packets/node_state.py
+++ b/shallotshore/packets/node_state.py
@@ -9,7 +9,8 @@
 
 from shallotshore.hashing import name_id
 from shallotshore.packets.event_log import EventLog
-from shallotshore.packets.feeds import Feeds, FeedSystem
+from shallotshore.packets.feed_copies import Feeds
+from shallotshore.packets.feeds import FeedSystem
 from shallotshore.packets.hosts import host_text
 from shallotshore.packets.latencies import Latencies
 from shallotshore.packets.node_messages import NodeMessage
--- a/standins/packet_store.py
+++ b/standins/packet_store.py
@@ -6,7 +6,7 @@
 
 from shallotshore.codes import Code
 from shallotshore.packets.feed_content import Change, apply_change
-from shallotshore.packets.feeds import FeedCopy
+from shallotshore.packets.feed_copies import FeedCopy
 from shallotshore.packets.store_messages import (
     ReadFeed,
     StoreChanges,
--- a/tests/test_packet_feeds.py
+++ b/tests/test_packet_feeds.py
@@ -10,14 +10,8 @@
     UnreadableEntry,
     UpstreamChange,
 )
-from shallotshore.packets.feeds import (
-    CONFIRMED_MS,
-    LAG_MS,
-    RETRY_LIMIT_MS,
-    STORE,
-    WATCH_MS,
-    FeedSystem,
-)
+from shallotshore.packets.feed_copies import CONFIRMED_MS, LAG_MS, WATCH_MS
+from shallotshore.packets.feeds import RETRY_LIMIT_MS, STORE, FeedSystem
 from shallotshore.packets.node_state import NodeState
 from shallotshore.packets.store_messages import (
     FetchedFeed,
