Open the soak's flows when balancers are ready; save the lines of failed seeds

The flows sent their opening packets while balancers were still starting, and twice only; the platform's routers send to balancers that are ready.

Change: the soak waits for the readiness page of each balancer, and writes the log lines of a seed that failed to build/process-soak.

--- a/bench/process_soak.py
+++ b/bench/process_soak.py
@@ -14,6 +14,7 @@
 import signal
 import sys
 from collections import Counter
+from pathlib import Path
 
 from standins.loopback_proxy import Disturbance, LoopbackProxy
 from standins.packet_client import PacketClient
@@ -24,6 +25,8 @@
 CLIENTS = 12
 FAULTS = 8  # signals
 DISTURBANCES = 6
+LOGS = Path("build/process-soak")  # lines of all processes of a seed that failed
+START_S = 20.0
 RECOVERY_S = 12.0  # as the users' pages allow after a final fault
 
 
@@ -31,6 +34,7 @@
     """One seed: a fleet, its clients and a series of faults."""
 
     def __init__(self, seed: int) -> None:
+        self._seed = seed
         self._rng = random.Random(seed)
         self._proxy = LoopbackProxy(NODE_PORT, random.Random(seed))
         self._fleet = LoopbackFleet(self._proxy)
@@ -50,7 +54,10 @@
             await asyncio.gather(*faults, *disturbances)
             load.cancel()
             await fleet.until(lambda: not self._unanswered(), RECOVERY_S)
-            return self._problems()
+            problems = self._problems()
+            if problems:
+                fleet.save_lines(LOGS / f"{self._seed}.jsonl")
+            return problems
         finally:
             await fleet.close()
 
@@ -69,6 +76,10 @@
             fleet.publish(f"servers/i-{number}", entry)
         await asyncio.gather(*(fleet.start_agent(host) for host in AGENTS))
         await asyncio.gather(*(fleet.start_balancer(host) for host in BALANCERS))
+        # Routers send packets to balancers that are ready, which takes seconds on a busy machine.
+        for host in BALANCERS:
+            if not await fleet.until_ready(host, START_S):
+                raise RuntimeError(f"balancer {host} did not become ready within {START_S} s")
         for number in range(CLIENTS):
             self._clients.append(fleet.open_flow(40_000 + number, BALANCERS[number % 3]))
         await fleet.until(lambda: all(client.opened_at for client in self._clients), 3.0)
