--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,7 @@
 soak: setup
 	$(BIN)/python -m bench.soak --seeds $(SEEDS)
 
-# Real processes on loopback, killed, paused and restarted; about 13 s a seed.
+# Real processes on loopback, killed, paused, restarted and cut off; about 13 s a seed.
 soak-processes: setup
 	$(BIN)/python -m bench.process_soak --seeds $(SEEDS)
 
--- a/bench/process_soak.py
+++ b/bench/process_soak.py
@@ -26,6 +26,13 @@
 FAULTS = 8  # signals
 DISTURBANCES = 6
 LOGS = Path("build/process-soak")  # lines of all processes of a seed that failed
+# Seeds that failed once, and why. Runs depend on real time and do not repeat exactly.
+REGRESSION_SEEDS = {
+    1: "an agent that had just started counted as holding no flow",
+    3: "the same; a silent agent beside a live upstream; two acceptances with close numbers",
+    4: "an upstream's stand-in that did not send answers again, or the same as seed 1",
+    39: "flows were opened before balancers were ready, beside a load average of 23",
+}
 START_S = 20.0
 RECOVERY_S = 12.0  # as the users' pages allow after a final fault
 
@@ -189,13 +196,17 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", type=int, default=5)
     parser.add_argument("--first", type=int, default=1)
+    parser.add_argument("--regression", action="store_true", help="play the seeds that failed once")
     options = parser.parse_args(arguments)
     failed = 0
-    for seed in range(options.first, options.first + options.seeds):
+    seeds = list(range(options.first, options.first + options.seeds))
+    if options.regression:
+        seeds = list(REGRESSION_SEEDS)
+    for seed in seeds:
         problems = run_seed(seed)
         failed += bool(problems)
         print(f"seed {seed}: {'; '.join(problems) or 'ok'}", flush=True)
-    print(f"{options.seeds} seeds, {failed} failed")
+    print(f"{len(seeds)} seeds, {failed} failed")
     return 1 if failed else 0
 
 
