--- a/shallotshore/packets/balancer_state.py
+++ b/shallotshore/packets/balancer_state.py
@@ -12,6 +12,7 @@
 from shallotshore.packets.node_state import NodeState
 from shallotshore.packets.upstream_table import UpstreamTable
 from shallotshore.packets.view import Route
+from shallotshore.tables import MISSING
 from shallotshore.token_bucket import TokenBucket
 
 if TYPE_CHECKING:
@@ -106,3 +107,8 @@
     def is_configured(self) -> bool:
         """Whether a configuration is in force."""
         return self.feeds.operator.content.configuration.version > 0
+
+    def is_near(self, host: int) -> bool:
+        """Whether an upstream is in the own data centre."""
+        row = self.upstreams.row(host)
+        return row != MISSING and self.upstreams.data_centre[row] == self.data_centre
--- a/shallotshore/packets/search.py
+++ b/shallotshore/packets/search.py
@@ -133,8 +133,7 @@
     hosts = [host for service in route.services for host in upstreams.of_service(service)]
     if scope != SearchScope.NEAR:
         return hosts
-    near = state.data_centre
-    return [host for host in hosts if upstreams.data_centre[upstreams.row(host)] == near]
+    return [host for host in hosts if state.is_near(host)]
 
 
 def _all_denied(
--- a/shallotshore/packets/selection.py
+++ b/shallotshore/packets/selection.py
@@ -39,7 +39,7 @@
     """
     hosts = state.upstreams.of_service(service)
     if len(hosts) > NEAR_FIRST_ABOVE and not without:
-        near = _ranked(state, [host for host in hosts if _is_near(state, host)], without, now)
+        near = _ranked(state, [host for host in hosts if state.is_near(host)], without, now)
         if len(near) > 1 and is_free(state, near[1], now):
             sample = _ranked(state, state.rng.sample(hosts, FAR_SAMPLE), near, now)
             return near[:2] + sample[:1] + near[2:]
@@ -59,10 +59,6 @@
     return [host for _, host in scored]
 
 
-def _is_near(state: BalancerState, host: int) -> bool:
-    return state.upstreams.data_centre[state.upstreams.row(host)] == state.data_centre
-
-
 def note_opened(state: BalancerState, host: int, now: int) -> None:
     """Counts a flow that the upstream's next report may not contain yet."""
     upstreams = state.upstreams
