Count messages between processes by kind

Cause: which control messages dominate a large fleet could only be worked out from constants; no counter tells subscriptions, reports and carried packets apart.

--- a/shallotshore/packets/application.py
+++ b/shallotshore/packets/application.py
@@ -29,6 +29,7 @@
 from shallotshore.packets.packet import Packet, PacketToClient, PacketToUpstream, ResetPacket
 from shallotshore.packets.peer_copies import fetch_feed_copy, serve_feed_copies
 from shallotshore.packets.store_messages import FetchFeed, ReadFeed, WatchFeed
+from shallotshore.packets.traffic import count_received, count_sent
 from shallotshore.packets.view import Feed, FeedState
 from shallotshore.packets.vm_checks import CheckVm, VmChecked
 from shallotshore.packets.vm_probe import is_vm_answering
@@ -253,6 +254,7 @@
         if isinstance(message, Err):
             self._core.counters.add(f"messages.refused.{message.err_value.name.lower()}")
             return
+        count_received(self._core.counters, message.ok_value, len(frame))
         self._deliver(source, message.ok_value)
 
     def _handle_store_answer(self, answer: object) -> None:
@@ -302,7 +304,9 @@
     @singledispatchmethod
     def _send(self, message: object, destination: Address) -> None:
         """Sends a message of the core's outbox, to another process if its type has no handler."""
-        self._node_port.send(node_messages.encode(message), destination)  # type: ignore[arg-type]
+        frame = node_messages.encode(message)  # type: ignore[arg-type]
+        count_sent(self._core.counters, message, len(frame))
+        self._node_port.send(frame, destination)
 
     @_send.register(PacketToUpstream)
     def _(self, message: PacketToUpstream, destination: Address) -> None:
