Let three balancers read the store, and all others follow them

Cause: every balancer watches both feeds. Change: members are ranked by hashing, the first of each data centre before all others; the first three watch the store. Every other balancer asks two of them for their status every 400 ms, is told of each change at once, and requests the changes after its own revision in one datagram; whole copies go over TCP only if that fails. Without a good reader for 1.2 s a balancer reads the store itself. Followers of readers whose calls fail move on, unless three have failed. Connections to the store have keep-alive probes.

--- a/shallotshore/packets/balancer.py
+++ b/shallotshore/packets/balancer.py
@@ -8,6 +8,7 @@
 
 from shallotshore.packets.balancer_state import BalancerSettings, BalancerState
 from shallotshore.packets.directory import DirectorySystem
+from shallotshore.packets.feed_following import FollowSystem
 from shallotshore.packets.members import MemberSystem
 from shallotshore.packets.node_state import PacketCore
 from shallotshore.packets.ownership import OwnershipSystem
@@ -55,6 +56,7 @@
             self._feed_system,
             DirectorySystem(state),
             self._members,
+            FollowSystem(state),
             OwnershipSystem(state, decode),
             VmCheckSystem(state),
             SubscriptionSystem(state),
--- a/shallotshore/packets/feed_copies.py
+++ b/shallotshore/packets/feed_copies.py
@@ -12,9 +12,11 @@
     "Feeds",
 ]
 
+from collections import deque
 from typing import TYPE_CHECKING
 
-from shallotshore.packets.feed_content import FeedContent
+from shallotshore.packets.feed_content import Change, FeedContent
+from shallotshore.packets.feed_entries import FeedEntry, to_entry
 from shallotshore.packets.view import Feed, FeedState
 
 if TYPE_CHECKING:
@@ -30,6 +32,7 @@
 # when there are no changes.
 CONFIRMATION_VALID_MS = WATCH_WAIT_MS + COALESCE_MS + 700
 MAX_WATCH_LAG_MS = 1_000  # the watches of two processes return the same change within this time
+MAX_KEPT_CHANGES = 64  # of one feed, for processes that are a little behind
 NEVER = -(1 << 40)  # in ms; earlier than any real time
 
 
@@ -54,6 +57,8 @@
         is_best_offer_same_data_centre: Whether the process at `best_offer_source` is in this
             process's data centre.
         is_fetch_urgent: Whether the newer revision concerns this process's own upstream.
+        fetch_started_at: When another process's changes or copy were last requested, in ms.
+        needs_whole_copy: Whether the changes since this copy's revision are not to be had.
         content: The records.
     """
 
@@ -64,13 +69,17 @@
         "confirmed_at",
         "content",
         "failing_since",
+        "_changes_since",
+        "_kept_changes",
         "failures",
         "feed",
+        "fetch_started_at",
         "is_best_offer_same_data_centre",
         "is_call_pending",
         "is_complete",
         "is_fetch_pending",
         "is_fetch_urgent",
+        "needs_whole_copy",
         "next_call_at",
         "next_fetch_at",
         "revision",
@@ -94,7 +103,11 @@
         self.best_offer_source: Address | None = None
         self.is_best_offer_same_data_centre = False
         self.is_fetch_urgent = False
+        self.fetch_started_at = NEVER
+        self.needs_whole_copy = False
         self.content = FeedContent()
+        self._kept_changes: deque[FeedEntry] = deque()
+        self._changes_since = 0  # all changes after this revision are kept
 
     def is_current(self, now: int) -> bool:
         """Whether the copy can be taken as up to date.
@@ -112,10 +125,50 @@
         )
         return now - self.confirmed_at < CONFIRMATION_VALID_MS and not is_behind
 
+    def record_confirmation(self, revision: int, age_ms: int | None, now: int) -> bool:
+        """Records that the store has confirmed another process's copy.
+
+        That copy contains nothing newer than this one if its revision is not higher.
+
+        Args:
+            revision: Revision of the other copy.
+            age_ms: How long ago the store confirmed it, in ms, or None.
+            now: Time in ms.
+
+        Returns:
+            Whether this copy is confirmed by it.
+        """
+        if age_ms is None or revision > self.revision or not self.is_complete:
+            return False
+        confirmed_at = now - age_ms
+        if confirmed_at <= max(self.confirmed_at, self.failing_since):
+            return False
+        self.confirmed_at = confirmed_at
+        self.failing_since = NEVER
+        self.failures = 0
+        return True
+
     def state(self) -> FeedState:
         """Returns a copy to send to another process."""
         return self.content.state(self.feed, self.revision)
 
+    def keep_change(self, change: Change) -> None:
+        """Keeps an applied change for processes that hold an earlier revision."""
+        self._kept_changes.append(to_entry(change))
+        while len(self._kept_changes) > MAX_KEPT_CHANGES:
+            self._changes_since = self._kept_changes.popleft().revision
+
+    def forget_changes(self) -> None:
+        """Removes the kept changes, when the content has been replaced as a whole."""
+        self._kept_changes.clear()
+        self._changes_since = self.revision
+
+    def changes_after(self, revision: int) -> tuple[FeedEntry, ...] | None:
+        """Returns the changes after a revision, or None if some are no longer kept."""
+        if revision < self._changes_since:
+            return None
+        return tuple(entry for entry in self._kept_changes if entry.revision > revision)
+
 
 class Feeds:
     """Copies of both feeds, with the newest revisions that other processes offer.
@@ -124,14 +177,33 @@
         operator: Copy of the operator's feed.
         upstreams: Copy of the upstreams' feed.
         changed: Feeds whose content changed in this tick.
+        is_reading: Whether this process watches the store. A process that does not watch it reads
+            the store only until its copies are complete.
+        is_backup: Whether this process watches only because no reader answers it.
     """
 
-    __slots__ = ("changed", "operator", "upstreams")
+    __slots__ = ("_told", "changed", "is_backup", "is_reading", "operator", "upstreams")
 
     def __init__(self) -> None:
         self.operator = FeedCopy(Feed.OPERATOR)
         self.upstreams = FeedCopy(Feed.UPSTREAMS)
         self.changed: set[Feed] = set()
+        self.is_reading = True
+        self.is_backup = False
+        self._told: tuple[int, ...] = ()
+
+    def take_news(self) -> bool:
+        """Returns whether followers must be told of a change since the last call."""
+        copies = (self.operator, self.upstreams)
+        told = tuple(
+            value
+            for copy in copies
+            for value in (copy.revision, copy.confirmed_at, copy.failing_since)
+        )
+        if told == self._told:
+            return False
+        self._told = told
+        return True
 
     def copy(self, feed: Feed) -> FeedCopy:
         """Returns the copy of a feed."""
--- a/shallotshore/packets/feeds.py
+++ b/shallotshore/packets/feeds.py
@@ -14,6 +14,8 @@
     apply_change,
 )
 from shallotshore.packets.feed_copies import COALESCE_MS, NEVER, WATCH_WAIT_MS, FeedCopy
+from shallotshore.packets.feed_entries import to_change
+from shallotshore.packets.node_messages import FeedChanges, FeedRequest, encode
 from shallotshore.packets.store_messages import (
     FetchedFeed,
     FetchFailed,
@@ -35,6 +37,7 @@
 RECOVERY_WATCH_WAIT_MS = 50
 MIN_RETRY_PAUSE_MS = 60  # after a failed call; doubles with each further failure
 MAX_RETRY_PAUSE_MS = 500  # the store's recovery must be noticed well within 2 s
+MAX_BACKUP_RETRY_PAUSE_MS = 2_000  # the readers notice the recovery, and tell all others
 # How long a process that reads the store waits for its own watch to return a change that a peer
 # offers, before it fetches the peer's copy.
 READER_OFFER_WAIT_MS = 400
@@ -44,6 +47,8 @@
 # other upstreams' records only to serve them to balancers that start while the store is down.
 COPIER_OFFER_WAIT_MS = {Feed.OPERATOR: 100, Feed.UPSTREAMS: 1_000}
 FETCH_RETRY_PAUSE_MS = 100
+CHANGES_TIMEOUT_MS = 200  # data centres are a few ms apart; the whole copy is fetched afterwards
+MAX_CHANGES_BYTES = 8_000  # of a datagram with changes
 STORE_ADDRESS: Address = ("", 0)  # a placeholder; the application object knows the store's address
 
 
@@ -83,12 +88,16 @@
             self._handle_fetched_feed(fetched.state, now)
         for _, failed_fetch in self._inbox.take(FetchFailed):
             copy = self._feeds.copy(failed_fetch.feed)
-            copy.is_fetch_pending = False
+            copy.is_fetch_pending = copy.needs_whole_copy = False
             copy.next_fetch_at = now + FETCH_RETRY_PAUSE_MS
             copy.best_offered_revision, copy.best_offer_source = 0, None
             self._log.write(
                 now, "peer_copy_failed", feed=copy.feed.name, reason=failed_fetch.reason
             )
+        for source, request in self._inbox.take(FeedRequest):
+            self._answer_request(source, request)
+        for _, peer_changes in self._inbox.take(FeedChanges):
+            self._handle_peer_changes(peer_changes, now)
         for copy in (self._feeds.operator, self._feeds.upstreams):
             self._call_store(copy, now)
             self._fetch_from_peer(copy, now)
@@ -103,6 +112,8 @@
     def _call_store(self, copy: FeedCopy, now: int) -> None:
         if not self._reads_store or copy.is_call_pending or now < copy.next_call_at:
             return
+        if copy.is_complete and not self._feeds.is_reading:
+            return
         copy.is_call_pending = True
         if copy.is_complete:
             wait = WATCH_WAIT_MS if copy.failing_since == NEVER else RECOVERY_WATCH_WAIT_MS
@@ -113,19 +124,58 @@
 
     def _fetch_from_peer(self, copy: FeedCopy, now: int) -> None:
         source = copy.best_offer_source
+        if copy.is_fetch_pending and not copy.needs_whole_copy:
+            # Requests for changes are datagrams, which may be lost.
+            if now - copy.fetch_started_at < CHANGES_TIMEOUT_MS:
+                return
+            copy.is_fetch_pending, copy.needs_whole_copy = False, True
+            self._counters.add("peers.changes_unanswered")
         if copy.is_fetch_pending or source is None or copy.best_offered_revision <= copy.revision:
             return
         if now < copy.next_fetch_at or now - copy.behind_since < self._offer_wait_ms(copy):
             return
         copy.is_fetch_pending = True
-        self._outbox.send(source, FetchFeed(copy.feed))
-        self._counters.add("peers.copies_fetched")
+        copy.fetch_started_at = now
+        if copy.revision and not copy.needs_whole_copy:
+            self._outbox.send(source, FeedRequest(copy.feed, copy.revision))
+            self._counters.add("peers.changes_requested")
+        else:
+            copy.needs_whole_copy = True
+            self._outbox.send(source, FetchFeed(copy.feed))
+            self._counters.add("peers.copies_fetched")
 
     def _offer_wait_ms(self, copy: FeedCopy) -> int:
         """Returns how long a newer revision must have been offered before it is fetched, in ms."""
         if copy.revision == 0 or copy.is_fetch_urgent:
             return 0
-        return READER_OFFER_WAIT_MS if self._reads_store else COPIER_OFFER_WAIT_MS[copy.feed]
+        if not self._reads_store:
+            return COPIER_OFFER_WAIT_MS[copy.feed]
+        return READER_OFFER_WAIT_MS if self._feeds.is_reading else 0
+
+    def _answer_request(self, source: Address, request: FeedRequest) -> None:
+        copy = self._feeds.copy(request.feed)
+        entries = copy.changes_after(request.revision)
+        answer = FeedChanges(copy.feed, copy.revision, entries)
+        if entries is not None and len(encode(answer)) > MAX_CHANGES_BYTES:
+            answer = FeedChanges(copy.feed, copy.revision, None)
+        self._outbox.send(source, answer)
+
+    def _handle_peer_changes(self, message: FeedChanges, now: int) -> None:
+        copy = self._feeds.copy(message.feed)
+        if not copy.is_fetch_pending or copy.needs_whole_copy:
+            return  # the answer came too late, and a whole copy is awaited
+        copy.is_fetch_pending = False
+        if message.entries is None:
+            copy.needs_whole_copy = True
+            return
+        copy.is_fetch_urgent = False
+        held_revision = copy.revision
+        for entry in message.entries:
+            if entry.revision > held_revision:
+                self._apply_to_copy(copy, to_change(entry), now)
+        if message.revision > copy.revision:
+            copy.revision = message.revision
+            copy.watch_after = max(copy.watch_after, message.revision)
 
     def _record_store_answer(self, copy: FeedCopy, now: int) -> None:
         if copy.failing_since != NEVER:
@@ -191,12 +241,13 @@
                 revision=copy.revision,
                 age_ms=age,
             )
-        pause = min(MAX_RETRY_PAUSE_MS, MIN_RETRY_PAUSE_MS << min(copy.failures - 1, 8))
+        longest = MAX_BACKUP_RETRY_PAUSE_MS if self._feeds.is_backup else MAX_RETRY_PAUSE_MS
+        pause = min(longest, MIN_RETRY_PAUSE_MS << min(copy.failures - 1, 8))
         copy.next_call_at = now + int(pause * (0.75 + self._rng.random() / 2))
 
     def _handle_fetched_feed(self, state: FeedState, now: int) -> None:
         copy = self._feeds.copy(state.feed)
-        copy.is_fetch_pending = copy.is_fetch_urgent = False
+        copy.is_fetch_pending = copy.is_fetch_urgent = copy.needs_whole_copy = False
         copy.next_fetch_at = now
         if state.revision > copy.revision:
             content = FeedContent.from_state(state)
@@ -210,6 +261,7 @@
             content.configuration = copy.content.configuration
         copy.content = content
         copy.revision = revision
+        copy.forget_changes()
         self._feeds.changed.add(copy.feed)
         self._log.write(
             now,
@@ -224,6 +276,7 @@
 
     def _apply_to_copy(self, copy: FeedCopy, change: Change, now: int) -> None:
         apply_change(change, copy.content)
+        copy.keep_change(change)
         self._feeds.changed.add(copy.feed)
         self._log.write(
             now,
--- a/shallotshore/packets/http_client.py
+++ b/shallotshore/packets/http_client.py
@@ -15,6 +15,10 @@
     from shallotshore.messages import Address
 
 CONNECT_TIMEOUT_MS = 400  # data centres are a few ms apart
+# Keep-alive probes end a connection whose peer is cut off, while a response is awaited.
+KEEP_ALIVE_IDLE_S = 1
+KEEP_ALIVE_INTERVAL_S = 1
+KEEP_ALIVE_PROBES = 1
 _STATUS_OK = 200
 
 
@@ -84,14 +88,22 @@
             self.close()
             loop = asyncio.get_running_loop()
             async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000):
-                _, self._protocol = await loop.create_connection(
+                transport, self._protocol = await loop.create_connection(
                     lambda: _ResponseProtocol(self._max_body_bytes),
                     *self._address,
                     family=socket.AF_INET,
                 )
+            _enable_keep_alive(transport.get_extra_info("socket"))
         return self._protocol
 
 
+def _enable_keep_alive(connection: socket.socket) -> None:
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_S)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES)
+
+
 class _ResponseProtocol(asyncio.Protocol):
     """Sends a request and collects its response, one at a time."""
 
--- a/shallotshore/packets/node_messages.py
+++ b/shallotshore/packets/node_messages.py
@@ -7,6 +7,10 @@
 __all__ = [
     "Carry",
     "CarryKind",
+    "FeedChanges",
+    "FeedRequest",
+    "FeedStatus",
+    "Follow",
     "Hello",
     "LoadReport",
     "Missing",
@@ -26,6 +30,8 @@
 from result import Err, Ok, Result
 
 from shallotshore.codes import Code
+from shallotshore.packets.feed_entries import FeedEntry
+from shallotshore.packets.view import Feed
 
 
 class CarryKind(IntEnum):
@@ -203,7 +209,63 @@
     neighbours: tuple[int, ...] = ()  # senders of an earlier version leave it out
 
 
-NodeMessage = Carry | Missing | OwnedFlow | Passed | Subscribe | Report | LoadReport | Hello
+class Follow(msgspec.Struct, array_like=True, tag=9, gc=False):
+    """A balancer's request to a reader of the store: its FeedStatus during the next seconds."""
+
+
+class FeedStatus(msgspec.Struct, array_like=True, tag=10, gc=False):
+    """What a reader of the store holds, sent to its followers regularly and on each change.
+
+    Attributes:
+        operator_revision: Revision of the reader's copy of the operator's feed.
+        upstreams_revision: Revision of the reader's copy of the upstreams' feed.
+        operator_age_ms: How long ago the store confirmed the copy of the operator's feed, in ms;
+            None when calls to the store fail.
+        upstreams_age_ms: The same for the upstreams' feed.
+    """
+
+    operator_revision: int
+    upstreams_revision: int
+    operator_age_ms: int | None
+    upstreams_age_ms: int | None
+
+
+class FeedRequest(msgspec.Struct, array_like=True, tag=11, gc=False):
+    """A request for the changes of a feed after the sender's revision."""
+
+    feed: Feed
+    revision: int
+
+
+class FeedChanges(msgspec.Struct, array_like=True, tag=12, gc=False):
+    """The answer to a FeedRequest.
+
+    Attributes:
+        feed: Which feed.
+        revision: Revision of the sender's copy.
+        entries: The changes after the requested revision; None when the sender no longer has them
+            or they do not fit into one datagram, so that the whole copy must be fetched.
+    """
+
+    feed: Feed
+    revision: int
+    entries: tuple[FeedEntry, ...] | None
+
+
+NodeMessage = (
+    Carry
+    | Missing
+    | OwnedFlow
+    | Passed
+    | Subscribe
+    | Report
+    | LoadReport
+    | Hello
+    | Follow
+    | FeedStatus
+    | FeedRequest
+    | FeedChanges
+)
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(NodeMessage)
--- a/standins/packet_world.py
+++ b/standins/packet_world.py
@@ -10,6 +10,7 @@
 
 from adapter.packets import decode_packet, encode_reset
 
+from shallotshore.codes import Code
 from shallotshore.messages import Address
 from shallotshore.packets import node_messages
 from shallotshore.packets.agent import PacketAgent
@@ -29,6 +30,7 @@
     FetchFailed,
     FetchFeed,
     ReadFeed,
+    StoreFailed,
     WatchFeed,
 )
 from shallotshore.packets.view import (
@@ -47,6 +49,7 @@
 START_MS = 100_000
 TICK_MS = 20
 NETWORK_DELAY_MS = 3
+STORE_SILENCE_MS = 2_100  # after which keep-alive probes end a connection to the store
 VIP = ("198.18.0.1", 443)
 
 
@@ -60,6 +63,7 @@
         upstreams: Stand-ins of upstreams by host.
         clients: Stand-ins of clients by address.
         disconnected_hosts: Hosts that neither send nor receive.
+        hosts_without_store: Hosts that are cut off from the store.
         agent_settings: Settings of agents by host.
         data_centre_by_host: Data centres of balancers and agents.
         data_centres: Names of all data centres.
@@ -74,6 +78,7 @@
         self.upstreams: dict[str, PacketUpstream] = {}
         self.clients: dict[Address, PacketClient] = {}
         self.disconnected_hosts: set[str] = set()
+        self.hosts_without_store: set[str] = set()
         self.agent_settings: dict[str, AgentSettings] = {}
         self.data_centre_by_host: dict[str, str] = {}
         self.data_centres = data_centres
@@ -217,7 +222,12 @@
 
     def _dispatch_message(self, host: str, core: Any, destination: Address, message: Any) -> None:
         if isinstance(message, ReadFeed | WatchFeed):
-            self.store.handle_request(message, self.now, self._make_store_reply(host, core))
+            reply = self._make_store_reply(host, core)
+            if host in self.hosts_without_store:
+                lost = StoreFailed(message.feed, Code.SERVICE_UNREACHABLE, "cut off")
+                reply(STORE_SILENCE_MS, lost)
+            else:
+                self.store.handle_request(message, self.now, reply)
         elif isinstance(message, FetchFeed):
             self._answer_fetch(host, core, destination, message)
         elif isinstance(message, CheckVm):
