Log one line for each answer with a peer's changes

Change: one line for each answer, as for a whole copy. Measured: tests of feeds and of the operations page.

--- a/shallotshore/packets/feeds.py
+++ b/shallotshore/packets/feeds.py
@@ -169,13 +169,16 @@
             copy.needs_whole_copy = True
             return
         copy.is_fetch_urgent = False
-        held_revision = copy.revision
-        for entry in message.entries:
-            if entry.revision > held_revision:
-                self._apply_to_copy(copy, to_change(entry), now)
-        if message.revision > copy.revision:
-            copy.revision = message.revision
-            copy.watch_after = max(copy.watch_after, message.revision)
+        if message.revision <= copy.revision:
+            return
+        for change in map(to_change, message.entries):
+            if change.revision > copy.revision:
+                apply_change(change, copy.content)
+                copy.keep_change(change)
+        copy.revision = message.revision
+        copy.watch_after = max(copy.watch_after, message.revision)
+        self._feeds.changed.add(copy.feed)
+        self._log_adopted(copy, "changes", now)
 
     def _record_store_answer(self, copy: FeedCopy, now: int) -> None:
         if copy.failing_since != NEVER:
@@ -263,15 +266,18 @@
         copy.revision = revision
         copy.forget_changes()
         self._feeds.changed.add(copy.feed)
+        self._log_adopted(copy, source, now)
+
+    def _log_adopted(self, copy: FeedCopy, source: str, now: int) -> None:
         self._log.write(
             now,
             "feed_adopted",
             feed=copy.feed.name,
             source=source,
-            revision=revision,
-            version=content.configuration.version,
-            out=sorted(content.data_centres_out),
-            upstreams=len(content.upstreams),
+            revision=copy.revision,
+            version=copy.content.configuration.version,
+            out=sorted(copy.content.data_centres_out),
+            upstreams=len(copy.content.upstreams),
         )
 
     def _apply_to_copy(self, copy: FeedCopy, change: Change, now: int) -> None:
