Close a connection to the store that delivers an answer twice

Cause: the store's client keeps a connection open and takes whatever comes next for the answer to its latest request. A second copy of an answer, late, would be taken for the next one, and every later watch would be one answer behind. Change: data without a pending request, and a second response in the same data, end the connection.

--- a/shallotshore/packets/http_client.py
+++ b/shallotshore/packets/http_client.py
@@ -146,8 +146,13 @@
         self._transport = transport
 
     def data_received(self, data: bytes) -> None:
-        """Parses received data; data that is not HTTP fails the pending request."""
-        if self._parser is None:
+        """Parses received data; data that is not HTTP fails the pending request.
+
+        Data without a pending request, such as a second copy of a response, aborts the connection,
+        since the next request could take the data for its own response.
+        """
+        if self._parser is None or self._pending_response is None or self._pending_response.done():
+            self.abort()
             return
         try:
             self._parser.feed_data(data)
@@ -159,6 +164,11 @@
         self.is_closed = True
         self._fail_request(exc or ConnectionResetError(errno.ECONNRESET, "connection closed"))
 
+    def on_message_begin(self) -> None:
+        """Aborts the connection when a second response begins in the same data."""
+        if self._pending_response is not None and self._pending_response.done():
+            self.abort()
+
     def on_body(self, body: bytes) -> None:
         """Appends a part of the body; a body above the limit fails the request."""
         self._body += body
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import contextlib
 import json
 import unittest
 from collections.abc import Callable
@@ -42,6 +43,13 @@
     return b"HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s" % (status.encode(), len(text), text)
 
 
+async def wait_for_end(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Waits until the client has ended a connection, and closes it."""
+    with contextlib.suppress(ConnectionError):
+        await reader.read()
+    writer.close()
+
+
 class Server:
     """Answers each request with the response that a function returns for its path, if any."""
 
@@ -118,6 +126,61 @@
         self.assertIsInstance(delivered.changes[0], UpstreamChange)
         self.assertIn("after=9&waitMs=100", self.server.paths[0])
 
+    async def test_late_copy_of_an_answer_is_not_taken_for_the_next(self) -> None:
+        """Guards against an answer of an earlier request, sent twice, that the next one gets.
+
+        The copy arrives with the first answer, while the connection is idle, or after the next
+        request was sent.
+        """
+        for delay_s in (0.0, 0.05):
+            opened = 0
+
+            async def serve(
+                reader: asyncio.StreamReader,
+                writer: asyncio.StreamWriter,
+                delay_s: float = delay_s,
+            ) -> None:
+                nonlocal opened
+                opened += 1
+                answer = body({"connection": opened})
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(answer if delay_s else answer + answer)
+                if delay_s:
+                    await asyncio.sleep(delay_s)
+                    writer.write(answer)
+                await wait_for_end(reader, writer)
+
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            connection = HttpConnection(server.sockets[0].getsockname()[:2], 1_000)
+            self.assertIn(b"1", await connection.get("/a", 500))
+            await asyncio.sleep(2 * delay_s)
+            self.assertIn(b"2", await connection.get("/b", 500))
+            connection.close()
+            await asyncio.sleep(0.01)
+            server.close()
+
+    async def test_copy_of_an_empty_watch_is_not_taken_for_the_next(self) -> None:
+        """Guards against a watch that stays one answer behind for good."""
+        answers = iter([{"events": [], "currentRev": 9}, {"events": [], "currentRev": 10}])
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            page = next(answers)
+            await asyncio.sleep(0.1 if page["currentRev"] == 10 else 0)
+            writer.write(body(page))
+            await wait_for_end(reader, writer)
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        done: asyncio.Future[object] = asyncio.get_running_loop().create_future()
+        client = StoreClient(server.sockets[0].getsockname()[:2], done.set_result)
+        client.start_call(WatchFeed(Feed.UPSTREAMS, 9, 100))
+        delivered = await asyncio.wait_for(done, 3)
+        assert isinstance(delivered, StoreChanges)
+        self.assertEqual(10, delivered.revision)
+        client.close()
+        await asyncio.sleep(0.01)
+        server.close()
+
     async def test_each_bad_answer_is_a_failure_with_a_code(self) -> None:
         """Guards against a bad answer that ends the process or is taken for an empty store."""
         cases: dict[bytes, Code] = {
