Let a test's server end before its loop does

Cause: a handler of the test was still asleep when its loop ended (ResourceWarning). Change: the test waits for it.

--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -156,7 +156,7 @@
             await asyncio.sleep(2 * delay_s)
             self.assertIn(b"2", await connection.get("/b", 500))
             connection.close()
-            await asyncio.sleep(0.01)
+            await asyncio.sleep(2 * delay_s + 0.01)
             server.close()
 
     async def test_copy_of_an_empty_watch_is_not_taken_for_the_next(self) -> None:
