Check fields of messages when they are decoded, and isolate the systems of a core

Cause: a report with a negative service, data centre or count passed the decoder and raised OverflowError in a table's column. Change: fields have types with limits that msgspec checks. Each system of a tick runs whether or not another one failed.

--- a/Makefile
+++ b/Makefile
@@ -43,7 +43,7 @@
 
 # Runs the codec tests with 20,000 generated examples each; about two minutes.
 fuzz: setup
-	FUZZ_EXAMPLES=20000 $(BIN)/python -m tests BadInput RoundTrip
+	FUZZ_EXAMPLES=20000 $(BIN)/python -m tests BadInput RoundTrip HostileMessage
 
 # Builds one file that needs only Python 3.11; docs/binary.md says where it unpacks itself.
 binary: setup
--- a/shallotshore/packets/feed_entries.py
+++ b/shallotshore/packets/feed_entries.py
@@ -21,6 +21,7 @@
     DataCentreChange,
     UpstreamChange,
 )
+from shallotshore.packets.field_types import Revision
 from shallotshore.packets.view import Configuration, Upstream
 
 
@@ -28,7 +29,7 @@
     """A new or removed record of an upstream; `upstream` is None when it is gone."""
 
     key: str
-    revision: int
+    revision: Revision
     upstream: Upstream | None
 
 
@@ -36,7 +37,7 @@
     """A data centre that is taken out of service, or back in service when `is_gone` is set."""
 
     key: str
-    revision: int
+    revision: Revision
     is_gone: bool
 
 
@@ -44,7 +45,7 @@
     """A new version of the configuration."""
 
     key: str
-    revision: int
+    revision: Revision
     configuration: Configuration
 
 
--- /dev/null
+++ b/shallotshore/packets/field_types.py
@@ -0,0 +1,18 @@
+"""Types of the fields of messages, with the limits within which every table can hold them."""
+
+__all__ = ["Count", "DurationMs", "Hops", "Host", "HostText", "Id", "Port", "Revision", "Slots"]
+
+from typing import Annotated
+
+from msgspec import Meta
+
+Id = Annotated[int, Meta(ge=0)]  # of 64 bits, as msgpack has no larger integers
+Host = Annotated[int, Meta(ge=0, le=(1 << 32) - 1)]  # an IP address
+_OCTET = r"(25[0-5]|2[0-4]\d|1?\d?\d)"
+HostText = Annotated[str, Meta(pattern=rf"^{_OCTET}(\.{_OCTET}){{3}}$")]
+Port = Annotated[int, Meta(ge=0, le=(1 << 16) - 1)]
+Count = Annotated[int, Meta(ge=0, le=(1 << 31) - 1)]
+DurationMs = Annotated[int, Meta(ge=0, le=(1 << 31) - 1)]
+Revision = Annotated[int, Meta(ge=0, le=(1 << 63) - 1)]
+Hops = Annotated[int, Meta(ge=0, le=255)]
+Slots = Annotated[int, Meta(ge=0, le=(1 << 16) - 1)]
--- a/shallotshore/packets/node_messages.py
+++ b/shallotshore/packets/node_messages.py
@@ -31,6 +31,7 @@
 
 from shallotshore.codes import Code
 from shallotshore.packets.feed_entries import FeedEntry
+from shallotshore.packets.field_types import Count, DurationMs, Hops, Host, Id, Port, Revision
 from shallotshore.packets.view import Feed
 
 
@@ -67,13 +68,13 @@
     """
 
     kind: CarryKind
-    service: int
-    revision: int
-    candidates: tuple[int, ...]
+    service: Id
+    revision: Revision
+    candidates: tuple[Host, ...]
     cold_per_s: float
-    priority: int
-    hops: int
-    origin: int
+    priority: Count
+    hops: Hops
+    origin: Host
     frame: bytes
 
 
@@ -87,7 +88,7 @@
             the upstream, or if the upstream returned a packet of an open flow; else empty.
     """
 
-    key: int
+    key: Id
     is_lost: bool
     frame: bytes
 
@@ -100,8 +101,8 @@
         host: Host of the other agent.
     """
 
-    key: int
-    host: int
+    key: Id
+    host: Host
 
 
 class OwnedFlow(msgspec.Struct, array_like=True, tag=3, gc=False):
@@ -111,7 +112,7 @@
         key: Key of the flow.
     """
 
-    key: int
+    key: Id
 
 
 class Subscribe(msgspec.Struct, array_like=True, tag=4, gc=False):
@@ -128,11 +129,11 @@
         is_end: Whether the subscription ends now.
     """
 
-    data_centre: int
-    incarnation: int
-    operator_revision: int
-    upstreams_revision: int
-    record_revision: int = 0  # senders of an earlier version leave it out
+    data_centre: Id
+    incarnation: Id
+    operator_revision: Revision
+    upstreams_revision: Revision
+    record_revision: Revision = 0  # senders of an earlier version leave it out
     is_end: bool = False  # senders of an earlier version leave it out
 
 
@@ -156,16 +157,16 @@
         is_complete: Whether `opened` begins a list of all open flows that concern the receiver.
     """
 
-    incarnation: int
-    service: int
-    data_centre: int
-    port: int
+    incarnation: Id
+    service: Id
+    data_centre: Id
+    port: Port
     health: UpstreamHealth
-    cold_ms: int
-    in_flight: int
-    flows: int
-    operator_revision: int
-    upstreams_revision: int
+    cold_ms: DurationMs
+    in_flight: Count
+    flows: Count
+    operator_revision: Revision
+    upstreams_revision: Revision
     opened: bytes
     closed: bytes
     is_complete: bool = False  # senders of an earlier version leave it out
@@ -181,8 +182,8 @@
         closed: Keys of flows that ended, 8 bytes each.
     """
 
-    in_flight: int
-    flows: int
+    in_flight: Count
+    flows: Count
     opened: bytes
     closed: bytes
 
@@ -200,13 +201,13 @@
         neighbours: Hosts of some of the balancers in the sender's data centre.
     """
 
-    data_centre: int
+    data_centre: Id
     wants_reply: bool
     is_leaving: bool
-    operator_revision: int
-    upstreams_revision: int
-    members: tuple[int, ...]
-    neighbours: tuple[int, ...] = ()  # senders of an earlier version leave it out
+    operator_revision: Revision
+    upstreams_revision: Revision
+    members: tuple[Host, ...]
+    neighbours: tuple[Host, ...] = ()  # senders of an earlier version leave it out
 
 
 class Follow(msgspec.Struct, array_like=True, tag=9, gc=False):
@@ -224,17 +225,17 @@
         upstreams_age_ms: The same for the upstreams' feed.
     """
 
-    operator_revision: int
-    upstreams_revision: int
-    operator_age_ms: int | None
-    upstreams_age_ms: int | None
+    operator_revision: Revision
+    upstreams_revision: Revision
+    operator_age_ms: DurationMs | None
+    upstreams_age_ms: DurationMs | None
 
 
 class FeedRequest(msgspec.Struct, array_like=True, tag=11, gc=False):
     """A request for the changes of a feed after the sender's revision."""
 
     feed: Feed
-    revision: int
+    revision: Revision
 
 
 class FeedChanges(msgspec.Struct, array_like=True, tag=12, gc=False):
@@ -248,7 +249,7 @@
     """
 
     feed: Feed
-    revision: int
+    revision: Revision
     entries: tuple[FeedEntry, ...] | None
 
 
--- a/shallotshore/packets/node_state.py
+++ b/shallotshore/packets/node_state.py
@@ -79,6 +79,25 @@
         self._node = node
         self._feed_system = FeedSystem(node, self.reads_store)
 
+    def tick(self, now: int) -> None:
+        """Runs every system in order; an exception in one does not keep the others from running.
+
+        Args:
+            now: Time in ms, from a clock that also counts while the VM is suspended.
+
+        Raises:
+            Exception: The first exception of a system, after all systems have run.
+        """
+        first_error: Exception | None = None
+        for system in self._systems:
+            try:
+                system.run(now)
+            except Exception as error:
+                self.counters.add(f"systems.failed.{type(system).__name__}")
+                first_error = first_error or error
+        if first_error is not None:
+            raise first_error
+
     @property
     def log(self) -> EventLog:
         """Log lines that wait to be written."""
--- a/shallotshore/packets/view.py
+++ b/shallotshore/packets/view.py
@@ -13,6 +13,8 @@
 
 import msgspec
 
+from shallotshore.packets.field_types import Count, DurationMs, HostText, Port, Revision, Slots
+
 
 class Feed(IntEnum):
     """The two parts of the store that processes keep copies of, each with its own revision."""
@@ -34,9 +36,9 @@
 
     name: str
     host: str
-    port: int
-    shares: tuple[tuple[str, int], ...]
-    priority: int = 0
+    port: Port
+    shares: tuple[tuple[str, Count], ...]
+    priority: Count = 0
 
 
 class ServiceLimits(msgspec.Struct, array_like=True, frozen=True, gc=False):
@@ -62,7 +64,7 @@
         services: The limits declared for all services.
     """
 
-    version: int = 0
+    version: Revision = 0
     routes: tuple[Route, ...] = ()
     services: tuple[ServiceLimits, ...] = ()
 
@@ -84,13 +86,13 @@
 
     id: str
     service: str
-    host: str
-    port: int
+    host: HostText
+    port: Port
     data_centre: str
-    slots: int
+    slots: Slots
     is_leaving: bool
-    cold_ms: int
-    revision: int
+    cold_ms: DurationMs
+    revision: Revision
 
 
 class FeedState(msgspec.Struct, array_like=True):
@@ -106,7 +108,7 @@
     """
 
     feed: Feed
-    revision: int = 0
+    revision: Revision = 0
     configuration: Configuration = Configuration()
     data_centres_out: list[str] = []
     upstreams: list[Upstream] = []
