--- a/tests/test_search.py
+++ b/tests/test_search.py
@@ -70,7 +70,7 @@
             client.request(b"x")
         world.run(MAX_RESET_MS)
         self.assertEqual([None] * len(clients), [client.reset_at for client in clients])
-        # An upstream refuses requests that come at once; what counts is that each reaches its owner.
+        # An upstream refuses requests beyond its slots, but each request reaches its owner.
         self.assertEqual({1}, {len(client.answers) for client in clients})
 
 
