Deliver all packets of an upload whose balancer changes, and count it as one request

Cause: a balancer that does not know the owner of a flow used one packet for the search and dropped the up to 15 others in flight, which the client repeats only after 200 ms. An agent took one announced request off its load for each packet of a body, so that its upstream got more flows than it has slots. Change: packets that arrive during a search wait for the owner, at most 16 a flow. Only the first data of a request counts. The stand-ins send and take uploads.

--- a/shallotshore/packets/client_packets.py
+++ b/shallotshore/packets/client_packets.py
@@ -164,9 +164,10 @@
         flows.client_next[row] = next_sequence
         if not flows.awaits_answer[row]:
             flows.awaiting_since[row] = now
+            # The first data of a request, which the offer of some flow announced.
+            if state.recent_offer_times:
+                state.recent_offer_times.pop(0)
         state.set_awaits_answer(row, True)
-        if state.recent_offer_times:
-            state.recent_offer_times.pop(0)
     state.unanswered_data_at = state.unanswered_data_at or now
 
 
--- a/shallotshore/packets/flow_cache.py
+++ b/shallotshore/packets/flow_cache.py
@@ -17,6 +17,7 @@
 # Limit on the upstreams that one flow is offered to. After this number of offers the flow is
 # offered again only when the client retransmits its opening packet.
 MAX_TRIED_UPSTREAMS = 3
+MAX_WAITING_PACKETS = 16  # of one flow; a client has no more in flight
 
 
 class CachedFlowStage(IntEnum):
@@ -51,6 +52,7 @@
         scope: A SearchScope.
         is_queried: 1 when the agents in the scope have been queried.
         pending_packet: The client's packet while an offer or a search is pending, else None.
+        waiting: Further packets of the client that arrived during a search, or None.
         denied: Hosts that do not hold the flow, each with the time of its denial in ms, or None.
     """
 
@@ -71,6 +73,7 @@
         "service",
         "stage",
         "third_host",
+        "waiting",
     )
 
     COLUMNS = {
@@ -87,7 +90,7 @@
         "is_queried": "B",
         "offer_count": "B",
     }
-    OBJECT_COLUMNS = {"pending_packet": None, "denied": None}
+    OBJECT_COLUMNS = {"pending_packet": None, "denied": None, "waiting": None}
 
     stage: array[int]
     owner: array[int]
@@ -103,6 +106,7 @@
     offer_count: array[int]
     pending_packet: list[Packet | None]
     denied: list[dict[int, int] | None]
+    waiting: list[list[Packet] | None]
 
     def __init__(self) -> None:
         super().__init__(MAX_FLOW_ROWS)
@@ -154,6 +158,23 @@
         self.pending_packet[row] = None
         self.denied[row] = None
 
+    def add_waiting(self, row: int, packet: Packet) -> None:
+        """Keeps a packet until the owner of its flow is found, unless the limit is reached."""
+        waiting = self.waiting[row]
+        if waiting is None:
+            waiting = self.waiting[row] = []
+        if len(waiting) < MAX_WAITING_PACKETS and all(packet.frame != w.frame for w in waiting):
+            waiting.append(packet)
+
+    def take_waiting(self, key: int) -> list[Packet]:
+        """Removes and returns the packets that wait for the owner of a flow."""
+        row = self.row(key)
+        if row == MISSING:
+            return []
+        waiting = self.waiting[row] or []
+        self.waiting[row] = None
+        return waiting
+
     def expire_flows(self, now: int) -> None:
         """Removes flows that have had no packets for long, checking a few rows at a time."""
         for row in self._cursor.take(self, SWEPT_ROWS_PER_TICK):
--- a/shallotshore/packets/ownership.py
+++ b/shallotshore/packets/ownership.py
@@ -12,6 +12,7 @@
 from shallotshore.packets.flow_cache import CachedFlowStage
 from shallotshore.packets.hosts import host_number
 from shallotshore.packets.node_messages import (
+    CarryKind,
     Denied,
     LoadReport,
     Missing,
@@ -21,7 +22,7 @@
 )
 from shallotshore.packets.packet import DecodePacket, Packet
 from shallotshore.packets.routing import send_reset
-from shallotshore.packets.search import query_agents, record_denial, start_search
+from shallotshore.packets.search import query_agents, record_denial, send_carry, start_search
 from shallotshore.tables import MISSING
 
 if TYPE_CHECKING:
@@ -118,7 +119,7 @@
 
     def _apply_keys(self, host: int, service: int, opened: bytes, closed: bytes, now: int) -> None:
         for key in _unpack_keys(opened):
-            self._state.flows.set_owner(key, host, service, now)
+            self._set_owner(key, host, service, now)
         for key in _unpack_keys(closed):
             self._remove_closed(key, host)
 
@@ -137,7 +138,14 @@
         host = host_number(source[0])
         row = state.upstreams.row(host)
         service = state.upstreams.service[row] if row != MISSING else 0
-        state.flows.set_owner(key, host, service, now)
+        self._set_owner(key, host, service, now)
+
+    def _set_owner(self, key: int, host: int, service: int, now: int) -> None:
+        """Records the owner of a flow, and sends it the packets that arrived during the search."""
+        flows = self._state.flows
+        flows.set_owner(key, host, service, now)
+        for packet in flows.take_waiting(key):
+            send_carry(self._state, host, CarryKind.OWNED, service, packet)
 
     def _handle_missing(self, host: int, missing: Missing, now: int) -> None:
         state = self._state
--- a/shallotshore/packets/pending_flows.py
+++ b/shallotshore/packets/pending_flows.py
@@ -123,6 +123,6 @@
             flows.schedule_check(row)
             return
         flows.stage[row] = CachedFlowStage.LOST
-        flows.pending_packet[row] = None
+        flows.pending_packet[row] = flows.waiting[row] = None
         state.counters.add("flows.unknown_to_all")
         send_reset(state, packet, Code.NO_SUCH_FLOW, now)
--- a/shallotshore/packets/routing.py
+++ b/shallotshore/packets/routing.py
@@ -281,6 +281,8 @@
         flows.pending_packet[row] = packet
         if now - flows.last_sent_at[row] >= SEARCH_RETRY_MS:
             query_agents(state, row, packet, route, now)
+        else:
+            flows.add_waiting(row, packet)
         widen_search(state, row, now)
 
 
--- a/standins/packet_client.py
+++ b/standins/packet_client.py
@@ -13,6 +13,8 @@
 OPENING_SEND_DELAYS_MS = (0, 200, 600)
 OPENING_TIMEOUT_MS = 1_400
 INITIAL_RESEND_DELAY_MS = 200
+MAX_PACKETS_IN_FLIGHT = 16
+MAX_CHUNK_BYTES = 1_199  # of a body; one byte of a packet's data tells whether more follow
 
 
 class PacketClient:
@@ -43,11 +45,12 @@
         self._expected_sequence = 0
         self._pending_request: bytes | None = None
         self._queued_requests: list[bytes] = []
+        self._upload: list[tuple[int, bytes]] = []  # packets without acknowledgement
 
     @property
     def has_unanswered_request(self) -> bool:
-        """Whether a request is queued or its answer is awaited."""
-        return self._pending_request is not None or bool(self._queued_requests)
+        """Whether a request is queued, being sent, or its answer is awaited."""
+        return self._pending_request is not None or bool(self._queued_requests or self._upload)
 
     def send_opening_packets(self) -> None:
         """Sends the opening packet, and copies of it until the flow opens or is reset."""
@@ -59,6 +62,15 @@
         self._queued_requests.append(data)
         self._send_next_request()
 
+    def upload(self, body: bytes) -> None:
+        """Sends a request whose body takes many packets; the flow must be open and idle."""
+        chunks = [body[i : i + MAX_CHUNK_BYTES] for i in range(0, len(body), MAX_CHUNK_BYTES)]
+        for number, chunk in enumerate(chunks):
+            data = (b"=" if number == len(chunks) - 1 else b"+") + chunk
+            self._upload.append((self._next_sequence, data))
+            self._next_sequence += len(data)
+        self._send_upload(self._upload[0][0], INITIAL_RESEND_DELAY_MS)
+
     def receive_packet(self, frame: bytes, now: int) -> None:
         """Handles a packet that is addressed to this client.
 
@@ -79,7 +91,9 @@
             self._next_sequence += 1
             self._send_packet(ACK)
             self._send_next_request()
-        elif packet.size and packet.sequence == self._expected_sequence:
+            return
+        self._acknowledge_upload(packet.acknowledged)
+        if packet.size and packet.sequence == self._expected_sequence:
             self._expected_sequence += packet.size
             self.answers.append(frame[31:])
             self._pending_request = None
@@ -88,6 +102,27 @@
         elif packet.size:
             self._send_packet(ACK)
 
+    def _acknowledge_upload(self, acknowledged: int) -> None:
+        """Removes acknowledged packets of the upload, and sends those that may follow."""
+        before = self._upload
+        self._upload = [(start, data) for start, data in before if start >= acknowledged]
+        newly_in_flight = len(before) - len(self._upload)
+        last = MAX_PACKETS_IN_FLIGHT
+        for start, data in self._upload[max(0, last - newly_in_flight) : last]:
+            self._send_packet(ACK, data, start)
+
+    def _send_upload(self, first: int, delay_ms: int) -> None:
+        """Sends all packets in flight, and repeats them while the first one is not acknowledged."""
+        if not self._upload or self.reset_at is not None:
+            return
+        is_stalled = self._upload[0][0] == first
+        if is_stalled:
+            for start, data in self._upload[:MAX_PACKETS_IN_FLIGHT]:
+                self._send_packet(ACK, data, start)
+        next_delay_ms = min(2 * delay_ms, 1_600) if is_stalled else INITIAL_RESEND_DELAY_MS
+        next_first = self._upload[0][0]
+        self._call_later(delay_ms, lambda: self._send_upload(next_first, next_delay_ms))
+
     def _send_opening(self, copy: int) -> None:
         if self.opened_at is None and self.reset_at is None:
             self._send(write_packet(self.address, self.vip, SYN, self._next_sequence, copy))
--- a/standins/packet_upstream.py
+++ b/standins/packet_upstream.py
@@ -54,6 +54,7 @@
     def restart(self) -> None:
         """Drops all flows and requests, as a restart of an upstream does."""
         self._half_open_flows: dict[int, int] = {}
+        self._bodies: dict[int, bytes] = {}
         self._flows: dict[int, list[int]] = {}
         self._running_requests = 0
         self._queued_requests: list[Packet] = []
@@ -114,7 +115,9 @@
             del self._flows[packet.key]
         elif packet.size and packet.sequence == flow[1]:
             flow[1] += packet.size
-            if self._running_requests < self.slots:
+            if self._is_part_of_upload(packet):
+                self._send_packet(packet, ACK, flow[0], flow[1])
+            elif self._running_requests < self.slots:
                 self._start_request(packet)
             elif len(self._queued_requests) < self.max_queued_requests:
                 self._queued_requests.append(packet)
@@ -123,17 +126,26 @@
         elif packet.size:
             self._send_packet(packet, ACK, flow[0], flow[1])
 
+    def _is_part_of_upload(self, packet: Packet) -> bool:
+        """Keeps the data of an upload; returns whether more of its packets follow."""
+        data = packet.frame[31:]
+        if data[:1] in (b"+", b"="):
+            self._bodies[packet.key] = self._bodies.get(packet.key, b"") + data[1:]
+        return data[:1] == b"+"
+
     def _start_request(self, packet: Packet) -> None:
         self._running_requests += 1
         generation = self._generation
-        self.executed_requests.append(packet.frame[31:])
+        self.executed_requests.append(self._bodies.get(packet.key) or packet.frame[31:])
         self._call_later(self.request_duration_ms, lambda: self._finish_request(packet, generation))
 
     def _finish_request(self, packet: Packet, generation: int) -> None:
         if generation != self._generation:
             return
         self._running_requests -= 1
-        self._send_answer(packet, b"200 " + packet.frame[31:])
+        body = self._bodies.pop(packet.key, None)
+        answer = packet.frame[31:] if body is None else b"%d bytes" % len(body)
+        self._send_answer(packet, b"200 " + answer)
         if self._queued_requests:
             self._start_request(self._queued_requests.pop(0))
 
