--- a/shallotshore/packets/pending_flows.py
+++ b/shallotshore/packets/pending_flows.py
@@ -7,6 +7,7 @@
 from shallotshore.codes import Code
 from shallotshore.packets.balancer_state import BalancerState, RouteView
 from shallotshore.packets.flow_cache import MAX_TRIED_UPSTREAMS, CachedFlowStage
+from shallotshore.packets.hosts import host_text
 from shallotshore.packets.routing import offer_flow, send_reset
 from shallotshore.packets.search import (
     find_possible_owners,
@@ -29,6 +30,7 @@
 # table lacks.
 MIN_UNCONFIRMED_SEARCH_MS = 3_000
 MAX_SEARCH_MS = 5_000  # a client's requests have ended by then
+MAX_NAMED_HOSTS = 5  # in a log line
 
 
 class PendingFlowSystem:
@@ -112,6 +114,7 @@
         flows = state.flows
         searched_ms = now - flows.search_started_at[row]
         if searched_ms > MAX_SEARCH_MS:
+            self._abandon_search(row, possible_owners, now)
             return
         min_search_ms = (
             MIN_SEARCH_MS if state.feeds.upstreams.is_current(now) else MIN_UNCONFIRMED_SEARCH_MS
@@ -126,3 +129,22 @@
         flows.pending_packet[row] = flows.waiting[row] = None
         state.counters.add("flows.unknown_to_all")
         send_reset(state, packet, Code.NO_SUCH_FLOW, now)
+
+    def _abandon_search(self, row: int, possible_owners: set[int], now: int) -> None:
+        """Stops checking a search that has had no result for too long."""
+        state = self._state
+        state.counters.add("flows.searches_abandoned")
+        packet = state.flows.pending_packet[row]
+        if packet is None or not state.log.try_admit_decision(now):
+            return
+        silent = possible_owners - (state.flows.denied[row] or {}).keys()
+        state.log.write(
+            now,
+            "search_abandoned",
+            flow=packet.name,
+            code=int(Code.NO_SUCH_FLOW),
+            undecided=[host_text(host) for host in sorted(silent)[:MAX_NAMED_HOSTS]],
+            count=len(silent),
+            scope=state.flows.scope[row],
+            is_list_current=state.feeds.upstreams.is_current(now),
+        )
