Repeat unanswered queries of a search without waiting for the client

Balancers had queried agents before their upstreams had started, and queried again only when the client retransmitted its packet, which it did after 1.6 s or no longer. Change: a balancer repeats the queries of a search after 150, 300, 600 and 1,200 ms at the agents that have not answered, in shared datagrams. Measured: a test with upstreams that start late fails before.

--- a/shallotshore/packets/flow_cache.py
+++ b/shallotshore/packets/flow_cache.py
@@ -52,6 +52,8 @@
         scope: A SearchScope.
         is_queried: 1 when the agents in the scope have been queried.
         queried_hosts: Number of agents in the scope.
+        repeat_count: How often the balancer itself has repeated the queries of the search.
+        repeated_at: When the queries were first sent or last repeated, in ms.
         pending_packet: The client's packet while an offer or a search is pending, else None.
         waiting: Further packets of the client that arrived during a search, or None.
         denied: Hosts that do not hold the flow, each with the time of its denial in ms, or None.
@@ -69,6 +71,8 @@
         "owner",
         "pending_packet",
         "queried_hosts",
+        "repeat_count",
+        "repeated_at",
         "scope",
         "search_started_at",
         "second_host",
@@ -91,6 +95,8 @@
         "scope": "B",
         "is_queried": "B",
         "queried_hosts": "H",
+        "repeat_count": "B",
+        "repeated_at": "q",
         "offer_count": "B",
     }
     OBJECT_COLUMNS = {"pending_packet": None, "denied": None, "waiting": None}
@@ -107,6 +113,8 @@
     scope: array[int]
     is_queried: array[int]
     queried_hosts: array[int]
+    repeat_count: array[int]
+    repeated_at: array[int]
     offer_count: array[int]
     pending_packet: list[Packet | None]
     denied: list[dict[int, int] | None]
--- a/shallotshore/packets/pending_flows.py
+++ b/shallotshore/packets/pending_flows.py
@@ -12,6 +12,7 @@
 from shallotshore.packets.search import (
     find_possible_owners,
     is_denied_by_all,
+    repeat_queries,
     send_searches,
     widen_search,
 )
@@ -127,6 +128,7 @@
         )
         packet = flows.pending_packet[row]
         widen_search(state, row, now)
+        repeat_queries(state, row, now)
         is_early = searched_ms < min_search_ms
         if packet is None or is_early or not is_denied_by_all(state, row, possible_owners, now):
             flows.schedule_check(row)
--- a/shallotshore/packets/search.py
+++ b/shallotshore/packets/search.py
@@ -9,6 +9,7 @@
     "is_denied_by_all",
     "query_agents",
     "record_denial",
+    "repeat_queries",
     "send_carry",
     "send_searches",
     "start_search",
@@ -31,6 +32,11 @@
 # Clients retransmit a packet after 200, 600 and 1,400 ms. Agents are queried again only when a
 # packet arrives after this time, since earlier answers may still wait to be read.
 SEARCH_RETRY_MS = 500
+# The balancer repeats unanswered queries itself, after intervals that start with this one and
+# double. After a power loss the first query arrives before some upstreams have started, and a
+# client that has retransmitted for seconds sends its next packet only after 1.6 s.
+FIRST_REPEAT_MS = 150
+MAX_REPEATS = 4
 # Packets of several flows that are searched for at the same agent share a datagram.
 SEARCH_FLUSH_INTERVAL_MS = 60
 MAX_SEARCH_BYTES = 1_300  # of packets in one datagram
@@ -47,6 +53,8 @@
     flows.last_sent_at[row] = now - SEARCH_RETRY_MS
     flows.scope[row] = SearchScope.SAME_DATA_CENTRE
     flows.is_queried[row] = 0
+    flows.repeat_count[row] = 0
+    flows.repeated_at[row] = now
     flows.denied[row] = {}
     flows.schedule_check(row)
     state.counters.add("flows.searched")
@@ -82,6 +90,24 @@
             state.queued_searches.setdefault(host, {})[packet.key] = packet.frame
 
 
+def repeat_queries(state: BalancerState, row: int, now: int) -> None:
+    """Queries the agents in a search's scope again that have not answered for some time."""
+    flows = state.flows
+    packet = flows.pending_packet[row]
+    route = state.routes.get(packet.vip) if packet is not None else None
+    if packet is None or route is None or flows.repeat_count[row] >= MAX_REPEATS:
+        return
+    if now - flows.repeated_at[row] < FIRST_REPEAT_MS << flows.repeat_count[row]:
+        return
+    flows.repeat_count[row] += 1
+    flows.repeated_at[row] = now
+    state.counters.add("flows.queries_repeated")
+    denied = flows.denied[row] or {}
+    for host in _find_hosts_in_scope(state, route, flows.scope[row]):
+        if host not in denied:
+            state.queued_searches.setdefault(host, {})[packet.key] = packet.frame
+
+
 def send_searches(state: BalancerState, now: int) -> None:
     """Sends the queued queries, in one datagram for each agent where they fit.
 
--- a/tests/test_search.py
+++ b/tests/test_search.py
@@ -64,6 +64,27 @@
         world.run(MAX_RESET_MS)
         self.assertNotIn(None, [client.reset_at for client in clients])
 
+    def test_lost_flows_are_reset_although_upstreams_start_after_the_query(self) -> None:
+        """Guards against a search that waits for the client to retransmit its packet.
+
+        After a power loss agents cannot decide before their upstreams answer. Clients that have
+        retransmitted for seconds by then send their next packet after 1.6 s.
+        """
+        world = self.make_world()
+        clients = self.open_flows(world)
+        world.balancers.clear()
+        for client in clients:
+            client.request(b"x")  # sent again after 200, 600, 1,400 and 3,000 ms
+        world.run(1_000)
+        for upstream in world.upstreams.values():
+            upstream.is_silent = True
+        self.restart_all(world, with_upstreams=True)
+        world.run(300)
+        for upstream in world.upstreams.values():
+            upstream.is_silent = False
+        world.run(1_200)
+        self.assertNotIn(None, [client.reset_at for client in clients])
+
     def test_work_of_a_search_grows_with_the_fleet_and_not_with_its_square(self) -> None:
         """Guards against a look at all agents for each agent's denial.
 
