Give no new flow to an upstream without a record after a balancer's restart

Cause: agents report to a balancer for a minute after its last subscription, also to its next process. That process has never seen the record of an upstream that has left, and took any upstream that reports for a usable one (operators' report of a server in use again after a restart). Change: once a list of upstreams is known, those outside it get no new flow.

--- a/shallotshore/packets/directory.py
+++ b/shallotshore/packets/directory.py
@@ -6,8 +6,10 @@
 
 from shallotshore.hashing import name_id
 from shallotshore.packets.balancer_state import BalancerState, RouteView
+from shallotshore.packets.feed_copies import NEVER
 from shallotshore.packets.hosts import host_text
 from shallotshore.packets.openings_limit import RETURNED_DATA_CENTRE_COLD_MS
+from shallotshore.packets.upstream_table import LAPSE_GRACE_MS
 from shallotshore.packets.view import Feed
 from shallotshore.tables import MISSING
 
@@ -17,11 +19,13 @@
 class DirectorySystem:
     """Copies the records of the feeds into the routes and the table of upstreams."""
 
-    __slots__ = ("_state", "_swept_at")
+    __slots__ = ("_state", "_swept_at", "_unlisted_until", "_was_complete")
 
     def __init__(self, state: BalancerState) -> None:
         self._state = state
         self._swept_at = 0
+        self._was_complete = False
+        self._unlisted_until = 0
 
     def run(self, now: int) -> None:
         """Runs the step at `now` (ms)."""
@@ -30,11 +34,26 @@
             self._apply_configuration(now)
         if Feed.UPSTREAMS in state.feeds.changed:
             state.upstreams.apply_records(state.feeds.upstreams.content.upstreams.values(), now)
+        self._decide_on_unlisted(now)
         if now - self._swept_at >= SWEEP_INTERVAL_MS:
             self._swept_at = now
             state.upstreams.expire_unlisted(now)
             self._mark_silent_agents(now)
 
+    def _decide_on_unlisted(self, now: int) -> None:
+        """Decides whether upstreams that are known only from their agents' reports get new flows.
+
+        They do while no list of upstreams is known. A balancer that started in an outage of the
+        store goes on for a while after its end, since entries that lapsed in the outage return
+        later. At any other time an upstream that is not in the list has left.
+        """
+        copy = self._state.feeds.upstreams
+        self._was_complete |= copy.is_complete
+        if not self._was_complete and copy.failing_since != NEVER:
+            self._unlisted_until = now + LAPSE_GRACE_MS
+        is_back = self._was_complete and now < self._unlisted_until
+        self._state.upstreams.are_unlisted_usable = is_back or not copy.revision
+
     def _mark_silent_agents(self, now: int) -> None:
         """Logs the agents that have stopped reporting, once each."""
         upstreams = self._state.upstreams
--- a/shallotshore/packets/upstream_table.py
+++ b/shallotshore/packets/upstream_table.py
@@ -24,7 +24,7 @@
 class Listing(IntEnum):
     """Whether the store has an entry of an upstream."""
 
-    NONE = 0  # never seen; the upstream is known only from its agent's reports
+    NONE = 0  # no entry seen since this process started; known only from its agent's reports
     LISTED = 1
     LAPSED = 2  # the entry was removed, but the upstream may still run
 
@@ -58,11 +58,15 @@
         vm_state: A VmState.
         vm_state_at: When `vm_state` was last found, in ms.
         record_revision: Revision of the store's entry that is in use.
+
+    Attributes:
+        are_unlisted_usable: Whether upstreams without an entry may get new flows.
     """
 
     __slots__ = (
         "_by_service",
         "added_at",
+        "are_unlisted_usable",
         "checked_at",
         "cold_until",
         "data_centre",
@@ -146,6 +150,7 @@
     def __init__(self) -> None:
         super().__init__(MAX_UPSTREAM_ROWS)
         self._by_service: dict[int, list[int]] = {}
+        self.are_unlisted_usable = True
 
     def hosts_of_service(self, service: int) -> list[int]:
         """Returns the hosts that run or ran an upstream of a service."""
@@ -243,7 +248,9 @@
             return True
         if not self.has_fresh_report(row, now):
             return False
-        return self.listing[row] == Listing.NONE or now - self.lapsed_at[row] < LAPSE_GRACE_MS
+        if self.listing[row] == Listing.NONE:
+            return self.are_unlisted_usable
+        return now - self.lapsed_at[row] < LAPSE_GRACE_MS
 
     def _apply_record(self, host: int, upstream: Upstream, now: int) -> None:
         row = self.ensure_row(host, name_id("service", upstream.service), now)
