Pass held opening packets to other agents when an agent stops

Cause: an agent that got SIGTERM ended with the opening packets that it held for a busy upstream, and with datagrams that it had not read (operators' report of a planned stop that cut requests that had just been accepted). Their clients sent the next copy after 200 or 400 ms. Change: a process reads what has arrived when it is asked to stop; a stopping agent refuses opening packets with code 213, which passes them to the next candidate.

--- a/shallotshore/packets/agent.py
+++ b/shallotshore/packets/agent.py
@@ -23,7 +23,7 @@
     to the upstream, and the upstream's packets are handled before those of clients.
     """
 
-    __slots__ = ("_is_stopping", "state")
+    __slots__ = ("state",)
 
     def __init__(self, settings: AgentSettings, rng: random.Random, decode: DecodePacket) -> None:
         """Creates an agent.
@@ -37,7 +37,6 @@
         state = AgentState(self, settings, rng)
         self.state = state
         self._init_state(state)
-        self._is_stopping = False
         self._systems = [
             self._feed_system,
             OwnUpstreamSystem(state),
@@ -52,13 +51,16 @@
     @property
     def is_ready(self) -> bool:
         """Whether the agent accepts packets."""
-        return not self._is_stopping
+        return not self.state.is_stopping
 
     @property
     def stopped(self) -> bool:
         """Whether the agent has stopped; the upstream still keeps its flows."""
-        return self._is_stopping
+        return self.state.is_stopping
 
     def stop(self, now: int) -> None:
-        """Stops at once: the sooner the next process starts, the fewer packets are lost."""
-        self._is_stopping = True
+        """Stops with the next tick, which passes opening packets on to other agents.
+
+        The sooner the next process starts, the fewer packets are lost.
+        """
+        self.state.is_stopping = True
--- a/shallotshore/packets/agent_state.py
+++ b/shallotshore/packets/agent_state.py
@@ -96,6 +96,7 @@
         record_revision: Revision of the upstream's record; 0 when no record is known.
         is_leaving: Whether the upstream accepts no new flows, according to its record.
         is_out: Whether the operator has taken the data centre out of service.
+        is_stopping: Whether the agent is about to end.
         health: Health of the upstream as its packets show it.
         last_upstream_packet_at: When the upstream last sent a packet, in ms.
         in_flight: Number of flows with data of the client that is not answered yet.
@@ -120,6 +121,7 @@
         "incarnation",
         "is_leaving",
         "is_out",
+        "is_stopping",
         "last_upstream_packet_at",
         "open_flows",
         "openings_limit",
@@ -148,6 +150,7 @@
         self.record_revision = 0
         self.is_leaving = False
         self.is_out = False
+        self.is_stopping = False
         self.health = UpstreamHealth.ANSWERS
         self.last_upstream_packet_at = 0
         self.unanswered_opening_at = 0
--- a/shallotshore/packets/application.py
+++ b/shallotshore/packets/application.py
@@ -228,6 +228,9 @@
     def _start_stop(self) -> None:
         self._core.log.write(clock(), "stopping")
         self._core.stop(clock())
+        # The next tick may be the last one, and handles what has arrived until now.
+        for port in self._ports:
+            port.read_pending()
         self._schedule_tick()
 
     def _handle_hangup(self) -> None:
--- a/shallotshore/packets/datagram_port.py
+++ b/shallotshore/packets/datagram_port.py
@@ -50,6 +50,10 @@
         except OSError as error:
             self._counters.add(f"datagrams.unsent.{self._name}.{type(error).__name__}")
 
+    def read_pending(self) -> None:
+        """Reads the datagrams that have arrived, up to a limit."""
+        self._read()
+
     def close(self) -> None:
         """Closes the socket; datagrams in its buffer are lost."""
         asyncio.get_running_loop().remove_reader(self._socket.fileno())
--- a/shallotshore/packets/openings.py
+++ b/shallotshore/packets/openings.py
@@ -24,7 +24,10 @@
 
 
 class HeldOpeningSystem:
-    """Releases held opening packets when the upstream has room, and drops those held too long."""
+    """Releases held opening packets when the upstream has room, and drops those held too long.
+
+    An agent that stops passes all of them to other agents.
+    """
 
     __slots__ = ("_state",)
 
@@ -35,6 +38,10 @@
         """Runs the step at `now` (ms)."""
         state = self._state
         held = state.held_openings
+        if state.is_stopping:
+            while len(held):
+                opening = held.pop_best()
+                handle_opening(state, opening.carry, opening.packet, now)
         if not len(held):
             return
         for opening in held.pop_held_before(now - MAX_HOLD_MS):
@@ -106,6 +113,8 @@
     """Returns why the upstream must not get a new flow, or None."""
     if carry.service != state.service:
         return Code.WRONG_SERVICE
+    if state.is_stopping:
+        return Code.STOPPING
     if state.is_out:
         return Code.DATA_CENTRE_OUT
     if state.is_leaving:
