Tell a slow machine from a broken promise in the demo

Cause: with all processes of the demo on two of the machine's cores (taskset), beside three busy benches, 317 requests of about 3,200 were given up by their callers. No socket dropped a datagram (/proc/net/udp, sampled every 200 ms), 311 of the 317 answers came after the callers had given up, and the stand-ins' own loop was late by up to 637 ms; on one core by 4,953 ms, with 23 broken promises.

--- a/standins/caller.py
+++ b/standins/caller.py
@@ -450,6 +450,8 @@
             )
         elif {reported_outcome, int(answer.outcome)} == {int(Outcome.DONE), int(Outcome.NOT_RUN)}:
             core.log.contradicted_requests.append(answer.request)
+        elif not reported_outcome:
+            core.log.answered_late.add(answer.request)
 
     def _check_complete_answer(self, row: int, answer: CallerAnswer, now: int) -> None:
         core = self._core
--- a/standins/caller_state.py
+++ b/standins/caller_state.py
@@ -82,6 +82,7 @@
         received_packets: Feed packets received.
         longest_gap_ms: Longest time in ms between two packets of one feed.
         contradicted_requests: Ids of requests that were reported both as done and as not run.
+        answered_late: Ids of requests that were answered after the caller had given up.
     """
 
     broken_feeds: list[FeedEnd] = field(default_factory=list)
@@ -92,6 +93,7 @@
     received_packets: int = 0
     longest_gap_ms: int = 0
     contradicted_requests: list[bytes] = field(default_factory=list)
+    answered_late: set[bytes] = field(default_factory=set)
 
 
 class FeedTable(Table):
