Send the demo's packets only to balancers that are ready

Cause: the demo's fabric used a balancer as soon as its process was started. With random spraying, all three copies of a request could go to a balancer that was still loading. Traced on two cores beside load: the requests that were never answered were created at 15.3 s and 15.4 s, just after a balancer had been added at 15 s, and no upstream had run them.

Change: the fabric of a live world adds a balancer when it answers and has received a revision, as a fabric that probes does.

--- a/standins/demo.py
+++ b/standins/demo.py
@@ -15,21 +15,17 @@
 from pathlib import Path
 from string import Template
 
-import msgspec
 import structlog
 from absl import flags
 
 from shallotshore.clock import clock
-from shallotshore.control import CallFailedError, ControlClient
-from shallotshore.control_messages import StatusRequest
-from shallotshore.systems import Counters
 from standins.checker import ENFORCEMENT_LIMIT_MS, check_promises
 from standins.demo_table import build_rows, format_table
 from standins.demo_verdict import Fault, Verdict, judge
 from standins.deployments import KOLTSEGTER, VATULELE
 from standins.events import VERBS
 from standins.live_world import LiveWorld
-from standins.ports import HOST, Ports
+from standins.ports import Ports
 from standins.scenario import Scenario, ScenarioLine
 
 # An agent takes its upstream for cold at first, so the script's full load starts only at 8 s. The
@@ -99,7 +95,7 @@
             for its removal.
     """
 
-    __slots__ = ("_client", "_scenario", "_started", "late_packets", "user", "world")
+    __slots__ = ("_scenario", "_started", "late_packets", "user", "world")
 
     def __init__(self, user: str, seed: int, ports: Ports, logs: Path) -> None:
         """Starts all processes of a user's deployment."""
@@ -107,7 +103,6 @@
         self.world = LiveWorld.on_loopback(user, seed, ports, logs)
         self.late_packets: dict[str, int] = {}
         self._scenario = Scenario.from_text(SCRIPT)
-        self._client = ControlClient((HOST, 0), None, Counters())
         self._started = 0
 
     async def run(self) -> None:
@@ -150,7 +145,6 @@
 
     async def close(self) -> None:
         """Ends all processes of the deployment."""
-        await self._client.close()
         await self.world.runtime.close()
 
     def _run_event(self, line: ScenarioLine) -> None:
@@ -180,26 +174,11 @@
         """
         limit = clock() + READY_TIMEOUT_MS
         for name in self.world.running_programs():
-            while not await self._is_ready(name):
+            while not await self.world.runtime.is_ready(name):
                 if clock() > limit:
                     raise NotReadyError(f"{self.user}: {name} was not ready in time")
                 await asyncio.sleep(0.1)
 
-    async def _is_ready(self, name: str) -> bool:
-        report = await self._query_status(name)
-        core = report.get("core") if report else None
-        return isinstance(core, dict) and core.get("revision", 0) > 0
-
-    async def _query_status(self, name: str) -> dict:
-        process = self.world.runtime.process(name)
-        if process is None:
-            return {}
-        try:
-            reply = await self._client.status(process.addresses[0], StatusRequest(1))
-        except CallFailedError:
-            return {}
-        return msgspec.json.decode(reply.text)
-
     async def _count_late_packets(self) -> None:
         """Counts packets that reach the removed data centre after the time limit of its removal."""
         removed = self.world.plan.data_centres[1]
@@ -216,7 +195,7 @@
         await asyncio.sleep(max(0, self._started + at - clock()) / 1000)
 
     async def _count_work_packets(self, upstream: str) -> int:
-        report = await self._query_status(f"{upstream}.agent")
+        report = await self.world.runtime.query_status(f"{upstream}.agent")
         counters = report.get("counters", {})
         return sum(counters.get(name, 0) for name in _WORK_COUNTERS)
 
--- a/standins/live.py
+++ b/standins/live.py
@@ -16,19 +16,24 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
+
 from shallotshore.application import Application, ApplicationConfig
 from shallotshore.clock import clock
+from shallotshore.control import CallFailedError, ControlClient
+from shallotshore.control_messages import StatusRequest
 from shallotshore.datagrams import DatagramEndpoint
 from shallotshore.messages import Address, Message
 from shallotshore.security import MacKeys
-from shallotshore.systems import Core
+from shallotshore.systems import Core, Counters
 from standins.configuration_service import PlatformService
 from standins.deployments import Server
 from standins.fabric import Fabric
 from standins.network import Network
-from standins.ports import Ports
+from standins.ports import HOST, Ports
 from standins.processes import ProcessSettings
 
+_READY_INTERVAL_S = 0.05
 _EXIT_TIMEOUT_S = 5.0  # for all processes to end, and then for each killed child
 
 
@@ -129,11 +134,13 @@
     """
 
     __slots__ = (
+        "_client",
         "_jobs",
         "_logs",
         "_ports",
         "_processes",
         "_programs",
+        "_waits",
         "_worker",
         "faults",
         "network",
@@ -157,6 +164,8 @@
         self._programs: list[Program] = []
         self._jobs: asyncio.Queue[Coroutine[Any, Any, None]] = asyncio.Queue()
         self._worker = asyncio.get_running_loop().create_task(self._run_jobs())
+        self._waits: set[asyncio.Task[None]] = set()
+        self._client = ControlClient((HOST, 0), None, Counters())
 
     @property
     def now(self) -> int:
@@ -204,6 +213,28 @@
         """Runs an action at a time in ms."""
         asyncio.get_running_loop().call_later(max(0, time - self.now) / 1000, action)
 
+    def call_when_ready(self, name: str, action: Callable[[], None]) -> None:
+        """Runs an action when a program is ready, unless it ends before."""
+        task = asyncio.get_running_loop().create_task(self._call_when_ready(name, action))
+        self._waits.add(task)
+        task.add_done_callback(self._waits.discard)
+
+    async def is_ready(self, name: str) -> bool:
+        """Whether a program answers and has received a revision of the configuration."""
+        core = (await self.query_status(name)).get("core")
+        return isinstance(core, dict) and core.get("revision", 0) > 0
+
+    async def query_status(self, name: str) -> dict[str, Any]:
+        """Returns a program's status report; it is empty when the program does not answer."""
+        process = self.process(name)
+        if process is None:
+            return {}
+        try:
+            reply = await self._client.status(process.addresses[0], StatusRequest(1))
+        except CallFailedError:
+            return {}
+        return msgspec.json.decode(reply.text)
+
     def flush_outbox(self, process: LiveProcess) -> None:
         """Schedules a tick of a stand-in, which sends its queued messages."""
         if process.application is not None:
@@ -225,6 +256,9 @@
 
     async def close(self) -> None:
         """Ends every process that this runtime has started, each by its own process id."""
+        for task in self._waits:
+            task.cancel()
+        await self._client.close()
         for name in list(self._processes):
             self.kill(name)
         for program in self._programs:
@@ -235,6 +269,14 @@
             if program.child is not None:
                 program.child.wait(_EXIT_TIMEOUT_S)
 
+    async def _call_when_ready(self, name: str, action: Callable[[], None]) -> None:
+        process = self.process(name)
+        while process is not None and process is self.process(name):
+            if await self.is_ready(name):
+                action()
+                return
+            await asyncio.sleep(_READY_INTERVAL_S)
+
     @singledispatchmethod
     def _launch(self, core: Core, process: LiveProcess) -> None:
         """Starts a process: by default its core runs in this process."""
--- a/standins/live_world.py
+++ b/standins/live_world.py
@@ -3,6 +3,7 @@
 __all__ = ["LiveWorld"]
 
 from dataclasses import fields
+from functools import partial
 from pathlib import Path
 
 from standins.deployments import Deployment, Server, build_deployment
@@ -72,6 +73,10 @@
         world.start_all()
         return world
 
+    def add_to_fabric(self, name: str) -> None:
+        """Adds a balancer to the fabric as soon as it is ready, like a fabric that probes it."""
+        self.runtime.call_when_ready(name, partial(super().add_to_fabric, name))
+
     def running_programs(self) -> dict[str, Program]:
         """Returns the running balancers and agents by name."""
         names = [*self.plan.balancers, *(f"{name}.agent" for name in self.plan.servers)]
--- a/standins/world.py
+++ b/standins/world.py
@@ -167,6 +167,11 @@
         address, data_centre = self.plan.balancers[name]
         core = self._process_factory.balancer(self.process_settings(name, address, data_centre))
         self.runtime.start(name, data_centre, [address], core)
+        self.add_to_fabric(name)
+
+    def add_to_fabric(self, name: str) -> None:
+        """Adds a balancer to the fabric."""
+        address, _ = self.plan.balancers[name]
         if address not in self.fabric.balancers:
             self.fabric.balancers.append(address)
 
--- a/tests/test_live.py
+++ b/tests/test_live.py
@@ -6,6 +6,7 @@
 import tempfile
 import unittest
 from pathlib import Path
+from unittest.mock import patch
 
 from shallotshore.caller_messages import CallerAnswer, CallerRequest, FabricPacket
 from shallotshore.codes import Code, Outcome
@@ -51,6 +52,7 @@
     async def asyncSetUp(self) -> None:
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
+        self.answered: list[str] = []
         self.ports = Ports.allocate_blocks(1, random.Random())[0]
         self.runtime = LiveRuntime(Network(random.Random(1)), self.ports, Path(folder.name))
         self.addAsyncCleanup(self.runtime.close)
@@ -78,6 +80,30 @@
         await self.runtime.close()
         self.assertFalse(is_alive(other.child.pid))
 
+    async def test_a_program_that_is_not_ready_yet_gets_no_packets(self) -> None:
+        """Guards against a fabric that loses packets to a balancer which is still starting.
+
+        In the demo such a request was never answered when all its copies went there.
+        """
+        ready: list[str] = []
+        self.start("starting")
+        self.enterContext(patch.object(LiveRuntime, "is_ready", lambda _, name: self.answers(name)))
+        self.runtime.call_when_ready("starting", lambda: ready.append("starting"))
+        self.runtime.call_when_ready("never", lambda: ready.append("never"))
+        self.assertEqual(ready, [])
+        async with asyncio.timeout(20):
+            while not ready:
+                self.assertEqual(self.answered, [])
+                await asyncio.sleep(0.01)
+        self.assertEqual((ready, self.answered), (["starting"], ["starting"]))
+
+    async def answers(self, name: str) -> bool:
+        """Whether a program answers; there is no configuration in these tests."""
+        if not await self.runtime.query_status(name):
+            return False
+        self.answered.append(name)
+        return True
+
     async def test_sigterm_ends_an_idle_agent_gracefully(self) -> None:
         program = self.start("stopping")
         client = ControlClient(("127.0.0.1", 9), None, Counters())
