Count only requests that somebody may still answer as in flight

Cause: an agent counted a request until its upstream had answered or both ends had closed the flow. A client that reset its flow at its deadline, or an upstream that restarted, left the request counted for 60 s. With one slot the agent then held all opening packets beside an idle upstream: in a power loss on the virtual clock (standins/packet_load.py, 192 requests a second at seven upstreams) one agent held up to 20 openings for 1.7 s while its upstream had no flow at all.

Change: a reset by the client ends the request; a returned packet of a confirmed flow or a record with another id shows a restart and ends all requests; any request stops counting after 5 s. A probed packet that the upstream returns goes back to the balancer, which had to wait for the client's next copy.

--- a/shallotshore/packets/agent_state.py
+++ b/shallotshore/packets/agent_state.py
@@ -196,6 +196,11 @@
             self.in_flight += 1 if awaits_answer else -1
             flows.awaits_answer[row] = awaits_answer
 
+    def forget_requests(self) -> None:
+        """Stops counting all requests in flight, after a restart of the upstream."""
+        for row in self.flows.rows():
+            self.set_awaits_answer(row, False)
+
     def record_end(self, row: int, ends: int) -> None:
         """Records that the client, the upstream or both have ended a flow.
 
--- a/shallotshore/packets/client_packets.py
+++ b/shallotshore/packets/client_packets.py
@@ -7,7 +7,7 @@
 from result import Err
 
 from shallotshore.packets.agent_state import AgentState
-from shallotshore.packets.agent_tables import CLIENT_ENDED, AgentFlowStage
+from shallotshore.packets.agent_tables import CLIENT_ENDED, UPSTREAM_ENDED, AgentFlowStage
 from shallotshore.packets.hosts import host_text
 from shallotshore.packets.node_messages import (
     Carry,
@@ -150,7 +150,10 @@
         state.send(carry.origin, OwnedFlow(packet.key))
     if packet.size:
         _record_data(state, row, packet, now)
-    if packet.flags & (ENDS | RESETS):
+    if packet.flags & RESETS:
+        # The upstream drops the flow without an answer.
+        state.record_end(row, CLIENT_ENDED | UPSTREAM_ENDED)
+    elif packet.flags & ENDS:
         state.record_end(row, CLIENT_ENDED)
     state.send_to_upstream(carry.frame)
 
--- a/shallotshore/packets/own_upstream.py
+++ b/shallotshore/packets/own_upstream.py
@@ -22,6 +22,9 @@
 # How long a flow stays marked as not held, since its last packet. An upstream that has returned a
 # packet of a flow never accepts the flow later.
 NOT_HELD_EXPIRY_MS = 10_000
+# A request without an answer for this time no longer counts as in flight. Its client has given up,
+# or the upstream has lost it in a restart that no packet has shown yet.
+MAX_ANSWER_WAIT_MS = 5_000
 
 
 class OwnUpstreamSystem:
@@ -49,6 +52,8 @@
         state = self._state
         record = self._find_own_record()
         if record is not None and record != self._record:
+            if self._record is not None and self._record.id != record.id:
+                state.forget_requests()
             if self._record is None:
                 self._cold_until = now + record.cold_ms
             elif record.cold_ms:
@@ -110,6 +115,9 @@
         for row in flows.next_sweep_rows():
             if now - flows.last_packet_at[row] > self._expiry_ms(row):
                 state.remove_flow(row)
+            elif flows.awaits_answer[row] and now - flows.awaiting_since[row] > MAX_ANSWER_WAIT_MS:
+                state.set_awaits_answer(row, False)
+                state.counters.add("requests.abandoned")
 
     def _expiry_ms(self, row: int) -> int:
         """Returns how long after its last packet a flow is removed, in ms."""
--- a/shallotshore/packets/upstream_packets.py
+++ b/shallotshore/packets/upstream_packets.py
@@ -103,6 +103,7 @@
     elif stage == AgentFlowStage.OPEN:
         # The upstream has restarted, or has abandoned the flow.
         state.remove_flow(row)
+        state.forget_requests()
         state.counters.add("flows.lost")
         state.send(origin, Missing(packet.key, True, packet.frame))
         _log_lost_flow(state, packet, now)
@@ -112,7 +113,7 @@
         if flows.is_searched[row]:
             state.deny(origin, packet.key)
         else:
-            state.send(origin, Missing(packet.key, False, b""))
+            state.send(origin, Missing(packet.key, False, packet.frame))
 
 
 def _pass_returned_opening(state: AgentState, row: int, packet: Packet, now: int) -> None:
--- a/standins/packet_client.py
+++ b/standins/packet_client.py
@@ -26,6 +26,7 @@
         opened_at: Time in ms at which the flow opened; None before.
         reset_at: Time in ms at which the first reset was received; None without a reset.
         answers: Payloads of the answers received, in order.
+        on_packet: Called after each packet that the client has received.
         damaged_packets: Number of packets that differ from what their sender wrote. Resets are not
             checked: balancers and agents, which lack the checksum key, send them with checksum 0.
     """
@@ -40,6 +41,7 @@
         self.opened_at: int | None = None
         self.reset_at: int | None = None
         self.answers: list[bytes] = []
+        self.on_packet: Callable[[], None] = lambda: None
         self.damaged_packets = 0
         self._next_sequence = 5_000
         self._expected_sequence = 0
@@ -78,6 +80,10 @@
             frame: Encoded packet.
             now: Time in ms.
         """
+        self._handle_packet(frame, now)
+        self.on_packet()
+
+    def _handle_packet(self, frame: bytes, now: int) -> None:
         packet = decode_packet(frame, is_from_upstream=True).unwrap()
         if packet.flags & RESETS:
             self.reset_at = self.reset_at or now
