--- a/standins/packet_world.py
+++ b/standins/packet_world.py
@@ -150,6 +150,11 @@
             send = self._make_upstream_sender(host)
             self.upstreams[host] = PacketUpstream(send, self.call_later, slots, host)
 
+    def end_agent(self, host: str) -> None:
+        """Lets a stopping agent handle what has arrived, and ends its process."""
+        self._tick_node(host)
+        del self.agents[host]
+
     def publish(self, host: str, is_leaving: bool = False, cold_ms: int = 0) -> None:
         """Publishes the record of the upstream on a host."""
         settings, place = self.agent_settings[host], self.data_centre_by_host[host]
