Open a flow again from a port that its client has just used

Cause: an agent took each opening packet of an open flow for a late copy and dropped it, also when both ends had closed the flow (for 3 s) or when the client had vanished and began anew (for a minute).

Change: the agent keeps the sequence number of the opening packet. An opening packet with another number, or of a flow that both ends have closed, starts a new flow. Copies of the flow's own opening packet change nothing.

--- a/shallotshore/packets/agent_tables.py
+++ b/shallotshore/packets/agent_tables.py
@@ -41,6 +41,8 @@
 
     Columns:
         stage: An AgentFlowStage.
+        opening_sequence: Sequence number of the client's opening packet.
+        has_opening: 1 when `opening_sequence` is known, since this process has seen the opening.
         answer_sequence: Sequence number that the upstream chose when it accepted the flow.
         client_next: Sequence number after the client's last byte.
         awaits_answer: 1 while data of the client is not answered.
@@ -63,16 +65,20 @@
         "candidates",
         "client_next",
         "ends",
+        "has_opening",
         "hops",
         "is_confirmed",
         "is_searched",
         "last_packet_at",
+        "opening_sequence",
         "origin",
         "stage",
     )
 
     COLUMNS = {
         "stage": "B",
+        "opening_sequence": "L",
+        "has_opening": "B",
         "answer_sequence": "L",
         "client_next": "L",
         "awaits_answer": "B",
@@ -87,6 +93,8 @@
     OBJECT_COLUMNS = {"candidates": ()}
 
     stage: array[int]
+    opening_sequence: array[int]
+    has_opening: array[int]
     answer_sequence: array[int]
     client_next: array[int]
     awaits_answer: array[int]
@@ -103,6 +111,17 @@
         super().__init__(MAX_FLOW_ROWS)
         self._cursor = Cursor()
 
+    def is_reopening(self, row: int, sequence: int) -> bool:
+        """Whether an opening packet starts a new flow from the port of an open one.
+
+        Args:
+            row: Row of the open flow.
+            sequence: Sequence number of the opening packet.
+        """
+        if self.ends[row] == CLIENT_ENDED | UPSTREAM_ENDED:
+            return True
+        return bool(self.has_opening[row]) and sequence != self.opening_sequence[row]
+
     def next_sweep_rows(self) -> list[int]:
         """Returns the rows to check for expiry in this tick."""
         return self._cursor.take(self, SWEPT_ROWS_PER_TICK)
--- a/shallotshore/packets/openings.py
+++ b/shallotshore/packets/openings.py
@@ -70,8 +70,11 @@
         state.send_to_upstream(carry.frame)
         return
     if row != MISSING and flows.stage[row] == AgentFlowStage.OPEN:
-        state.counters.add("packets.late_openings")
-        return
+        if not flows.is_reopening(row, packet.sequence):
+            state.counters.add("packets.late_openings")
+            return
+        state.counters.add("flows.reopened")
+        state.remove_flow(row)
     refusal = _find_refusal(state, carry)
     if refusal is not None:
         pass_to_next_candidate(state, carry.candidates, carry, packet, refusal, now)
@@ -102,6 +105,8 @@
     flows.origin[row] = carry.origin
     flows.hops[row] = carry.hops
     flows.candidates[row] = carry.candidates
+    flows.opening_sequence[row] = packet.sequence
+    flows.has_opening[row] = True
     flows.client_next[row] = (packet.sequence + 1) & SEQUENCE_MASK
     state.unanswered_opening_at = state.unanswered_opening_at or now
     state.recent_offer_times.append(now)
--- a/standins/packet_client.py
+++ b/standins/packet_client.py
@@ -8,7 +8,7 @@
 
 from shallotshore.messages import Address
 from shallotshore.packets.packet import OPENS, RESETS
-from standins.packet_wire import ACK, RST, SYN, is_intact, write_packet
+from standins.packet_wire import ACK, FIN, RST, SYN, is_intact, write_packet
 
 OPENING_SEND_DELAYS_MS = (0, 200, 600)
 OPENING_TIMEOUT_MS = 1_400
@@ -32,7 +32,12 @@
     """
 
     def __init__(
-        self, address: Address, vip: Address, send: Callable[[bytes], None], call_later: Callable
+        self,
+        address: Address,
+        vip: Address,
+        send: Callable[[bytes], None],
+        call_later: Callable,
+        first_sequence: int = 5_000,
     ) -> None:
         self.address = address
         self.vip = vip
@@ -43,7 +48,7 @@
         self.answers: list[bytes] = []
         self.on_packet: Callable[[], None] = lambda: None
         self.damaged_packets = 0
-        self._next_sequence = 5_000
+        self._first_sequence = self._next_sequence = first_sequence
         self._expected_sequence = 0
         self._pending_request: bytes | None = None
         self._queued_requests: list[bytes] = []
@@ -59,6 +64,10 @@
         for copy, delay in enumerate(OPENING_SEND_DELAYS_MS):
             self._call_later(delay, lambda copy=copy: self._send_opening(copy))
 
+    def repeat_opening(self) -> None:
+        """Sends a copy of the opening packet, as if the network had delayed it."""
+        self._send(write_packet(self.address, self.vip, SYN, self._first_sequence, 2))
+
     def request(self, data: bytes) -> None:
         """Queues a request, which is sent once the flow is open and earlier ones are answered."""
         self._queued_requests.append(data)
@@ -156,6 +165,11 @@
             write_packet(self.address, self.vip, flags, number, self._expected_sequence, data)
         )
 
+    def end_flow(self) -> None:
+        """Tells the upstream that no more data follow."""
+        self._send_packet(ACK | FIN)
+        self._next_sequence += 1
+
     def reset_flow(self) -> None:
         """Sends a reset of the flow to the upstream."""
         self._send_packet(RST)
--- a/standins/packet_upstream.py
+++ b/standins/packet_upstream.py
@@ -93,6 +93,7 @@
         if packet.key not in self._half_open_flows:
             self.opening_times_ms.append(now)
             self._half_open_flows[packet.key] = next(self.initial_sequences)
+            self._flows.pop(packet.key, None)  # the client has begun anew from the same port
         sequence = self._half_open_flows[packet.key]
         self._send_packet(packet, SYN | ACK, sequence, packet.sequence + 1)
 
--- a/standins/packet_world.py
+++ b/standins/packet_world.py
@@ -188,10 +188,11 @@
             Feed.OPERATOR, lambda revision: DataCentreChange(name, revision, not is_out)
         )
 
-    def open_flow(self, port: int, vip: Address = VIP) -> PacketClient:
+    def open_flow(self, port: int, vip: Address = VIP, first_sequence: int = 5_000) -> PacketClient:
         """Starts a client that opens a flow from a port to a virtual address."""
         address = ("100.64.0.7", port)
-        client = PacketClient(address, vip, self._make_client_sender(address), self.call_later)
+        send = self._make_client_sender(address)
+        client = PacketClient(address, vip, send, self.call_later, first_sequence)
         self.clients[address] = client
         client.send_opening_packets()
         return client
