Read keys, certificates and retries' table again after a failure

Change: a file counts as loaded only when it has been read, the renewal is tried again after any error and logged once for each reason, and a full table removes rows idle for a minute. Four tests, each seen to fail without its change.

--- a/shallotshore/application.py
+++ b/shallotshore/application.py
@@ -20,7 +20,7 @@
 from shallotshore.messages import Address, Message
 from shallotshore.metrics import Latencies, Metrics, RequestTimer, make_label_function
 from shallotshore.platform import PlatformClient
-from shallotshore.security import MacKeys, MaterialError, TlsMaterial
+from shallotshore.security import MacKeys, TlsMaterial
 from shallotshore.systems import Counters, Outbox
 
 TICK_INTERVAL_MS = 20  # interval between ticks when no message arrives
@@ -90,12 +90,14 @@
         "_exit_status",
         "_failed_ticks",
         "_last_tick_at",
+        "_is_tls_renewal_due",
         "_latencies",
         "_log",
         "_loop",
         "_maintenance_task",
         "_metrics",
         "_platform",
+        "_renewal_problem",
         "_request_timer",
         "_senders",
         "_server",
@@ -140,6 +142,8 @@
         self._tick_handle: asyncio.Handle | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._maintenance_task: asyncio.Task | None = None
+        self._is_tls_renewal_due = False
+        self._renewal_problem = ""
         self._exit_status: asyncio.Future[int] | None = None
         self._stop_deadline: int | None = None
         self._last_tick_at = clock()
@@ -299,15 +303,26 @@
         """Flushes metrics and reloads changed keys and certificates, once per interval."""
         while True:
             await asyncio.sleep(_MAINTENANCE_INTERVAL_S)
-            self._metrics.flush()
             try:
-                if self._config.keys.reload():
-                    self._log.info("mac_keys_renewed")
-                if self._config.tls is not None and self._config.tls.reload():
-                    await self._renew_tls()
-            except (MaterialError, RuntimeError) as error:
+                self._metrics.flush()
+                await self._renew_security()
+                self._renewal_problem = ""
+            except Exception as error:
+                # Any error is tried again. Without this task, withdrawn keys would stay in use.
                 self._core.counters.add("security.renewal_failed")
-                self._log.error("renewal_failed", reason=str(error))
+                if str(error) != self._renewal_problem:
+                    self._log.error("renewal_failed", reason=str(error))
+                self._renewal_problem = str(error)
+
+    async def _renew_security(self) -> None:
+        """Reloads changed keys and certificates, and serves renewed certificates."""
+        if self._config.keys.reload():
+            self._log.info("mac_keys_renewed")
+        if self._config.tls is not None and self._config.tls.reload():
+            self._is_tls_renewal_due = True
+        if self._is_tls_renewal_due:
+            await self._renew_tls()
+            self._is_tls_renewal_due = False
 
     async def _renew_tls(self) -> None:
         if self._server is not None:
--- a/shallotshore/packets/node_settings.py
+++ b/shallotshore/packets/node_settings.py
@@ -140,7 +140,7 @@
 
 
 def _parse_port(value: object) -> int:
-    if not isinstance(value, int) or not 0 < value < 65_536:
+    if isinstance(value, bool) or not isinstance(value, int) or not 0 < value < 65_536:
         raise ValueError(f"{value!r} is not a port between 1 and 65535")
     return value
 
--- a/shallotshore/retries.py
+++ b/shallotshore/retries.py
@@ -39,7 +39,7 @@
     greater of the two rates holds, not their sum.
     """
 
-    __slots__ = ("earned_tokens", "minimum_tokens", "refilled_at")
+    __slots__ = ("_pruned_at", "earned_tokens", "minimum_tokens", "refilled_at")
 
     earned_tokens: "array[float]"
     minimum_tokens: "array[float]"
@@ -48,8 +48,9 @@
     COLUMNS = {"earned_tokens": "d", "minimum_tokens": "d", "refilled_at": "q"}
 
     def __init__(self, limit: int = _MAX_PAIRS) -> None:
-        """Creates an empty table; pairs beyond the limit get no retries."""
+        """Creates an empty table; pairs beyond the limit get no retries while no row is idle."""
         super().__init__(limit)
+        self._pruned_at = -_IDLE_ROW_MS
 
     def record_request(self, customer: int, service: int, now: int) -> None:
         """Counts a fresh request; ten of them earn one retry."""
@@ -82,7 +83,7 @@
         pair = score(customer, service)
         row = self.row(pair)
         if row == MISSING:
-            row = self.add(pair)
+            row = self._add_pair(pair, now)
             if row != MISSING:
                 self.minimum_tokens[row] = _MAX_MINIMUM_TOKENS
                 self.refilled_at[row] = now
@@ -91,3 +92,12 @@
         self.minimum_tokens[row] = min(_MAX_MINIMUM_TOKENS, self.minimum_tokens[row] + gained)
         self.refilled_at[row] = now
         return row
+
+    def _add_pair(self, pair: int, now: int) -> int:
+        """Adds a row; when the table is full, removes idle rows first, at most once a minute."""
+        row = self.add(pair)
+        if row == MISSING and now - self._pruned_at > _IDLE_ROW_MS:
+            self._pruned_at = now
+            self.prune(now)
+            row = self.add(pair)
+        return row
--- a/shallotshore/security.py
+++ b/shallotshore/security.py
@@ -99,15 +99,16 @@
             Whether the keys were replaced.
 
         Raises:
-            MaterialError: The changed file cannot be used; the present keys stay in force.
+            MaterialError: The changed file cannot be used; the present keys stay in force, and the
+                next call reads the file again.
         """
         if self._path is None:
             return False
         state = _file_state(self._path)
         if state == self._loaded_state:
             return False
-        self._loaded_state = state
         self._keys = _read_keys(self._path)
+        self._loaded_state = state
         return True
 
 
@@ -169,13 +170,14 @@
             Whether the material was replaced.
 
         Raises:
-            MaterialError: The files cannot be used; the present material stays in force.
+            MaterialError: The files cannot be used; the present material stays in force, and the
+                next call reads the files again.
         """
         state = self._file_states()
         if state == self._loaded_state:
             return False
-        self._loaded_state = state
         self._read()
+        self._loaded_state = state
         return True
 
     def server_credentials(self) -> grpc.ServerCredentials:
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -186,6 +186,12 @@
         names = sorted(problem.split(": ")[1] for problem in problems)
         self.assertEqual(["host", "node_port", "service"], names)
 
+    def test_a_switch_is_no_port(self) -> None:
+        """Guards against `true` being taken for port 1."""
+        text = json.dumps({**SETTINGS, "node_port": True}).encode()
+        (problem,) = read_node_settings(AGENT, text).unwrap_err()
+        self.assertIn("node_port", problem)
+
     def test_refuses_settings_that_are_not_an_object(self) -> None:
         """Guards against a traceback instead of a message for a settings file that is not JSON."""
         for text in (b"", b"[]", b"{", b"\xff"):
--- a/tests/test_datagrams.py
+++ b/tests/test_datagrams.py
@@ -44,6 +44,23 @@
             frame = encode_datagram(RevisionNotice(7), keys).unwrap()
             self.assertTrue(decode_datagram(frame, rotating).is_ok())
 
+    def test_a_file_that_could_not_be_read_is_read_again(self) -> None:
+        """Guards against a withdrawn key that stays in use, since one read of its file failed."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "keys"
+            path.write_text(OLD.hex())
+            keys = MacKeys.from_file(path)
+            path.write_text(NEW.hex() + "\n")
+            failing = mock.patch(
+                "shallotshore.security._read_keys", side_effect=MaterialError("busy")
+            )
+            with failing, self.assertRaises(MaterialError):
+                keys.reload()
+            self.assertTrue(keys.reload())
+            self.assertFalse(keys.reload())
+        frame = encode_datagram(RevisionNotice(7), MacKeys((OLD,))).unwrap()
+        self.assertTrue(decode_datagram(frame, keys).is_err())
+
     def test_callers_messages_carry_no_mac(self) -> None:
         packet = FabricPacket(("10.0.0.1", 1), ("10.0.0.2", 2), CallerClose(3))
         frame = encode_datagram(packet, MacKeys((OLD,))).unwrap()
--- a/tests/test_security.py
+++ b/tests/test_security.py
@@ -6,6 +6,7 @@
 import tempfile
 import unittest
 from pathlib import Path
+from unittest import mock
 
 from shallotshore.application import Application, ApplicationConfig
 from shallotshore.codes import Code
@@ -89,6 +90,16 @@
             while await self.served_certificate() == before:
                 await asyncio.sleep(0.05)
 
+    async def test_certificates_are_renewed_after_an_unexpected_error(self) -> None:
+        """Guards against a withdrawn certificate that is served until the process ends."""
+        before = await self.served_certificate()
+        with mock.patch.object(Application, "_renew_tls", side_effect=KeyError("unexpected")):
+            self.install_certificate("renewed")
+            await wait_until(lambda: self.core.counters["security.renewal_failed"])
+        async with asyncio.timeout(10):
+            while await self.served_certificate() == before:
+                await asyncio.sleep(0.05)
+
     def test_missing_files_are_named(self) -> None:
         with self.assertRaisesRegex(MaterialError, "/missing"):
             TlsMaterial(TlsFiles(Path("/missing"), Path("/missing"), Path("/missing"), "x"))
--- a/tests/test_watching.py
+++ b/tests/test_watching.py
@@ -129,6 +129,14 @@
         quiet = sum(budget.spend_retry(3, 2, now) for now in range(0, 10_000, 100))
         self.assertAlmostEqual(quiet, 30, delta=4)
 
+    def test_new_customers_get_retries_when_the_table_is_full(self) -> None:
+        """Guards against a table that fills up for good, so that new customers get no retries."""
+        budget = RetryBudget(limit=2)
+        for customer in (1, 2):
+            budget.record_request(customer, 9, 0)
+        self.assertFalse(budget.spend_retry(3, 9, 1_000))
+        self.assertTrue(budget.spend_retry(3, 9, 120_000))
+
     def test_backoff_is_spread_over_the_whole_doubling_range(self) -> None:
         rng = random.Random(1)
         for failures, bound in ((1, 20), (2, 40), (10, 500)):
