Keep repeated queries of searches in batches and within their budget

Each packet that a client repeated was sent once more to each agent of the scope, one message for each flow, outside of the budget; the budget itself (1,500 a second) was more than such a balancer can handle, and agents sent a denial message for each packet that the upstream returned.

Change: repeated queries share the batches, except to agents that have not answered a Search, which may be of an earlier version; those are within the budget too. The budget is 300 messages a second, and agents collect denials for 20 ms.

--- a/shallotshore/packets/balancer_state.py
+++ b/shallotshore/packets/balancer_state.py
@@ -20,11 +20,12 @@
     from shallotshore.messages import Address
     from shallotshore.systems import Core
 
-# Limit on the messages of searches that are widened beyond the balancer's own data centre. At this
-# rate the messages and their answers cost 0.1 of a core. A balancer has a sixth of a core, and must
-# still open new flows while it searches for the owners of hundreds of flows after a power loss.
-SEARCH_MESSAGES_PER_S = 1_500
-SEARCH_MESSAGES_BURST = 500
+# Limit on the messages of searches beyond the balancer's own data centre. A message and its answer
+# cost 0.07 ms of a core, and a balancer has a sixth of a core: after a power loss it must open new
+# flows while it searches for the owners of hundreds of flows. The packets of all searched flows
+# share the messages of a round to all agents, so a lower rate makes rounds larger, not fewer.
+SEARCH_MESSAGES_PER_S = 300
+SEARCH_MESSAGES_BURST = 200
 
 
 class BalancerSettings:
@@ -77,7 +78,8 @@
         cold_per_s: New flows per second declared for a cold upstream, by service.
         data_centres_out: Ids of data centres that the operator has taken out of service.
         queued_searches: Packets of searched flows by key, by the agent to query.
-        searches_sent_at: When queries were last sent to other data centres, in ms.
+        far_searches_sent_at: When queries were last sent to other data centres, in ms.
+        near_searches_sent_at: When queries were last sent to the own data centre, in ms.
         search_budget: Limit on the messages of widened searches for owners of flows.
         queued_vm_checks: Hosts to check, since their agents are silent while a search awaits them.
         is_ready_to_route: Whether the balancer has learnt enough since its start to route packets.
@@ -86,14 +88,15 @@
     __slots__ = (
         "cold_per_s",
         "data_centres_out",
+        "far_searches_sent_at",
         "flows",
         "is_ready_to_route",
         "members",
+        "near_searches_sent_at",
         "queued_searches",
         "queued_vm_checks",
         "routes",
         "search_budget",
-        "searches_sent_at",
         "seeds",
         "upstreams",
     )
@@ -109,7 +112,8 @@
         self.data_centres_out: set[int] = set()
         self.search_budget = TokenBucket(SEARCH_MESSAGES_PER_S / 1000, SEARCH_MESSAGES_BURST)
         self.queued_searches: dict[int, dict[int, bytes]] = {}
-        self.searches_sent_at = 0
+        self.far_searches_sent_at = 0
+        self.near_searches_sent_at = 0
         self.queued_vm_checks: set[int] = set()
         self.is_ready_to_route = False
 
--- a/shallotshore/packets/client_packets.py
+++ b/shallotshore/packets/client_packets.py
@@ -26,6 +26,7 @@
 # the upstream accepted the flow, another upstream has accepted the flow too, and the client uses
 # the flow with that other upstream.
 ACK_WINDOW_BYTES = 1 << 20
+DENIAL_INTERVAL_MS = 20  # a search takes some round trips
 
 
 class ClientPacketSystem:
@@ -68,18 +69,26 @@
 
 
 class DenialSystem:
-    """Sends the denials of a tick, in one message for each balancer."""
+    """Sends denials, in one message for each balancer.
 
-    __slots__ = ("_state",)
+    The upstream returns the packets of a search one by one, and each arrival causes a tick.
+    """
+
+    __slots__ = ("_sent_at", "_state")
 
     def __init__(self, state: AgentState) -> None:
         self._state = state
+        self._sent_at = 0
 
     def run(self, now: int) -> None:
         """Runs the step at `now` (ms)."""
-        for origin, keys in self._state.denials.items():
+        denials = self._state.denials
+        if not denials or now - self._sent_at < DENIAL_INTERVAL_MS:
+            return
+        self._sent_at = now
+        for origin, keys in denials.items():
             self._state.send(origin, Denied(keys))
-        self._state.denials.clear()
+        denials.clear()
 
 
 def _handle_packet(
--- a/shallotshore/packets/ownership.py
+++ b/shallotshore/packets/ownership.py
@@ -67,7 +67,10 @@
             self._handle_denied(host_number(source[0]), denials.keys, now)
 
     def _handle_denied(self, host: int, keys: bytes, now: int) -> None:
-        flows = self._state.flows
+        flows, upstreams = self._state.flows, self._state.upstreams
+        upstream_row = upstreams.row(host)
+        if upstream_row != MISSING:
+            upstreams.answers_searches[upstream_row] = 1
         for key in _unpack_keys(keys):
             row = flows.row(key)
             if row != MISSING and flows.stage[row] == CachedFlowStage.SEARCHING:
--- a/shallotshore/packets/search.py
+++ b/shallotshore/packets/search.py
@@ -38,7 +38,8 @@
 FIRST_REPEAT_MS = 150
 MAX_REPEATS = 4
 # Packets of several flows that are searched for at the same agent share a datagram.
-SEARCH_FLUSH_INTERVAL_MS = 60
+NEAR_FLUSH_INTERVAL_MS = 20
+FAR_FLUSH_INTERVAL_MS = 60
 MAX_SEARCH_BYTES = 1_300  # of packets in one datagram
 # Until a search is this old, a flow counts as denied by all only if every known agent has denied
 # it, also the silent agents. An agent that is silent because it has just started answers by then.
@@ -82,12 +83,13 @@
     for host in hosts:
         if host in denied:
             continue
-        if is_repeated:
+        row_of_host = state.upstreams.row(host)
+        if not is_repeated or state.upstreams.answers_searches[row_of_host]:
+            state.queued_searches.setdefault(host, {})[packet.key] = packet.frame
+        elif state.search_budget.take(now):
             # Agents of an earlier version do not know the message Search.
-            state.upstreams.record_query(state.upstreams.row(host), now)
+            state.upstreams.record_query(row_of_host, now)
             send_carry(state, host, CarryKind.SEARCH, find_service(state, host), packet)
-        else:
-            state.queued_searches.setdefault(host, {})[packet.key] = packet.frame
 
 
 def repeat_queries(state: BalancerState, row: int, now: int) -> None:
@@ -111,14 +113,19 @@
 def send_searches(state: BalancerState, now: int) -> None:
     """Sends the queued queries, in one datagram for each agent where they fit.
 
-    Agents of the balancer's own data centre are queried at once, the others within the budget.
+    Agents of the balancer's own data centre are queried soon, the others within the budget.
     """
-    is_far_due = now - state.searches_sent_at >= SEARCH_FLUSH_INTERVAL_MS
+    is_far_due = now - state.far_searches_sent_at >= FAR_FLUSH_INTERVAL_MS
+    is_near_due = now - state.near_searches_sent_at >= NEAR_FLUSH_INTERVAL_MS
+    if not state.queued_searches or not (is_near_due or is_far_due):
+        return
     if is_far_due:
-        state.searches_sent_at = now
+        state.far_searches_sent_at = now
+    if is_near_due:
+        state.near_searches_sent_at = now
     for host in list(state.queued_searches):
         is_near = state.is_same_data_centre(host)
-        if not is_near and not is_far_due:
+        if not (is_near_due if is_near else is_far_due):
             continue
         frames = state.queued_searches[host]
         while frames:
--- a/shallotshore/packets/upstream_table.py
+++ b/shallotshore/packets/upstream_table.py
@@ -47,6 +47,7 @@
         subscribed_at: When this balancer last sent a subscription to the agent, in ms.
         heard_at: Time of the agent's last message of any kind, in ms.
         queried_at: When the agent was first queried about a flow since its last message, in ms.
+        answers_searches: 1 when the agent has answered a Search.
         incarnation: Incarnation that the agent's last report with `is_complete` named; 0 before
             such a report.
         in_flight, flows, health: Values of the agent's last report.
@@ -66,6 +67,7 @@
     __slots__ = (
         "_by_service",
         "added_at",
+        "answers_searches",
         "are_unlisted_usable",
         "checked_at",
         "cold_until",
@@ -108,6 +110,7 @@
         "subscribed_at": "q",
         "heard_at": "q",
         "queried_at": "q",
+        "answers_searches": "B",
         "incarnation": "Q",
         "in_flight": "H",
         "flows": "L",
@@ -135,6 +138,7 @@
     subscribed_at: array[int]
     heard_at: array[int]
     queried_at: array[int]
+    answers_searches: array[int]
     incarnation: array[int]
     in_flight: array[int]
     flows: array[int]
--- a/standins/packet_world.py
+++ b/standins/packet_world.py
@@ -5,6 +5,7 @@
 import heapq
 import itertools
 import random
+from collections import Counter
 from collections.abc import Callable
 from typing import Any
 
@@ -68,6 +69,7 @@
         data_centre_by_host: Data centres of balancers and agents.
         data_centres: Names of all data centres.
         version: Version of the newest configuration.
+        sent_by_kind: Number of messages between processes, by the name of their type.
     """
 
     def __init__(self, seed: int = 1, data_centres: tuple[str, ...] = ("bud-a",)) -> None:
@@ -83,6 +85,7 @@
         self.data_centre_by_host: dict[str, str] = {}
         self.data_centres = data_centres
         self.version = 0
+        self.sent_by_kind: Counter[str] = Counter()
         self._rng = random.Random(seed)
         self._events: list[tuple[int, int, Callable[[], object]]] = []
         self._event_numbers = itertools.count()
@@ -275,10 +278,11 @@
         self.call_later(delay, lambda: self._deliver_to_node(host, core, destination, answer))
 
     def _send_to_node(self, source: str, destination: str, frame: bytes) -> None:
+        message = node_messages.decode(frame).unwrap()
+        self.sent_by_kind[type(message).__name__] += 1
         if {source, destination} & self.disconnected_hosts:
             return
         core = self.balancers.get(destination) or self.agents.get(destination)
-        message = node_messages.decode(frame).unwrap()
         self.call_later(
             NETWORK_DELAY_MS,
             lambda: self._deliver_to_node(destination, core, (source, NODE_PORT), message),
--- a/tests/test_search.py
+++ b/tests/test_search.py
@@ -4,6 +4,8 @@
 from unittest import mock
 
 from shallotshore.packets import search
+from shallotshore.packets.balancer_state import SEARCH_MESSAGES_BURST, SEARCH_MESSAGES_PER_S
+from shallotshore.packets.search import NEAR_FLUSH_INTERVAL_MS
 from standins.packet_client import PacketClient
 from standins.packet_world import PacketWorld
 
@@ -12,6 +14,7 @@
 FAR = tuple(f"10.2.1.{number}" for number in range(1, 76))
 FLOWS = 200
 MAX_LOOKS = 30  # at the list of agents for one searched flow; there are 90 agents
+STORM_MS = 4_000
 MAX_RESET_MS = 1_500  # of all flows; clients whose flow is not reset wait for their deadline
 
 
@@ -101,6 +104,30 @@
             world.run(MAX_RESET_MS)
         self.assertLessEqual(look.call_count, MAX_LOOKS * len(clients))
 
+    def test_unanswered_searches_stay_within_their_budget(self) -> None:
+        """Guards against a storm of queries that keeps their answers from being read.
+
+        Each packet that a client repeated was sent to each agent once more. In a grown fleet the
+        smallest balancers read no message of an agent for 10 s after a power loss.
+        """
+        world = self.make_world()
+        clients = self.open_flows(world)
+        self.restart_all(world, with_upstreams=True)
+        for upstream in world.upstreams.values():
+            upstream.is_silent = True
+        before = self.count_queries(world)
+        for client in clients:
+            client.request(b"x")  # sent again after 200, 600, 1,400 and 3,000 ms
+        world.run(STORM_MS)
+        queries = self.count_queries(world) - before
+        far = len(BALANCERS) * (SEARCH_MESSAGES_BURST + SEARCH_MESSAGES_PER_S * STORM_MS / 1_000)
+        near = len(BALANCERS) * len(NEAR) * STORM_MS / NEAR_FLUSH_INTERVAL_MS
+        self.assertLessEqual(queries, far + near)
+
+    def count_queries(self, world: PacketWorld) -> int:
+        """Returns how many messages the balancers have sent to search for owners."""
+        return world.sent_by_kind["Search"] + world.sent_by_kind["Carry"]
+
     def test_kept_flows_are_found_soon(self) -> None:
         """Guards against flows that stall, or are reset, after all processes restarted."""
         world = self.make_world()
