Offer a client's last copy to another upstream when all tried ones are leaving

Cause: after three offers a balancer looked only at the upstreams that the flow had been offered to.

Change: the best upstream gets the copy then. The test fails without the change.

--- a/shallotshore/packets/routing.py
+++ b/shallotshore/packets/routing.py
@@ -177,7 +177,7 @@
     """Offers a flow to the best upstream that it was not offered to yet.
 
     After MAX_TRIED_UPSTREAMS upstreams, or when no other upstream accepts new flows, the flow is
-    offered again to an upstream that was tried before.
+    offered again to an upstream that was tried before, if one still accepts flows.
 
     Args:
         state: The balancer's state.
@@ -189,11 +189,7 @@
     flows = state.flows
     tried = flows.tried(row) if row != MISSING else []
     service = choose_service(state, route)
-    hosts = rank_upstreams(state, service, tried if len(tried) < MAX_TRIED_UPSTREAMS else [], now)
-    if len(tried) >= MAX_TRIED_UPSTREAMS:
-        hosts = [host for host in tried if host in hosts]
-    if not hosts:
-        hosts = [host for host in rank_upstreams(state, service, [], now) if host in tried]
+    hosts = _find_candidates(state, service, tried, now)
     if not hosts:
         state.counters.add("flows.no_upstream")
         if state.log.try_admit_decision(now):
@@ -229,6 +225,24 @@
     )
 
 
+def _find_candidates(state: BalancerState, service: int, tried: list[int], now: int) -> list[int]:
+    """Returns the hosts that a flow may be offered to, best first.
+
+    Args:
+        state: The balancer's state.
+        service: Id of the flow's service.
+        tried: Hosts that the flow was offered to before.
+        now: Time in ms.
+    """
+    if len(tried) < MAX_TRIED_UPSTREAMS:
+        untried = rank_upstreams(state, service, tried, now)
+        if untried:
+            return untried
+    ranked = rank_upstreams(state, service, [], now)
+    # Those tried before may be leaving by now, or not be among the ones that this balancer knows.
+    return [host for host in ranked if host in tried] or ranked
+
+
 def _log_offer(
     state: BalancerState, packet: Packet, route: RouteView, host: int, tried: int, now: int
 ) -> None:
--- a/tests/test_packet_routing.py
+++ b/tests/test_packet_routing.py
@@ -15,7 +15,7 @@
 from shallotshore.packets.node_messages import Carry, CarryKind, Report, UpstreamHealth
 from shallotshore.packets.packet import Packet
 from shallotshore.packets.routing import MAX_OPENINGS_PER_TICK, MAX_QUEUED_MS
-from shallotshore.packets.store_messages import StoreSnapshot
+from shallotshore.packets.store_messages import StoreChanges, StoreSnapshot
 from shallotshore.packets.view import Configuration, Feed, Route, Upstream
 from standins.packet_wire import SYN, write_packet
 
@@ -135,6 +135,29 @@
         # balancer's data centre.
         self.assertGreaterEqual(remote_candidates, 10)
 
+    def test_another_upstream_gets_the_flow_when_all_tried_are_leaving(self) -> None:
+        """Guards against a client's last copy that is offered nowhere.
+
+        After a power loss balancers had no upstream for such copies, while most were free.
+        """
+        places = {f"10.1.1.{number}": "a" for number in range(1, 9)}
+        core = make_balancer(places)
+        tried = set()
+        for copy in range(3):
+            core.receive(("100.64.0.1", 1), opening(4000, copy))
+            core.tick(START + 2 + copy)
+            tried |= {destination[0] for destination, _ in offers(core)}
+        self.assertEqual(3, len(tried))
+        changes = [
+            UpstreamChange(host, 2, Upstream(host, "s", host, 80, "a", 1, True, 0, 2))
+            for host in tried
+        ]
+        core.receive(STORE_ADDRESS, StoreChanges(Feed.UPSTREAMS, 2, list(changes)))
+        core.receive(("100.64.0.1", 1), opening(4000, 2))
+        core.tick(START + 10)
+        ((destination, _),) = offers(core)
+        self.assertNotIn(destination[0], tried)
+
 
 if __name__ == "__main__":
     unittest.main()
