Rank upstreams once for all flows that wait for a free slot

Cause: a balancer looked for a free upstream for each waiting flow every 20 ms, and ranked all upstreams each time.

Change: the upstreams with a free slot are found once for all flows, and each is handed out once.

--- a/shallotshore/packets/pending_flows.py
+++ b/shallotshore/packets/pending_flows.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-__all__ = ["PendingFlowSystem"]
+__all__ = ["FreeUpstreams", "PendingFlowSystem"]
 
 from shallotshore.codes import Code
-from shallotshore.packets.balancer_state import BalancerState, RouteView
+from shallotshore.packets.balancer_state import BalancerState
 from shallotshore.packets.flow_cache import MAX_TRIED_UPSTREAMS, CachedFlowStage
 from shallotshore.packets.hosts import host_text
 from shallotshore.packets.routing import offer_flow, send_reset
@@ -35,6 +35,41 @@
 MAX_NAMED_HOSTS = 5  # in a log line
 
 
+class FreeUpstreams:
+    """Upstreams with a free slot, best first, as seen at one time.
+
+    Each of them is handed out once, so that the flows that wait do not all go to the same one.
+    """
+
+    __slots__ = ("_free_by_service", "_now", "_state")
+
+    def __init__(self, state: BalancerState, now: int) -> None:
+        self._state = state
+        self._now = now
+        self._free_by_service: dict[int, list[int]] = {}
+
+    def take(self, service: int, tried: list[int]) -> bool:
+        """Hands out an upstream of a service that a flow was not offered to.
+
+        Args:
+            service: Id of the service.
+            tried: Hosts that the flow was offered to before.
+
+        Returns:
+            Whether there is one.
+        """
+        free = self._free_by_service.get(service)
+        if free is None:
+            ranked = rank_upstreams(self._state, service, [], self._now)
+            free = [host for host in ranked if has_free_slot(self._state, host, self._now)]
+            self._free_by_service[service] = free
+        for host in free:
+            if host not in tried:
+                free.remove(host)
+                return True
+        return False
+
+
 class PendingFlowSystem:
     """Checks flows whose offer or search has had no result yet."""
 
@@ -57,9 +92,12 @@
         flows = self._state.flows
         flows.expire_flows(now)
         searching = []
+        # After a power loss hundreds of flows wait for a free slot. The upstreams are ranked once
+        # for all of them.
+        free_upstreams = FreeUpstreams(self._state, now)
         for row in flows.pop_scheduled_checks():
             if flows.stage[row] == CachedFlowStage.OPENING:
-                self._check_offer(row, now)
+                self._check_offer(row, free_upstreams, now)
             elif flows.stage[row] == CachedFlowStage.SEARCHING:
                 searching.append(row)
         if searching and now - self._searches_checked_at < SEARCH_CHECK_INTERVAL_MS:
@@ -73,7 +111,7 @@
             for row in searching:
                 self._check_search(row, possible_owners, now)
 
-    def _check_offer(self, row: int, now: int) -> None:
+    def _check_offer(self, row: int, free_upstreams: FreeUpstreams, now: int) -> None:
         """Offers a flow again when the answer to an offer is overdue, or abandons the offer."""
         state = self._state
         flows = state.flows
@@ -89,31 +127,28 @@
         if route is None:
             return
         flows.schedule_check(row)
-        if self._is_worth_another_offer(row, route, now):
+        tried = flows.tried(row)
+        service = choose_service(state, route)
+        if self._seems_lost(row, tried) or free_upstreams.take(service, tried):
             state.counters.add("flows.hedged")
             offer_flow(state, packet, route, row, now)
         elif now - flows.last_sent_at[row] > MAX_OFFER_MS:
             flows.pending_packet[row] = None
 
-    def _is_worth_another_offer(self, row: int, route: RouteView, now: int) -> bool:
-        """Whether the flow's last offer seems lost, or another upstream has a free slot.
+    def _seems_lost(self, row: int, tried: list[int]) -> bool:
+        """Whether the agent of the flow's last offer may not have received the offer.
 
         An agent that has reported since the offer has received it, and holds it while its upstream
         is busy. Further offers would then only add load to other busy upstreams.
         """
-        state = self._state
-        tried = state.flows.tried(row)
         if not tried:
             return True
-        upstreams = state.upstreams
+        upstreams = self._state.upstreams
         last_row = upstreams.row(tried[-1])
-        if last_row == MISSING or (
+        return last_row == MISSING or bool(
             upstreams.is_subscribed[last_row]
-            and upstreams.reported_at[last_row] <= state.flows.last_sent_at[row]
-        ):
-            return True
-        hosts = rank_upstreams(state, choose_service(state, route), tried, now)
-        return bool(hosts) and has_free_slot(state, hosts[0], now)
+            and upstreams.reported_at[last_row] <= self._state.flows.last_sent_at[row]
+        )
 
     def _check_search(self, row: int, possible_owners: set[int], now: int) -> None:
         """Widens a search, or resets the client when no agent can own the flow."""
