--- a/shallotshore/packets/agent.py
+++ b/shallotshore/packets/agent.py
@@ -8,10 +8,10 @@
 
 from shallotshore.packets.agent_state import AgentSettings, AgentState
 from shallotshore.packets.client_packets import ClientPacketSystem, DenialSystem
-from shallotshore.packets.node_state import PacketCore
 from shallotshore.packets.openings import HeldOpeningSystem
 from shallotshore.packets.own_upstream import HealthSystem, OwnUpstreamSystem
 from shallotshore.packets.packet import DecodePacket
+from shallotshore.packets.packet_core import PacketCore
 from shallotshore.packets.reports import ReportSystem
 from shallotshore.packets.upstream_packets import UpstreamPacketSystem
 
--- a/shallotshore/packets/balancer.py
+++ b/shallotshore/packets/balancer.py
@@ -10,9 +10,9 @@
 from shallotshore.packets.directory import DirectorySystem
 from shallotshore.packets.feed_following import FollowSystem
 from shallotshore.packets.members import MemberSystem
-from shallotshore.packets.node_state import PacketCore
 from shallotshore.packets.ownership import OwnershipSystem
 from shallotshore.packets.packet import DecodePacket, Packet
+from shallotshore.packets.packet_core import PacketCore
 from shallotshore.packets.pending_flows import PendingFlowSystem
 from shallotshore.packets.routing import RoutingSystem
 from shallotshore.packets.subscriptions import SubscriptionSystem
--- a/shallotshore/packets/upstream_table.py
+++ b/shallotshore/packets/upstream_table.py
@@ -13,7 +13,7 @@
 from shallotshore.packets.node_messages import UpstreamHealth
 from shallotshore.packets.upstream_use import max_report_age_ms
 from shallotshore.packets.view import Upstream
-from shallotshore.packets.vm_checks import VmState
+from shallotshore.packets.vm_state import VmState
 from shallotshore.tables import MISSING, Table
 
 MAX_UPSTREAM_ROWS = 200_000  # the system is planned for 150,000 upstreams
--- a/shallotshore/packets/vm_checks.py
+++ b/shallotshore/packets/vm_checks.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-__all__ = ["CHECK_TIMEOUT_MS", "CheckVm", "VmCheckSystem", "VmChecked", "VmState", "is_gone"]
+__all__ = ["CHECK_TIMEOUT_MS", "CheckVm", "VmCheckSystem", "VmChecked", "is_gone"]
 
-from enum import IntEnum
 from typing import TYPE_CHECKING
 
 from shallotshore.packets.hosts import host_text
+from shallotshore.packets.vm_state import VmState
 from shallotshore.tables import MISSING
 
 if TYPE_CHECKING:
@@ -24,14 +24,6 @@
 MIN_GONE_SILENCE_MS = 1_500
 
 
-class VmState(IntEnum):
-    """Result of the last check of a VM since its agent's last report."""
-
-    UNKNOWN = 0
-    ANSWERS = 1  # accepts or refuses connections, so that only the agent is silent
-    SILENT = 2  # without power, cut off or suspended
-
-
 class CheckVm:
     """A request to the application object to check whether a VM answers.
 
--- a/tests/test_hostile_messages.py
+++ b/tests/test_hostile_messages.py
@@ -35,7 +35,7 @@
     Subscribe,
     UpstreamHealth,
 )
-from shallotshore.packets.node_state import PacketCore
+from shallotshore.packets.packet_core import PacketCore
 from shallotshore.packets.view import Configuration, Feed, Route, Upstream
 from standins.packet_wire import ACK, SYN, write_packet
 
--- a/tests/test_packet_mutations.py
+++ b/tests/test_packet_mutations.py
@@ -53,7 +53,7 @@
     "one_faulty_system_stops_the_others": (
         "tests.test_hostile_messages.HostileMessageTest"
         ".test_failed_system_does_not_stop_the_others",
-        {"shallotshore.packets.node_state.PacketCore.tick": Core.tick},
+        {"shallotshore.packets.packet_core.PacketCore.tick": Core.tick},
     ),
 }
 
