--- a/shallotshore/main.py
+++ b/shallotshore/main.py
@@ -17,6 +17,7 @@
 from shallotshore import __version__
 from shallotshore.application import Application, ApplicationConfig, RunnableCore
 from shallotshore.codes import Code
+from shallotshore.command_help import is_help_request, render_command_help
 from shallotshore.metrics import make_label_function
 from shallotshore.security import MacKeys, MaterialError, TlsMaterial
 from shallotshore.settings import Problem, Settings, read_settings, report_problems
@@ -34,7 +35,8 @@
   demo                           run both users' deployments on loopback
   version                        show the version
 
-Each setting can also be given as the environment variable SHALLOTSHORE_<SETTING>.
+COMMAND --help shows the settings, an example and the exit statuses of a command. Each setting can
+also be given as the environment variable SHALLOTSHORE_<SETTING>.
 """
 
 
@@ -52,10 +54,16 @@
     Returns:
         The exit status: 0 on success, 1 on failure, 2 on wrong usage or settings.
     """
+    if arguments and is_help_request(arguments[:1]):
+        print(USAGE, end="")
+        return 0
     command = _COMMANDS.get(arguments[0]) if arguments else None
     if command is None:
         print(USAGE, end="", file=sys.stderr)
         return EXIT_USAGE
+    if is_help_request(arguments[1:]):
+        print(render_command_help(arguments[0]), end="")
+        return 0
     return command(arguments[1:])
 
 
--- a/shallotshore/settings.py
+++ b/shallotshore/settings.py
@@ -4,6 +4,7 @@
     "ENVIRONMENT_PREFIX",
     "Problem",
     "Settings",
+    "describe_settings",
     "parse_address",
     "read_settings",
     "report_problems",
@@ -27,6 +28,7 @@
 BALANCER = "balancer"
 AGENT = "agent"
 STATUS = "status"
+_ALL = (BALANCER, AGENT, STATUS)
 _LOG_LEVELS = ("debug", "info", "warning", "error")
 _FORMATS = ("text", "json")
 _FLAGS_WITHOUT_VALUE = ("--json", "--plain_text")
@@ -122,35 +124,62 @@
 
 
 class _Spec(NamedTuple):
-    """One setting: its parser, its help text and the subcommands that require it."""
+    """One setting: its parser, its help text, the subcommands that require it and that use it."""
 
     name: str
     parse: Parser
     help: str
     required_by: tuple[str, ...] = ()
+    used_by: tuple[str, ...] = (BALANCER, AGENT)
 
 
 _SPECS = (
-    _Spec("address", parse_address, "IP:PORT of this process.", (BALANCER, AGENT, STATUS)),
+    _Spec("address", parse_address, "IP:PORT of the process.", _ALL, _ALL),
     _Spec("name", _parse_name, "Name of this VM, and of an agent's upstream.", (AGENT,)),
     _Spec("data_centre", _parse_name, "Data centre of this process.", (BALANCER, AGENT)),
     _Spec("peers", _parse_addresses, "Balancers to contact first, as IP:PORT,IP:PORT."),
     _Spec("configuration", _parse_addresses, "Configuration service, as IP:PORT,IP:PORT."),
     _Spec("vm_list", _parse_addresses, "Service that lists the VMs, as IP:PORT,IP:PORT."),
-    _Spec("service", _parse_name, "Service of the agent's upstream.", (AGENT,)),
-    _Spec("upstream_address", parse_address, "IP:PORT of the agent's upstream.", (AGENT,)),
+    _Spec("service", _parse_name, "Service of the agent's upstream.", (AGENT,), (AGENT,)),
+    _Spec(
+        "upstream_address", parse_address, "IP:PORT of the agent's upstream.", (AGENT,), (AGENT,)
+    ),
     _Spec("mac_keys", _parse_file, "File of one or two keys in hexadecimal, one a line."),
-    _Spec("tls_authority", _parse_file, "PEM file of the authority that signs all processes."),
-    _Spec("tls_certificate", _parse_file, "PEM file of this process's certificate."),
-    _Spec("tls_key", _parse_file, "PEM file of this process's private key."),
-    _Spec("tls_name", _parse_name, "Name that the certificates of all processes carry."),
+    _Spec(
+        "tls_authority",
+        _parse_file,
+        "PEM file of the authority that signs all processes.",
+        (),
+        _ALL,
+    ),
+    _Spec("tls_certificate", _parse_file, "PEM file of this process's certificate.", (), _ALL),
+    _Spec("tls_key", _parse_file, "PEM file of this process's private key.", (), _ALL),
+    _Spec("tls_name", _parse_name, "Name that the certificates of all processes carry.", (), _ALL),
     _Spec("plain_text", _parse_switch, "Allow traffic without keys outside loopback."),
     _Spec("statsd", parse_address, "IP:PORT of the statsd server."),
     _Spec("log_level", _make_choice_parser(*_LOG_LEVELS), f"One of {', '.join(_LOG_LEVELS)}."),
     _Spec("seed", _parse_number, "Seed of random choices, for tests."),
-    _Spec("format", _make_choice_parser(*_FORMATS), "Format of the status report: text or json."),
-    _Spec("json", _parse_switch, "Print the status report as JSON, as --format=json does."),
-    _Spec("detail", _parse_number, "Detail of the status report; 0 leaves counters out."),
+    _Spec(
+        "format",
+        _make_choice_parser(*_FORMATS),
+        "Format of the status report: text or json.",
+        (),
+        (STATUS,),
+    ),
+    _Spec(
+        "json",
+        _parse_switch,
+        "Print the status report as JSON, as --format=json does.",
+        (),
+        (STATUS,),
+    ),
+    _Spec(
+        "detail",
+        _parse_number,
+        "Detail of the status report; 0 leaves counters out.",
+        (),
+        (STATUS,),
+    ),
 )
 
 
@@ -184,6 +213,18 @@
     return Err(problems) if problems else Ok(Settings(**values))
 
 
+def describe_settings(command: str) -> list[str]:
+    """Returns a line for each setting that a subcommand uses; those it requires come first."""
+    specs = [spec for spec in _SPECS if command in spec.used_by]
+    specs.sort(key=lambda spec: command not in spec.required_by)
+    width = max((len(spec.name) for spec in specs), default=0)
+    return [
+        f"--{spec.name:{width}}  {spec.help}"
+        f"{' Required.' if command in spec.required_by else ''}"
+        for spec in specs
+    ]
+
+
 def report_problems(problems: Sequence[Problem]) -> int:
     """Prints problems to the standard error and returns the exit status for wrong settings."""
     for problem in problems:
--- a/tests/test_main.py
+++ b/tests/test_main.py
@@ -28,6 +28,18 @@
             self.assertEqual(status, 2)
             self.assertIn("balancer", output)
 
+    def test_each_subcommand_has_help(self) -> None:
+        """Guards against a request for help that is reported as a wrong setting."""
+        for command in ("balancer", "agent", "check", "diff", "status", "demo", "version"):
+            with self.subTest(command):
+                status, output = self.run_main(command, "--help")
+                self.assertEqual(status, 0)
+                self.assertIn(f"usage: shallotshore {command}", output)
+                self.assertIn("Exit status: 0", output)
+        self.assertIn("--upstream_address", self.run_main("agent", "--help")[1])
+        self.assertNotIn("--upstream_address", self.run_main("balancer", "--help")[1])
+        self.assertEqual(self.run_main("--help")[0], 0)
+
     def test_wrong_settings_are_all_reported(self) -> None:
         status, output = self.run_main("balancer", "--address=x")
         self.assertEqual(status, 2)
