Trace all kinds of message in a scenario

The trace looked for message types in a module that has only their base types since the messages were split, and printed nothing. The test fails without the change.

--- a/standins/run.py
+++ b/standins/run.py
@@ -12,7 +12,6 @@
 
 from absl import app, flags
 
-from shallotshore import messages
 from shallotshore.caller_messages import FabricPacket
 from shallotshore.hashing import flow_key, request_key
 from shallotshore.messages import Address, Message
@@ -40,10 +39,8 @@
         self._world = world
         self._keys = keys
         self._names: dict[Address, str] = {}
-        for name in messages.__all__:
-            message_type = getattr(messages, name)
-            if isinstance(message_type, type) and issubclass(message_type, Message):
-                world.runtime.observers.setdefault(message_type, []).append(self._print_delivery)
+        for message_type in _find_subclasses(Message):
+            world.runtime.observers.setdefault(message_type, []).append(self._print_delivery)
 
     def _print_delivery(
         self, now: int, source: Address, process: Process, message: Message
@@ -57,6 +54,14 @@
         print(f"{now:6} {name:22} > {process.name:22} {_format_message(message)}")
 
 
+def _find_subclasses(base: type) -> set[type]:
+    """Returns all loaded classes that derive from a class."""
+    found: set[type] = set(base.__subclasses__())
+    for subclass in list(found):
+        found |= _find_subclasses(subclass)
+    return found
+
+
 def _format_message(message: Message) -> str:
     if isinstance(message, FabricPacket):
         return f"Fabric {_format_message(message.payload)}"
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -1,7 +1,11 @@
 """Tests of the stand-ins, whose own faults would hide faults of the product."""
 
 import random
+import subprocess
+import sys
+import tempfile
 import unittest
+from pathlib import Path
 
 from shallotshore.codes import Code
 from shallotshore.control_messages import PlatformRead, PlatformReply
@@ -16,6 +20,7 @@
 from standins.upstream_state import UpstreamLog
 from standins.vm_list import VmList
 
+ROOT = Path(__file__).resolve().parent.parent
 AGENT = ("10.0.0.1", 1)
 CUSTOMER = name_id("customer", "alma")
 
@@ -25,6 +30,28 @@
     return encode_payload(RequestBody(service, "alma", b"i" * 16, 100, 2500))
 
 
+SHORT_SCENARIO = f"""
+0 deployment {KOLTSEGTER}
+0 load alma spend-stream feeds=1
+4 end
+"""
+
+
+class TraceTest(unittest.TestCase):
+    """The command that plays one scenario."""
+
+    def test_messages_about_a_flow_are_printed(self) -> None:
+        """Guards against a trace that observes no message at all."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "short.txt"
+            path.write_text(SHORT_SCENARIO)
+            command = [sys.executable, "-m", "standins.run", str(path), "--trace=1"]
+            command += ["--customer=alma", "--service=spend-stream"]
+            result = subprocess.run(command, capture_output=True, text=True, cwd=ROOT, timeout=60)
+        self.assertEqual((result.returncode, result.stderr), (0, ""))
+        self.assertIn("CallerOpen", result.stdout)
+
+
 class UpstreamTest(unittest.TestCase):
     """Guards the logs by which promises P2, P3 and P7 are checked."""
 
