--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -32,7 +32,7 @@
 
 SHORT_SCENARIO = f"""
 0 deployment {KOLTSEGTER}
-0 load alma spend-stream feeds=1
+0 load spend-stream alma feeds=1
 4 end
 """
 
