--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -49,7 +49,7 @@
             command += ["--customer=alma", "--service=spend-stream"]
             result = subprocess.run(command, capture_output=True, text=True, cwd=ROOT, timeout=60)
         self.assertEqual((result.returncode, result.stderr), (0, ""))
-        self.assertIn("CallerOpen", result.stdout)
+        self.assertIn("Forward", result.stdout)
 
 
 class UpstreamTest(unittest.TestCase):
