Keep near searches apart from the limit of far ones, and know peers beforehand

On reading: a far target that had used up the limit of messages held all targets behind it back, a byte budget was spent on messages that were not sent, and an agent went through all records for each search that it passed on. The new test fails on the code before (the near target was not served).

--- a/shallotshore/packets/agent_state.py
+++ b/shallotshore/packets/agent_state.py
@@ -101,6 +101,7 @@
         last_upstream_packet_at: When the upstream last sent a packet, in ms.
         in_flight: Number of flows with data of the client that is not answered yet.
         open_flows: Number of flows in the stage OPEN.
+        peers: Hosts of the other upstreams of the service in this data centre.
         denials: Keys of flows, 8 bytes each, whose search this agent denies, by balancer.
         failures: Decaying counts of the upstream's answers and failures.
         recent_offer_times: When the latest opening packets were sent to the upstream, in ms.
@@ -125,6 +126,7 @@
         "last_upstream_packet_at",
         "open_flows",
         "openings_limit",
+        "peers",
         "recent_offer_times",
         "record_revision",
         "service",
@@ -157,6 +159,7 @@
         self.unanswered_data_at = 0
         self.in_flight = 0
         self.open_flows = 0
+        self.peers: frozenset[int] = frozenset()
         self.denials: dict[int, bytes] = {}
         self.failures = FailureShare()
         self.recent_offer_times: list[int] = []
--- a/shallotshore/packets/client_packets.py
+++ b/shallotshore/packets/client_packets.py
@@ -8,7 +8,7 @@
 
 from shallotshore.packets.agent_state import AgentState
 from shallotshore.packets.agent_tables import CLIENT_ENDED, UPSTREAM_ENDED, AgentFlowStage
-from shallotshore.packets.hosts import host_number, host_text
+from shallotshore.packets.hosts import host_text
 from shallotshore.packets.node_messages import (
     Carry,
     CarryKind,
@@ -99,14 +99,8 @@
     They answer the balancer themselves. It need not send the packets to each of them over its own
     link, which may be a hundredth of an agent's.
     """
-    settings = state.settings
-    hosts = {
-        host_number(upstream.host)
-        for upstream in state.feeds.upstreams.content.upstreams.values()
-        if upstream.service == settings.service and upstream.data_centre == settings.data_centre
-    }
     message = Search(search.service, search.origin, search.frames)
-    for host in hosts - {state.host}:
+    for host in state.peers:
         state.send(host, message)
     state.counters.add("searches.passed_on")
 
--- a/shallotshore/packets/own_upstream.py
+++ b/shallotshore/packets/own_upstream.py
@@ -6,7 +6,7 @@
 
 from shallotshore.packets.agent_state import AgentState
 from shallotshore.packets.agent_tables import AgentFlowStage
-from shallotshore.packets.hosts import host_text
+from shallotshore.packets.hosts import host_number, host_text
 from shallotshore.packets.node_messages import UpstreamHealth
 from shallotshore.packets.openings_limit import RETURNED_DATA_CENTRE_COLD_MS
 from shallotshore.packets.view import Upstream
@@ -51,6 +51,7 @@
 
     def _apply_feeds(self, now: int) -> None:
         state = self._state
+        state.peers = self._find_peers()
         record = self._find_own_record()
         if record is not None and record != self._record:
             if self._record is not None and self._record.id != record.id:
@@ -80,6 +81,16 @@
             state.log.write(now, "data_centre", name=state.settings.data_centre, is_out=is_out)
         self._set_limit()
 
+    def _find_peers(self) -> frozenset[int]:
+        """Returns the hosts of the other upstreams of the service in this data centre."""
+        settings = self._state.settings
+        hosts = {
+            host_number(upstream.host)
+            for upstream in self._state.feeds.upstreams.content.upstreams.values()
+            if upstream.service == settings.service and upstream.data_centre == settings.data_centre
+        }
+        return frozenset(hosts - {settings.host})
+
     def _find_own_record(self) -> Upstream | None:
         """Returns the newest record for this VM and service, or None."""
         state = self._state
--- a/shallotshore/packets/search.py
+++ b/shallotshore/packets/search.py
@@ -125,7 +125,7 @@
         target = SearchTarget(group.service, group.data_centre, host)
         state.searches.add(target, packet.key, packet.frame)
         return
-    if state.searches.try_spend(len(packet.frame), False, now):
+    if state.searches.try_spend(len(packet.frame), now):
         state.upstreams.record_query(row, now)
         send_carry(state, host, CarryKind.SEARCH, group.service, packet)
 
--- a/shallotshore/packets/search_queue.py
+++ b/shallotshore/packets/search_queue.py
@@ -18,6 +18,7 @@
 # The smallest balancers have links of 5 Mbit/s, which also carry all packets of clients.
 MAX_LINK_SHARE = 0.1
 BURST_MS = 500
+MIN_BURST_BYTES = 2 * MAX_BATCH_BYTES
 BYTES_PER_MS_AND_MBPS = 125
 
 
@@ -77,7 +78,8 @@
         self._far_sent_at = 0
         self._message_budget = TokenBucket(FAR_MESSAGES_PER_S / 1000, FAR_MESSAGES_BURST)
         bytes_per_ms = link_mbps * BYTES_PER_MS_AND_MBPS * MAX_LINK_SHARE
-        self._byte_budget = TokenBucket(bytes_per_ms, bytes_per_ms * BURST_MS)
+        burst_bytes = max(bytes_per_ms * BURST_MS, MIN_BURST_BYTES)
+        self._byte_budget = TokenBucket(bytes_per_ms, burst_bytes)
 
     def __len__(self) -> int:
         return len(self._packets)
@@ -86,15 +88,17 @@
         """Adds a packet of a flow."""
         self._packets.setdefault(target, {})[key] = frame
 
-    def try_spend(self, size: int, is_near: bool, now: int) -> bool:
-        """Takes one message from the budget, if there is room for it.
+    def try_spend(self, size: int, now: int) -> bool:
+        """Takes a message that is sent apart from the queue from the budget.
 
         Args:
             size: Size of the message in bytes.
-            is_near: Whether it stays within the balancer's data centre.
             now: Time in ms.
+
+        Returns:
+            Whether the message may be sent.
         """
-        return self._byte_budget.take(now, size) and (is_near or self._message_budget.take(now))
+        return self._message_budget.take(now) and self._byte_budget.take(now, size)
 
     def take_due(self, now: int) -> Iterator[tuple[SearchTarget, tuple[bytes, ...]]]:
         """Removes and yields the batches that are due at `now` (ms), until the budget is spent."""
@@ -111,12 +115,15 @@
         ]
         while due:
             for target in due:
-                frames = self._packets.pop(target)
+                frames = self._packets[target]
                 batch = _first_batch(frames)
-                size = sum(len(frames[key]) for key in batch)
-                if not self.try_spend(size, target.data_centre == self._data_centre, now):
-                    self._packets = {target: frames, **self._packets}
+                is_near = target.data_centre == self._data_centre
+                if not is_near and not self._message_budget.take(now):
+                    due = [other for other in due if other.data_centre == self._data_centre]
+                    break
+                if not self._byte_budget.take(now, sum(len(frames[key]) for key in batch)):
                     return
+                del self._packets[target]
                 if len(batch) < len(frames):
                     # The target's other packets go last, so that every target has its turn.
                     self._packets[target] = frames
--- a/tests/test_search_queue.py
+++ b/tests/test_search_queue.py
@@ -6,6 +6,7 @@
     BURST_MS,
     BYTES_PER_MS_AND_MBPS,
     FAR_FLUSH_INTERVAL_MS,
+    FAR_MESSAGES_BURST,
     MAX_BATCH_BYTES,
     MAX_LINK_SHARE,
     SearchQueue,
@@ -57,6 +58,16 @@
             served |= {target.host for target, _ in queue.take_due(now)}
         self.assertEqual(set(range(1, 200)), served)
 
+    def test_far_targets_do_not_hold_near_ones_back(self) -> None:
+        """Guards against a search of the own data centre that waits for the limit of the others."""
+        queue = SearchQueue(NEAR, 1_000)
+        for host in range(1, FAR_MESSAGES_BURST + 50):
+            queue.add(SearchTarget(SERVICE, FAR, host), 1, FRAME)
+        queue.add(SearchTarget(SERVICE, NEAR, 999), 1, FRAME)
+        sent = [target.host for target, _ in queue.take_due(START)]
+        self.assertEqual(FAR_MESSAGES_BURST + 1, len(sent))
+        self.assertIn(999, sent)
+
 
 if __name__ == "__main__":
     unittest.main()
