--- a/standins/packet_deployments.py
+++ b/standins/packet_deployments.py
@@ -154,9 +154,7 @@
 
     def restart_agent(self, host: str) -> None:
         """Stops an agent as planned, and starts it again."""
-        agent = self.world.agents[host]
-        agent.stop(self.world.now)
-        self.world.run(0)
+        self.world.agents[host].stop(self.world.now)
         self.world.end_agent(host)
         self.world.call_later(AGENT_START_MS, lambda: self.start_agent(host))
 
--- a/standins/packet_load.py
+++ b/standins/packet_load.py
@@ -44,7 +44,6 @@
         started_at: When the caller made the request, in ms.
         answered_at: When the answer arrived, in ms; None when there was none before the deadline.
         ended_at: When the caller had its answer or gave up, in ms; None before.
-        refused_at: When the caller was last told that the request has not run, in ms, or None.
         shape: Kind of the request.
         customer: Number of the client account.
         payload: The request's data, different for each request.
@@ -56,7 +55,6 @@
     payload: bytes
     answered_at: int | None = None
     ended_at: int | None = None
-    refused_at: int | None = None
 
     @property
     def is_in_time(self) -> bool:
@@ -188,8 +186,6 @@
     def _fail(self, is_known_not_run: bool) -> None:
         self._flow = None
         record = self._record
-        if is_known_not_run:
-            record.refused_at = self._load.world.now
         may_repeat = record.shape.is_repeatable or is_known_not_run
         if may_repeat and self._tries < MAX_TRIES:
             self._try()
