Show that one foreign entry makes a new balancer reset open flows

An entry of an unknown service with 100,000 slots overflows a column of the table of upstreams; the records after it are left out, and a balancer that is added resets open flows of those servers.

--- /dev/null
+++ b/review/2/case.py
@@ -0,0 +1,102 @@
+"""A new balancer resets open flows, since one foreign entry hides part of the servers from it."""
+
+import asyncio
+import sys
+import time
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+
+from harness import Client, Fleet, run_case
+
+ZONES = ("bud-a", "bud-b", "bud-c")
+SERVICE = "spend-stream"
+FLOWS = 60
+SETTLE_S = 4.5  # longer than stableWindowMs
+OBSERVED_S = 8.0
+
+
+async def use_flow(fleet: Fleet, number: int, client: Client, ends_at: float) -> None:
+    """Opens a flow and sends a request on it every 0.4 s."""
+    if not await client.open():
+        return
+    count = 0
+    while time.monotonic() < ends_at and client.reset_at is None:
+        count += 1
+        await client.request(f"f{number}-{count}", deadline_s=5.0)
+        await asyncio.sleep(0.4)
+
+
+async def case(fleet: Fleet, has_trouble: bool) -> str:
+    """Returns how the rule was broken, or an empty text."""
+    fronts = [fleet.host("front", number) for number in (1, 2, 3)]
+    added = fleet.host("front", 4)
+    route = {"name": "r-1", "host": fleet.vip[0], "prefix": f"/{fleet.vip[1]}/", "type": "safe"}
+    fleet.store.put_json(
+        "op/config",
+        {
+            "version": 7,
+            "routes": [{**route, "timeoutMs": 2500, "priority": 1, "service": SERVICE}],
+            "services": [{"name": SERVICE, "coldStartS": 2.0, "coldPerS": 0.0}],
+            "limits": {"idleTimeoutMs": 15000},
+        },
+    )
+    names = ("i-1f3a91c", "i-4b7720e", "i-9d01aa2", "i-c55e013")
+    servers = [
+        await fleet.add_server(name, number, SERVICE) for number, name in enumerate(names, start=1)
+    ]
+    for server, zone in zip(servers, (*ZONES, ZONES[0]), strict=True):
+        fleet.register(server, SERVICE, zone)
+        await fleet.start_side(server.host, zone, fronts, SERVICE)
+    for host, zone in zip(fronts, ZONES, strict=True):
+        await fleet.start_front(host, zone, fronts)
+    if not await fleet.wait_ready(fronts):
+        raise RuntimeError("the balancers did not become ready")
+
+    if has_trouble:
+        foreign_host = f"{fleet.network}.9.9"
+        await fleet.add_silent_host(foreign_host)
+        # The entry of another writer: its service is none of the configuration.
+        fleet.store.put_json(
+            "servers/i-77cache",
+            {
+                "service": "object-cache",
+                "address": f"{foreign_host}:6379",
+                "zone": ZONES[1],
+                "version": "v3",
+                "slots": 100_000,
+                "state": "ready",
+                "coldRemainingMs": 0,
+                "seq": 1,
+            },
+        )
+        fleet.note("entry of another writer", key="servers/i-77cache", service="object-cache")
+    ends_at = time.monotonic() + SETTLE_S + OBSERVED_S
+    clients = [fleet.new_client() for _ in range(FLOWS)]
+    tasks = [
+        asyncio.ensure_future(use_flow(fleet, number, client, ends_at))
+        for number, client in enumerate(clients)
+    ]
+    await asyncio.sleep(SETTLE_S)
+    opened = sum(client.is_open for client in clients)
+    await fleet.start_front(added, ZONES[0], fronts)
+    fleet.note("planned work", kind="add_nodes", host=added)
+    await asyncio.gather(*tasks)
+    if added not in fleet.rotation:
+        raise RuntimeError("the added balancer did not become ready")
+    if opened < FLOWS // 2:
+        raise RuntimeError("too few flows were opened")
+    broken = 0
+    for client in clients:
+        holders = [server.name for server in servers if server.holds(client.key)]
+        if client.reset_at is not None and client.was_open_at_reset and holders:
+            broken += 1
+            fleet.note("open flow was reset", client=client.address[1], still_held_by=holders[0])
+    answered = sum(len(client.answers) for client in clients)
+    fleet.note("totals", flows=opened, answered=answered, reset=broken)
+    if not broken:
+        return ""
+    return f"{broken} of {opened} open flows were reset though their servers held them"
+
+
+run_case(case, Path(__file__).resolve().parent)
