--- a/review/harness.py
+++ b/review/harness.py
@@ -33,6 +33,7 @@
 PAGE_ITEMS = 500  # "at most about 500 items or 1 MB"
 PAGE_BYTES = 1_000_000
 HISTORY_S = 20.0
+METRICS_PORT = 9464  # as deploy/system.toml says
 OPENING_COPIES_S = (0.0, 0.2, 0.6)
 OPENING_LIMIT_S = 1.4
 FIRST_RESEND_S, LONGEST_RESEND_S, MAX_RESENDS = 0.2, 1.6, 8
@@ -411,7 +412,7 @@
         self._started_at = time.monotonic()
         self._record = (folder / "record.txt").open("w")
         self.deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
-        self.network, self.ports = _find_free_network()
+        self.network, self.ports, self._reservation = _find_free_network()
         self.store = Store()
         self.rotation: list[str] = []
         self._probed: dict[str, int] = {}
@@ -455,6 +456,7 @@
                     process.kill()
                 await process.wait()
         self._server.close()
+        self._reservation.close()
         self._record.close()
         self._temporary.cleanup()
 
@@ -644,21 +646,24 @@
         self.note("entry acknowledged", server=server.name, state=state)
 
 
-def _find_free_network() -> tuple[str, dict[str, int]]:
-    """Returns a loopback network and ports on which nothing listens."""
+def _find_free_network() -> tuple[str, dict[str, int], socket.socket]:
+    """Returns a loopback network, free ports, and a socket that keeps other cases out of it."""
     names = ("client", "outbound", "ready", "node", "app", "store")
     for _ in range(50):
         network = f"127.{random.randrange(20, 250)}"
         base = random.randrange(12_000, 19_000)
         ports = {name: base + number for number, name in enumerate(names)}
+        reservation = socket.socket()
         try:
-            for port in ports.values():
+            reservation.bind((f"{network}.250.1", METRICS_PORT))
+            for port in (*ports.values(), METRICS_PORT):
                 for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
                     with socket.socket(socket.AF_INET, kind) as trial:
                         trial.bind((f"{network}.1.1", port))
         except OSError:
+            reservation.close()
             continue
-        return network, ports
+        return network, ports, reservation
     raise OSError("no free network")
 
 
@@ -668,6 +673,9 @@
 
     async def run() -> int:
         fleet = Fleet(folder)
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         try:
             await fleet.start()
             async with asyncio.timeout(110):
