Apply the limits of records where the store's entries enter

Cause: decode_item made records without checking the limits that the messages between processes declare. The table of upstreams keeps slots in 16 bits and raised OverflowError at an entry with 100,000 slots, so apply_records left out all records after it. A read is ordered by key: a new balancer never listed the upstreams whose ids sort after the entry, and reset what the others denied.

Evidence: tick_failed at all balancers with the entry, all resets sent by the two added balancers. Before this change the new test ended with "OverflowError: unsigned short is greater than maximum" in UpstreamTable._apply_record, and the second one accepted the address 08.1.1.1, which inet_aton refuses.

HostText accepts one notation only.

--- a/shallotshore/packets/field_types.py
+++ b/shallotshore/packets/field_types.py
@@ -8,8 +8,9 @@
 
 Id = Annotated[int, Meta(ge=0)]  # of 64 bits, as msgpack has no larger integers
 Host = Annotated[int, Meta(ge=0, le=(1 << 32) - 1)]  # an IP address
-_OCTET = r"(25[0-5]|2[0-4]\d|1?\d?\d)"
-HostText = Annotated[str, Meta(pattern=rf"^{_OCTET}(\.{_OCTET}){{3}}$")]
+# Without leading zeros, which would mean octal numbers.
+_OCTET = r"(25[0-5]|2[0-4][0-9]|1[0-9][0-9]|[1-9]?[0-9])"
+HostText = Annotated[str, Meta(pattern=rf"^{_OCTET}(\.{_OCTET}){{3}}\Z")]
 Port = Annotated[int, Meta(ge=0, le=(1 << 16) - 1)]
 Count = Annotated[int, Meta(ge=0, le=(1 << 31) - 1)]
 DurationMs = Annotated[int, Meta(ge=0, le=(1 << 31) - 1)]
--- a/shallotshore/packets/view.py
+++ b/shallotshore/packets/view.py
@@ -7,14 +7,18 @@
     "Route",
     "ServiceLimits",
     "Upstream",
+    "check_limits",
 ]
 
 from enum import IntEnum
+from typing import TypeVar
 
 import msgspec
 
 from shallotshore.packets.field_types import Count, DurationMs, HostText, Port, Revision, Slots
 
+RecordT = TypeVar("RecordT", bound=msgspec.Struct)
+
 
 class Feed(IntEnum):
     """The two parts of the store that processes keep copies of, each with its own revision."""
@@ -112,3 +116,18 @@
     configuration: Configuration = Configuration()
     data_centres_out: list[str] = []
     upstreams: list[Upstream] = []
+
+
+def check_limits(record: RecordT) -> RecordT:
+    """Checks the fields of a record, which a constructor does not check.
+
+    A record that passes fits into the tables, and is accepted by the processes that it is sent to,
+    since their decoders apply the same limits.
+
+    Returns:
+        The record.
+
+    Raises:
+        msgspec.ValidationError: A field has another type or is beyond its limits.
+    """
+    return msgspec.convert(msgspec.to_builtins(record), type(record))
--- /dev/null
+++ b/tests/test_foreign_entries.py
@@ -0,0 +1,120 @@
+"""Entries of other writers in the store: they name no upstream, and the others stay in use."""
+
+import base64
+import json
+import random
+import unittest
+from collections.abc import Mapping
+
+import msgspec
+from adapter.entries import decode_item
+from adapter.packets import decode_packet
+
+from shallotshore.hashing import name_id
+from shallotshore.packets.balancer import PacketBalancer
+from shallotshore.packets.balancer_state import BalancerSettings
+from shallotshore.packets.feed_content import Change
+from shallotshore.packets.feeds import STORE_ADDRESS
+from shallotshore.packets.hosts import host_number
+from shallotshore.packets.store_messages import StoreSnapshot
+from shallotshore.packets.upstream_table import Listing
+from shallotshore.packets.view import Feed, Upstream, check_limits
+from shallotshore.tables import MISSING
+
+START = 100_000
+PORT = 7720
+SERVICE = "spend"
+HOSTS = ("10.1.1.1", "10.1.1.2", "10.1.1.3")
+FOREIGN_HOST = "10.1.9.9"
+# The fields of an entry that an upstream writes.
+ENTRY: dict[str, object] = {
+    "service": SERVICE,
+    "address": f"{HOSTS[0]}:8080",
+    "zone": "bud-a",
+    "version": "v1",
+    "slots": 3,
+    "state": "ready",
+    "coldRemainingMs": 0,
+    "seq": 1,
+}
+FOREIGN = {**ENTRY, "service": "object-cache", "address": f"{FOREIGN_HOST}:6379"}
+CONFIGURATION = {
+    "version": 7,
+    "routes": [{"host": "198.18.0.1", "prefix": "/443/", "service": SERVICE}],
+    "services": [{"name": SERVICE}],
+}
+
+
+def change(key: str, value: object, revision: int = 7) -> Change:
+    """Returns the change that the adapter decodes from an entry; bytes are stored as they are."""
+    raw = value if isinstance(value, bytes) else json.dumps(value).encode()
+    item = {"key": key, "value": base64.b64encode(raw).decode(), "rev": revision}
+    decoded = decode_item(item)
+    assert decoded is not None
+    return decoded
+
+
+def own_entries() -> dict[str, object]:
+    """Returns the entries of the upstreams."""
+    return {f"servers/i-{h}": {**ENTRY, "address": f"{h}:8080"} for h in HOSTS}
+
+
+class Balancer:
+    """A balancer that has read a configuration and the entries of the store."""
+
+    def __init__(self, entries: Mapping[str, object]) -> None:
+        settings = BalancerSettings(host_number("10.9.0.1"), "bud-a", PORT)
+        self.core = PacketBalancer(settings, random.Random(1), decode_packet)
+        self.now = START
+        self.core.tick(self.now)
+        self.read(Feed.OPERATOR, {"op/config": CONFIGURATION}, 5)
+        self.read(Feed.UPSTREAMS, entries, 9)
+
+    def read(self, feed: Feed, entries: Mapping[str, object], revision: int) -> None:
+        """Delivers a read of the store, in the order of the keys."""
+        changes = [change(key, entries[key], revision) for key in sorted(entries)]
+        self.deliver(StoreSnapshot(feed, revision, changes))
+
+    def deliver(self, message: object, source: tuple[str, int] = STORE_ADDRESS) -> None:
+        """Delivers a message and runs a tick."""
+        self.now += 20
+        self.core.receive(source, message)
+        self.core.tick(self.now)
+
+    def listed_hosts(self) -> list[str]:
+        """Returns the hosts that have a row with the service and an entry."""
+        upstreams = self.core.state.upstreams
+        service = name_id("service", SERVICE)
+        return [
+            host
+            for host in HOSTS
+            if (row := upstreams.row(host_number(host))) != MISSING
+            and upstreams.service[row] == service
+            and upstreams.listing[row] == Listing.LISTED
+        ]
+
+
+class LimitTest(unittest.TestCase):
+    """Numbers beyond the limits of messages and tables."""
+
+    def test_too_large_number_does_not_hide_the_entries_after_it(self) -> None:
+        """Guards against new balancers that reset open flows of upstreams that they never listed.
+
+        The table of upstreams raised OverflowError at 100,000 slots, and the records after this one
+        were left out (review/2).
+        """
+        for field, value in (("slots", 100_000), ("coldRemainingMs", 1e19), ("slots", 1 << 80)):
+            entries = {**own_entries(), "servers/a-cache": {**FOREIGN, field: value}}
+            self.assertEqual(list(HOSTS), Balancer(entries).listed_hosts(), f"{field} {value}")
+
+    def test_only_one_notation_of_an_address_is_accepted(self) -> None:
+        """Guards against a text that passes the check of a record and cannot be converted later."""
+        record = Upstream("i-1", SERVICE, HOSTS[0], 8080, "bud-a", 1, False, 0, 7)
+        self.assertEqual(record, check_limits(record))
+        for host in ("08.1.1.1", "10.1.1.1\n", "10.1.1.\u0661", "010.1.1.1", "10.1.1", "256.1.1.1"):
+            with self.assertRaises(msgspec.ValidationError, msg=repr(host)):
+                check_limits(msgspec.structs.replace(record, host=host))
+
+
+if __name__ == "__main__":
+    unittest.main()
