--- a/shallotshore/packets/node_messages.py
+++ b/shallotshore/packets/node_messages.py
@@ -319,5 +319,5 @@
     """
     try:
         return Ok(_decoder.decode(frame))
-    except msgspec.MsgspecError:
+    except (msgspec.MsgspecError, RecursionError):
         return Err(Code.MESSAGE_MALFORMED)
--- a/shallotshore/packets/peer_copies.py
+++ b/shallotshore/packets/peer_copies.py
@@ -59,7 +59,8 @@
             return FetchedFeed(_decoder.decode(await _read_all(source, bytes((feed,)))))
     except TimeoutError:
         return FetchFailed(feed, f"{source[0]}: no answer within {FETCH_TIMEOUT_MS} ms")
-    except (OSError, msgspec.MsgspecError) as error:
+    except Exception as error:
+        # The core waits for the answer to each fetch, whatever the other process has sent.
         return FetchFailed(feed, f"{source[0]}: {error!r}")
 
 
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -13,7 +13,7 @@
 from shallotshore.hashing import name_id
 from shallotshore.packets.balancer import PacketBalancer
 from shallotshore.packets.balancer_state import BalancerSettings
-from shallotshore.packets.feed_content import Change
+from shallotshore.packets.feed_content import Change, UnreadableEntry
 from shallotshore.packets.feeds import STORE_ADDRESS
 from shallotshore.packets.hosts import host_number
 from shallotshore.packets.store_messages import StoreSnapshot
@@ -116,5 +116,18 @@
                 check_limits(msgspec.structs.replace(record, host=host))
 
 
+class UnreadableTest(unittest.TestCase):
+    """Bytes that the decoder cannot read."""
+
+    def test_deep_nesting_does_not_end_the_call(self) -> None:
+        """Guards against balancers that never again hear of a change of any upstream.
+
+        The decoder raised RecursionError, which ended the task of the call to the store without an
+        answer (review/3).
+        """
+        for text in (b'{"members":' + b"[" * 1_500, b'{"a":' * 5_000, b"[" * 100_000):
+            self.assertIsInstance(change("servers/backup-41", text), UnreadableEntry)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_node_messages.py
+++ b/tests/test_node_messages.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from shallotshore.codes import Code
 from shallotshore.packets.node_messages import Report, Subscribe, UpstreamHealth, decode, encode
 
 # Fields as version 0.1.0 of the packet front end first sent them.
@@ -34,6 +35,14 @@
         fields = msgspec.msgpack.decode(encode(report))
         self.assertEqual(FIRST_REPORT, fields[: len(FIRST_REPORT)])
 
+    def test_deep_nesting_is_malformed(self) -> None:
+        """Guards against an exception that the reader of the socket does not expect.
+
+        A field that this version does not know may hold anything.
+        """
+        frame = msgspec.msgpack.encode([*FIRST_SUBSCRIBE, 15, False, 0])[:-1] + b"\x91" * 5_000
+        self.assertEqual(Code.MESSAGE_MALFORMED, decode(frame).unwrap_err())
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -8,6 +8,8 @@
 from collections.abc import Callable
 from unittest import mock
 
+import msgspec
+
 import adapter.store as store_module  # isort: skip
 from adapter.store import StoreClient  # isort: skip
 
@@ -200,6 +202,19 @@
             self.assertEqual(code, delivered.code, raw)
             self.assertTrue(delivered.reason)
 
+    async def test_unexpected_error_is_a_failure(self) -> None:
+        """Guards against a feed that waits for ever for the answer to a call that has ended.
+
+        An exception that the client does not know of ended the task of the call without an answer.
+        """
+        nested = b"[" * 5_000
+        raw = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(nested), nested)
+        for request in (ReadFeed(Feed.UPSTREAMS), WatchFeed(Feed.UPSTREAMS, 9, 100)):
+            delivered = await self.call_store(lambda path: raw, request)
+            assert isinstance(delivered, StoreFailed)
+            self.assertEqual(Code.MESSAGE_MALFORMED, delivered.code)
+            self.assertIn("RecursionError", delivered.reason)
+
     async def test_silent_store_times_out(self) -> None:
         """Guards against waiting forever on a connection on which the store no longer answers."""
         with mock.patch.object(store_module, "READ_TIMEOUT_MS", 80):
@@ -242,15 +257,29 @@
         server.close()
 
     async def test_invalid_and_missing_copies_are_failures(self) -> None:
-        """Guards against unhandled errors when a copy is invalid or a peer does not answer."""
-        invalid_server = await asyncio.start_server(
-            lambda reader, writer: (writer.write(b"\xff\x00"), writer.close()), "127.0.0.1", 0
-        )
-        delivered = await fetch_feed_copy(
-            invalid_server.sockets[0].getsockname()[:2], Feed.OPERATOR
+        """Guards against unhandled errors when a copy is invalid or a peer does not answer.
+
+        Deep nesting raises RecursionError, which ended the task of the fetch without an answer.
+        """
+        unknown_field = (
+            msgspec.msgpack.encode([2, 3, [0, [], []], [], [], 0])[:-1] + b"\x91" * 5_000
         )
-        self.assertIsInstance(delivered, FetchFailed)
-        invalid_server.close()
+        for invalid in (b"\xff\x00", unknown_field):
+
+            async def send_invalid(
+                reader: asyncio.StreamReader, writer: asyncio.StreamWriter, copy: bytes = invalid
+            ) -> None:
+                await reader.read(1)  # unread bytes would reset the connection
+                writer.write(copy)
+                writer.close()
+
+            invalid_server = await asyncio.start_server(send_invalid, "127.0.0.1", 0)
+            delivered = await fetch_feed_copy(
+                invalid_server.sockets[0].getsockname()[:2], Feed.OPERATOR
+            )
+            assert isinstance(delivered, FetchFailed)
+            self.assertNotIn("ConnectionResetError", delivered.reason)
+            invalid_server.close()
 
         async def keep_silent(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             await reader.read()  # until the client closes the connection
