Decode copies and changes of feeds record by record when they fail as a whole

Cause: readers kept the entry as a record, and the decoders of all other processes refused each message and each copy that held it, the copy for good.

Evidence: peer_copy_failed at four balancers and all agents every 310 ms with "Expected `int` >= 0 - at `$[4][4][5]`".

A process of an earlier version may still send such a record, so record_decoding decodes the records one by one when the whole fails. A refused record is counted and logged, and removes the one under its key. A change without a key makes the message malformed, so that the whole copy is fetched.

--- a/shallotshore/packets/feed_entries.py
+++ b/shallotshore/packets/feed_entries.py
@@ -6,6 +6,7 @@
     "ConfigurationEntry",
     "DataCentreEntry",
     "FeedEntry",
+    "RefusedEntry",
     "UpstreamEntry",
     "to_change",
     "to_entry",
@@ -19,6 +20,7 @@
     Change,
     ConfigurationChange,
     DataCentreChange,
+    UnreadableEntry,
     UpstreamChange,
 )
 from shallotshore.packets.field_types import Revision
@@ -33,6 +35,12 @@
     upstream: Upstream | None
 
 
+class RefusedEntry(UpstreamEntry, array_like=True, tag=1, gc=False):
+    """A received UpstreamEntry whose record cannot be used, with the reason; it is never sent."""
+
+    reason: str = ""
+
+
 class DataCentreEntry(msgspec.Struct, array_like=True, tag=2, gc=False):
     """A data centre that is taken out of service, or back in service when `is_gone` is set."""
 
@@ -84,6 +92,11 @@
     return UpstreamChange(entry.key, entry.revision, entry.upstream)
 
 
+@to_change.register
+def _(entry: RefusedEntry) -> Change:
+    return UnreadableEntry(entry.key, entry.revision, entry.reason)
+
+
 @to_change.register
 def _(entry: DataCentreEntry) -> Change:
     return DataCentreChange(entry.key, entry.revision, entry.is_gone)
--- a/shallotshore/packets/feeds.py
+++ b/shallotshore/packets/feeds.py
@@ -4,6 +4,7 @@
 
 __all__ = ["STORE_ADDRESS", "FeedSystem"]
 
+from collections.abc import Sequence
 from typing import TYPE_CHECKING
 
 from shallotshore.codes import Code
@@ -26,7 +27,7 @@
     StoreSnapshot,
     WatchFeed,
 )
-from shallotshore.packets.view import Feed, FeedState
+from shallotshore.packets.view import Feed
 
 if TYPE_CHECKING:
     from shallotshore.messages import Address
@@ -85,7 +86,7 @@
         for _, failed in self._inbox.take(StoreFailed):
             self._handle_store_failure(failed, now)
         for _, fetched in self._inbox.take(FetchedFeed):
-            self._handle_fetched_feed(fetched.state, now)
+            self._handle_fetched_feed(fetched, now)
         for _, failed_fetch in self._inbox.take(FetchFailed):
             copy = self._feeds.copy(failed_fetch.feed)
             copy.is_fetch_pending = copy.needs_whole_copy = False
@@ -171,7 +172,9 @@
         copy.is_fetch_urgent = False
         if message.revision <= copy.revision:
             return
-        for change in map(to_change, message.entries):
+        changes = [to_change(entry) for entry in message.entries]
+        self._log_unreadable(changes, now)
+        for change in changes:
             if change.revision > copy.revision:
                 apply_change(change, copy.content)
                 copy.keep_change(change)
@@ -248,12 +251,14 @@
         pause = min(longest, MIN_RETRY_PAUSE_MS << min(copy.failures - 1, 8))
         copy.next_call_at = now + int(pause * (0.75 + self._rng.random() / 2))
 
-    def _handle_fetched_feed(self, state: FeedState, now: int) -> None:
+    def _handle_fetched_feed(self, fetched: FetchedFeed, now: int) -> None:
+        state = fetched.state
         copy = self._feeds.copy(state.feed)
         copy.is_fetch_pending = copy.is_fetch_urgent = copy.needs_whole_copy = False
         copy.next_fetch_at = now
         if state.revision > copy.revision:
             content = FeedContent.from_state(state)
+            self._log_unreadable(fetched.refused, now)
             self._replace_content(copy, content, state.revision, "peer", now)
 
     def _replace_content(
@@ -295,7 +300,7 @@
             is_gone=change.is_gone,
         )
 
-    def _log_unreadable(self, changes: list[Change], now: int) -> None:
+    def _log_unreadable(self, changes: Sequence[Change], now: int) -> None:
         for change in changes:
             if isinstance(change, UnreadableEntry):
                 self._counters.add("store.unreadable_entries")
--- a/shallotshore/packets/node_messages.py
+++ b/shallotshore/packets/node_messages.py
@@ -34,6 +34,7 @@
 from shallotshore.codes import Code
 from shallotshore.packets.feed_entries import FeedEntry
 from shallotshore.packets.field_types import Count, DurationMs, Hops, Host, Id, Port, Revision
+from shallotshore.packets.record_decoding import decode_entry
 from shallotshore.packets.view import Feed
 
 
@@ -302,8 +303,18 @@
     | Denied
 )
 
+
+class _EncodedChanges(msgspec.Struct, array_like=True, tag=12, gc=False):
+    """A FeedChanges whose entries are not decoded yet."""
+
+    feed: Feed
+    revision: Revision
+    entries: tuple[msgspec.Raw, ...]
+
+
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(NodeMessage)
+_encoded_changes_decoder = msgspec.msgpack.Decoder(_EncodedChanges)
 
 
 def encode(message: NodeMessage) -> bytes:
@@ -314,10 +325,22 @@
 def decode(frame: bytes) -> Result[NodeMessage, Code]:
     """Decodes a datagram from another process.
 
+    An entry of a FeedChanges that cannot be used becomes a RefusedEntry.
+
     Returns:
         The message, or MESSAGE_MALFORMED.
     """
     try:
         return Ok(_decoder.decode(frame))
+    except (msgspec.MsgspecError, RecursionError):
+        return _decode_changes(frame)
+
+
+def _decode_changes(frame: bytes) -> Result[NodeMessage, Code]:
+    """Decodes a FeedChanges entry by entry; any other message is malformed."""
+    try:
+        message = _encoded_changes_decoder.decode(frame)
+        entries = tuple(decode_entry(entry) for entry in message.entries)
     except (msgspec.MsgspecError, RecursionError):
         return Err(Code.MESSAGE_MALFORMED)
+    return Ok(FeedChanges(message.feed, message.revision, entries))
--- a/shallotshore/packets/peer_copies.py
+++ b/shallotshore/packets/peer_copies.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from shallotshore.packets.record_decoding import decode_state
 from shallotshore.packets.store_messages import FetchedFeed, FetchFailed
 from shallotshore.packets.view import Feed, FeedState
 
@@ -22,8 +23,6 @@
 _CHUNK_BYTES = 65_536
 _FEEDS_BY_REQUEST = {bytes((feed,)): feed for feed in Feed}
 
-_decoder = msgspec.msgpack.Decoder(FeedState)
-
 
 async def serve_feed_copies(
     address: Address, get_state: Callable[[Feed], FeedState]
@@ -56,7 +55,7 @@
     """
     try:
         async with asyncio.timeout(FETCH_TIMEOUT_MS / 1000):
-            return FetchedFeed(_decoder.decode(await _read_all(source, bytes((feed,)))))
+            return FetchedFeed(*decode_state(await _read_all(source, bytes((feed,)))))
     except TimeoutError:
         return FetchFailed(feed, f"{source[0]}: no answer within {FETCH_TIMEOUT_MS} ms")
     except Exception as error:
--- a/shallotshore/packets/store_messages.py
+++ b/shallotshore/packets/store_messages.py
@@ -13,8 +13,10 @@
     "WatchFeed",
 ]
 
+from collections.abc import Sequence
+
 from shallotshore.codes import Code
-from shallotshore.packets.feed_content import Change
+from shallotshore.packets.feed_content import Change, UnreadableEntry
 from shallotshore.packets.view import Feed, FeedState
 
 
@@ -94,12 +96,18 @@
 
 
 class FetchedFeed:
-    """Another process's copy of a feed."""
+    """Another process's copy of a feed.
+
+    Attributes:
+        state: The copy.
+        refused: Records that the other process sent and that cannot be used.
+    """
 
-    __slots__ = ("state",)
+    __slots__ = ("refused", "state")
 
-    def __init__(self, state: FeedState) -> None:
+    def __init__(self, state: FeedState, refused: Sequence[UnreadableEntry] = ()) -> None:
         self.state = state
+        self.refused = refused
 
 
 class FetchFailed:
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -107,6 +107,12 @@
             entries = {**own_entries(), "servers/a-cache": {**FOREIGN, field: value}}
             self.assertEqual(list(HOSTS), Balancer(entries).listed_hosts(), f"{field} {value}")
 
+    def test_negative_number_is_refused_where_it_enters(self) -> None:
+        """Guards against a record that a reader keeps and that no other process accepts (review/4)."""
+        for field in ("slots", "coldRemainingMs"):
+            decoded = change("servers/queue-41", {**FOREIGN, field: -1})
+            self.assertIsInstance(decoded, UnreadableEntry, field)
+
     def test_only_one_notation_of_an_address_is_accepted(self) -> None:
         """Guards against a text that passes the check of a record and cannot be converted later."""
         record = Upstream("i-1", SERVICE, HOSTS[0], 8080, "bud-a", 1, False, 0, 7)
--- a/tests/test_packet_feeds.py
+++ b/tests/test_packet_feeds.py
@@ -11,7 +11,9 @@
     UpstreamChange,
 )
 from shallotshore.packets.feed_copies import CONFIRMATION_VALID_MS, MAX_WATCH_LAG_MS, WATCH_WAIT_MS
+from shallotshore.packets.feed_entries import RefusedEntry
 from shallotshore.packets.feeds import MAX_RETRY_PAUSE_MS, STORE_ADDRESS, FeedSystem
+from shallotshore.packets.node_messages import FeedChanges, FeedRequest
 from shallotshore.packets.node_state import NodeState
 from shallotshore.packets.store_messages import (
     FetchedFeed,
@@ -194,6 +196,21 @@
         self.answer(StoreChanges(Feed.OPERATOR, 13, [DataCentreChange("bud-a", 13, True)]))
         self.assertEqual(set(), self.feeds.operator.content.data_centres_out)
 
+    def test_refused_record_of_a_peer_replaces_the_one_before(self) -> None:
+        """Guards against an upstream that stays in use after its entry was overwritten.
+
+        The peer is of a version that took the new entry for a record.
+        """
+        self.read_both()
+        self.feeds.record_offer(PEER, 10, 12, self.now, is_same_data_centre=True)
+        while not any(isinstance(one, FeedRequest) for one in self.run_for(20)):
+            self.assertLess(self.now, START + 1_000)
+        entries = (RefusedEntry("i-1", 12, None, "Expected `int` >= 0"),)
+        self.inbox.put(PEER, FeedChanges(Feed.UPSTREAMS, 12, entries))
+        self.run_for(20)
+        self.assertEqual({}, self.feeds.upstreams.content.upstreams)
+        self.assertEqual(1, self.counters["store.unreadable_entries"])
+
     def test_unreadable_entry_leaves_the_other_entries_usable(self) -> None:
         """Guards against one undecodable entry that makes the other entries unusable."""
         self.read_both()
