Take only an entry with all fields of an upstream for an upstream's record

Cause: the adapter had defaults for two fields and did not look at two others, so the entry became the newest record of the upstream's host.

Evidence: four of the new tests failed before the change; each names what was accepted: a missing field, an empty service, a byte that is no UTF-8 in a field that is ignored, and an empty id.

`born` may be missing. The reason why an entry is refused is at most 200 characters long, as it may quote a value. Stand-ins and tests that left fields out write whole entries; no test checks less.

--- a/bench/process_soak.py
+++ b/bench/process_soak.py
@@ -80,8 +80,11 @@
                 "service": SERVICE,
                 "address": f"{host}:8080",
                 "zone": "bud-a",
+                "version": "v1",
                 "slots": 3,
                 "state": "ready",
+                "coldRemainingMs": 0,
+                "seq": 1,
             }
             fleet.publish(f"servers/i-{number}", entry)
         await asyncio.gather(*(fleet.start_agent(host) for host in AGENT_HOSTS))
--- a/shallotshore/packets/view.py
+++ b/shallotshore/packets/view.py
@@ -15,7 +15,15 @@
 
 import msgspec
 
-from shallotshore.packets.field_types import Count, DurationMs, HostText, Port, Revision, Slots
+from shallotshore.packets.field_types import (
+    Count,
+    DurationMs,
+    HostText,
+    Name,
+    Port,
+    Revision,
+    Slots,
+)
 
 RecordT = TypeVar("RecordT", bound=msgspec.Struct)
 
@@ -88,11 +96,11 @@
         revision: Revision of the store at which the record was written.
     """
 
-    id: str
-    service: str
+    id: Name
+    service: Name
     host: HostText
     port: Port
-    data_centre: str
+    data_centre: Name
     slots: Slots
     is_leaving: bool
     cold_ms: DurationMs
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -13,7 +13,7 @@
 from shallotshore.hashing import name_id
 from shallotshore.packets.balancer import PacketBalancer
 from shallotshore.packets.balancer_state import BalancerSettings
-from shallotshore.packets.feed_content import Change, UnreadableEntry
+from shallotshore.packets.feed_content import Change, UnreadableEntry, UpstreamChange
 from shallotshore.packets.feeds import STORE_ADDRESS
 from shallotshore.packets.hosts import host_number
 from shallotshore.packets.store_messages import StoreSnapshot
@@ -108,7 +108,7 @@
             self.assertEqual(list(HOSTS), Balancer(entries).listed_hosts(), f"{field} {value}")
 
     def test_negative_number_is_refused_where_it_enters(self) -> None:
-        """Guards against a record that a reader keeps and that no other process accepts (review/4)."""
+        """Guards against a record of a reader that no other process accepts (review/4)."""
         for field in ("slots", "coldRemainingMs"):
             decoded = change("servers/queue-41", {**FOREIGN, field: -1})
             self.assertIsInstance(decoded, UnreadableEntry, field)
@@ -135,5 +135,70 @@
             self.assertIsInstance(change("servers/backup-41", text), UnreadableEntry)
 
 
+class IncompleteTest(unittest.TestCase):
+    """Entries that lack what every upstream writes, or have it in another form."""
+
+    def test_entry_of_an_upstream_is_a_record(self) -> None:
+        """Guards against an upstream without new flows because its entry is taken for foreign."""
+        for entry in (
+            ENTRY,
+            {**ENTRY, "born": 1_780_000_000_000},
+            {**ENTRY, "coldRemainingMs": 1_250.5, "seq": 0},
+            {**ENTRY, "weight": {"a": [1, None]}},
+        ):
+            decoded = change("servers/i-1", entry)
+            assert isinstance(decoded, UpstreamChange) and decoded.upstream is not None
+            self.assertEqual((HOSTS[0], 8080), (decoded.upstream.host, decoded.upstream.port))
+
+    def test_missing_field_is_refused(self) -> None:
+        """Guards against a leaving upstream that gets new flows again (review/5).
+
+        An entry with its address and some of the fields missing was taken for its newest record.
+        """
+        for field in ENTRY:
+            entry = {name: value for name, value in ENTRY.items() if name != field}
+            self.assertIsInstance(change("servers/copy-41", entry), UnreadableEntry, field)
+
+    def test_field_of_another_type_or_form_is_refused(self) -> None:
+        """Guards against a record made from an entry that no upstream has written."""
+        for field, values in {
+            "service": (None, 5, "", "x" * 10_000, ["spend"]),
+            "address": (
+                *(None, 8080, "", "10.1.1.1", "10.1.1.1:", ":8080", "10.1.1.1:0", "[::1]:8080"),
+                *("10.1.1.1:65536", "10.1.1.1:+80", "10.1.1.1: 80", "10.1.1.1:8_0", "10.1.1:80"),
+                *("10.1.1.1:80 ", "host:80", "10.1.1.1:\u0661", "0.0.0.0:80", "255.255.255.255:80"),
+                *("224.0.0.1:80", "10.1.1.1:80:80", "10.1.1.1:080", "10.1.1.1:80\n"),
+            ),
+            "zone": (None, 5, "", "x" * 10_000, {}),
+            "version": (None, 1, ["v1"]),
+            "slots": (None, "3", 0, -1, 1.5, 65_536, True, []),
+            "state": (None, 0, "", "READY", "asleep", "ready ", True),
+            "coldRemainingMs": (None, "0", -1, 1 << 31, 1e300, True),
+            "seq": (None, "1", -1, 1 << 63, 1.5, True),
+            "born": (None, "now", 1.5, -1, []),
+        }.items():
+            for value in values:
+                decoded = change("servers/copy-41", {**ENTRY, field: value})
+                self.assertIsInstance(decoded, UnreadableEntry, f"{field} {value!r}")
+
+    def test_bytes_that_are_no_text_are_refused(self) -> None:
+        """Guards against a record from an entry in which a field that is not used is no text."""
+        text = json.dumps({**ENTRY, "note": "?"}).encode()
+        for bad in (b"\xff", b"\xed\xa0\x80", b"\xc0\xaf"):
+            decoded = change("servers/copy-41", text.replace(b"?", bad))
+            self.assertIsInstance(decoded, UnreadableEntry, bad)
+
+    def test_reason_is_short(self) -> None:
+        """Guards against log lines of a megabyte that quote a value of the entry."""
+        for field in ("state", "address"):
+            decoded = change("servers/copy-41", {**ENTRY, field: "x" * 700_000})
+            assert isinstance(decoded, UnreadableEntry)
+            self.assertLessEqual(len(decoded.reason), 200)
+
+    def test_entry_without_an_id_is_refused(self) -> None:
+        """Guards against a record that no process can name."""
+        self.assertIsInstance(change("servers/", ENTRY), UnreadableEntry)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -17,6 +17,7 @@
     "service": SERVICE,
     "address": f"{AGENT}:8080",
     "zone": "bud-a",
+    "version": "v1",
     "slots": 3,
     "state": "ready",
     "coldRemainingMs": 0,
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -30,7 +30,16 @@
 )
 from shallotshore.packets.view import Configuration, Feed, FeedState
 
-ENTRY = {"service": "s", "address": "10.1.0.9:80", "zone": "z", "state": "ready"}
+ENTRY = {
+    "service": "s",
+    "address": "10.1.0.9:80",
+    "zone": "z",
+    "version": "v1",
+    "slots": 3,
+    "state": "ready",
+    "coldRemainingMs": 0,
+    "seq": 1,
+}
 
 
 def item(name: str, revision: int) -> dict[str, object]:
