Choose between the entries of one VM by what its agent reports

Cause: the table of upstreams has one row for each VM, and the newest record of a VM took it, of whatever service and port. The agent's next report made a row of the right service without a record, which gets no new flows. The agent took the newest record of its service, of whatever port, so that a leaving upstream could get new flows.

Change: choose_record decides at balancers and agents. The agent knows which upstream runs beside it; until it reports, services that a configuration has named go first, then the newest record. Balancers choose again when an agent contradicts a row, and each second while a VM has several records. The cold time of a record counts once, no longer again at each change of the feed, as a repeated choice would prolong it for ever. A host of an unnamed service whose agent was never heard is not waited for before a lost flow is reset.

--- a/shallotshore/packets/directory.py
+++ b/shallotshore/packets/directory.py
@@ -32,11 +32,16 @@
         state = self._state
         if Feed.OPERATOR in state.feeds.changed:
             self._apply_configuration(now)
-        if Feed.UPSTREAMS in state.feeds.changed:
-            state.upstreams.apply_records(state.feeds.upstreams.content.upstreams.values(), now)
+        upstreams = state.upstreams
+        if Feed.UPSTREAMS in state.feeds.changed or upstreams.must_apply_records:
+            upstreams.apply_records(state.feeds.upstreams.content.upstreams.values(), now)
+        elif upstreams.must_settle_disputes:
+            upstreams.settle_disputes(now)
         self._decide_on_unlisted(now)
         if now - self._swept_at >= SWEEP_INTERVAL_MS:
             self._swept_at = now
+            # An agent that has gone silent no longer decides which record counts.
+            upstreams.settle_disputes(now)
             state.upstreams.expire_unlisted(now)
             self._mark_silent_agents(now)
 
@@ -76,6 +81,9 @@
         state.routes = {
             (route.host, route.port): RouteView(route) for route in content.configuration.routes
         }
+        routed = {service for route in state.routes.values() for service in route.services}
+        limited = {name_id("service", one.name) for one in content.configuration.services}
+        state.upstreams.name_services(routed | limited)
         state.cold_per_s = {
             name_id("service", limits.name): limits.cold_per_s
             for limits in content.configuration.services
--- a/shallotshore/packets/own_upstream.py
+++ b/shallotshore/packets/own_upstream.py
@@ -9,6 +9,7 @@
 from shallotshore.packets.hosts import host_number, host_text
 from shallotshore.packets.node_messages import UpstreamHealth
 from shallotshore.packets.openings_limit import RETURNED_DATA_CENTRE_COLD_MS
+from shallotshore.packets.record_choice import choose_record
 from shallotshore.packets.view import Upstream
 
 # An upstream without a record is treated as cold for this long, since it starts with its agent.
@@ -92,15 +93,12 @@
         return frozenset(hosts - {settings.host})
 
     def _find_own_record(self) -> Upstream | None:
-        """Returns the newest record for this VM and service, or None."""
+        """Returns the record of this VM's upstream, or None."""
         state = self._state
         host = host_text(state.host)
-        own = [
-            upstream
-            for upstream in state.feeds.upstreams.content.upstreams.values()
-            if upstream.host == host and upstream.service == state.settings.service
-        ]
-        return max(own, key=lambda upstream: upstream.revision, default=None)
+        upstreams = state.feeds.upstreams.content.upstreams.values()
+        own = [upstream for upstream in upstreams if upstream.host == host]
+        return choose_record(own, state.service, state.settings.upstream[1])
 
     def _set_limit(self) -> None:
         state = self._state
--- a/shallotshore/packets/ownership.py
+++ b/shallotshore/packets/ownership.py
@@ -85,7 +85,7 @@
         state = self._state
         host = host_number(source[0])
         upstreams = state.upstreams
-        row = upstreams.ensure_row(host, report.service, now)
+        row = upstreams.record_agent(host, report.service, report.port, now)
         if row == MISSING:
             return
         if report.is_complete or not upstreams.is_reporting[row]:
--- a/shallotshore/packets/search.py
+++ b/shallotshore/packets/search.py
@@ -229,7 +229,11 @@
     Each of them may own a flow that it has not denied.
     """
     upstreams = state.upstreams
-    return {upstreams.key[row] for row in upstreams.rows() if not is_gone(state, row, now)}
+    return {
+        upstreams.key[row]
+        for row in upstreams.rows()
+        if not upstreams.is_foreign(row) and not is_gone(state, row, now)
+    }
 
 
 def is_denied_by_all(state: BalancerState, row: int, possible_owners: set[int], now: int) -> bool:
--- a/shallotshore/packets/upstream_table.py
+++ b/shallotshore/packets/upstream_table.py
@@ -11,6 +11,7 @@
 from shallotshore.hashing import name_id
 from shallotshore.packets.hosts import host_number
 from shallotshore.packets.node_messages import UpstreamHealth
+from shallotshore.packets.record_choice import choose_record
 from shallotshore.packets.upstream_use import max_report_age_ms
 from shallotshore.packets.view import Upstream
 from shallotshore.packets.vm_state import VmState
@@ -59,14 +60,21 @@
         vm_state: A VmState.
         vm_state_at: When `vm_state` was last found, in ms.
         record_revision: Revision of the store's entry that is in use.
+        agent_port: Port of the upstream that the agent's last report names; 0 before a report.
 
     Attributes:
         are_unlisted_usable: Whether upstreams without an entry may get new flows.
+        must_apply_records: Whether the agent of a host has named another service than the host had,
+            so that another record may count.
+        must_settle_disputes: Whether the choice between the records of a host may have changed.
+        named_services: Ids of the services that a configuration has named.
     """
 
     __slots__ = (
         "_by_service",
+        "_disputed",
         "added_at",
+        "agent_port",
         "answers_searches",
         "are_unlisted_usable",
         "checked_at",
@@ -83,6 +91,9 @@
         "last_offer_at",
         "leaving",
         "listing",
+        "must_apply_records",
+        "must_settle_disputes",
+        "named_services",
         "queried_at",
         "recent_offers",
         "record_revision",
@@ -122,6 +133,7 @@
         "vm_state": "B",
         "vm_state_at": "q",
         "record_revision": "Q",
+        "agent_port": "H",
     }
 
     service: array[int]
@@ -150,11 +162,16 @@
     vm_state: array[int]
     vm_state_at: array[int]
     record_revision: array[int]
+    agent_port: array[int]
 
     def __init__(self) -> None:
         super().__init__(MAX_UPSTREAM_ROWS)
         self._by_service: dict[int, list[int]] = {}
+        self._disputed: dict[int, list[Upstream]] = {}
         self.are_unlisted_usable = True
+        self.must_apply_records = False
+        self.must_settle_disputes = False
+        self.named_services: set[int] = set()
 
     def hosts_of_service(self, service: int) -> list[int]:
         """Returns the hosts that run or ran an upstream of a service."""
@@ -198,19 +215,71 @@
 
     def apply_records(self, upstreams: Iterable[Upstream], now: int) -> None:
         """Applies all records of the store; hosts that no longer have a record become LAPSED."""
-        newest: dict[int, Upstream] = {}
+        self.must_apply_records = False
+        records: dict[int, Upstream] = {}
+        disputed: dict[int, list[Upstream]] = {}
         for upstream in upstreams:
             host = host_number(upstream.host)
-            known = newest.get(host)
-            if known is None or known.revision < upstream.revision:
-                newest[host] = upstream
-        for host, upstream in newest.items():
-            self._apply_record(host, upstream, now)
+            known = records.setdefault(host, upstream)
+            if known is not upstream:
+                disputed.setdefault(host, [known]).append(upstream)
+        for host, upstream in records.items():
+            if host in disputed:
+                continue
+            if self._is_contradicted(host, upstream, now):
+                disputed[host] = [upstream]
+            else:
+                self._apply_record(host, upstream, now)
+        self._disputed = disputed
+        self.settle_disputes(now)
         for host in self.keys():
+            if host not in records:
+                self._mark_lapsed(host, now)
+
+    def settle_disputes(self, now: int) -> None:
+        """Applies the records of hosts that have several, or whose agent contradicts the record."""
+        self.must_settle_disputes = False
+        for host, records in self._disputed.items():
             row = self.row(host)
-            if host not in newest and self.listing[row] == Listing.LISTED:
-                self.listing[row] = Listing.LAPSED
-                self.lapsed_at[row] = now
+            if row != MISSING and self.has_fresh_report(row, now):
+                chosen = choose_record(records, self.service[row], self.agent_port[row])
+            else:
+                chosen = choose_record(records, named_services=self.named_services)
+            if chosen is None:
+                self._mark_lapsed(host, now)
+            else:
+                self._apply_record(host, chosen, now)
+
+    def record_agent(self, host: int, service: int, port: int, now: int) -> int:
+        """Records which upstream the agent of a host names in a report.
+
+        Args:
+            host: The host.
+            service: Id of the upstream's service.
+            port: Port of the upstream.
+            now: Time in ms.
+
+        Returns:
+            The row of the host, or MISSING when the table is full.
+        """
+        row = self.row(host)
+        if row != MISSING and self.service[row] != service:
+            self.must_apply_records = True
+        row = self.ensure_row(host, service, now)
+        if row != MISSING and (self.agent_port[row] != port or not self.has_fresh_report(row, now)):
+            self.agent_port[row] = port
+            self.must_settle_disputes = host in self._disputed or self.must_settle_disputes
+        return row
+
+    def name_services(self, services: Iterable[int]) -> None:
+        """Records the ids of services that a configuration names."""
+        before = len(self.named_services)
+        self.named_services.update(services)
+        self.must_settle_disputes |= len(self.named_services) != before
+
+    def is_foreign(self, row: int) -> bool:
+        """Whether no configuration names the service, and no message of an agent came."""
+        return self.service[row] not in self.named_services and not self.heard_at[row]
 
     def expire_unlisted(self, now: int) -> None:
         """Removes hosts that have no entry in the store and have been silent for long."""
@@ -256,6 +325,22 @@
             return self.are_unlisted_usable
         return now - self.lapsed_at[row] < LAPSE_GRACE_MS
 
+    def _is_contradicted(self, host: int, upstream: Upstream, now: int) -> bool:
+        """Whether the host's agent reports an upstream of another service than a record names."""
+        row = self.row(host)
+        return (
+            row != MISSING
+            and self.has_fresh_report(row, now)
+            and self.service[row] != name_id("service", upstream.service)
+        )
+
+    def _mark_lapsed(self, host: int, now: int) -> None:
+        """Records that no entry of the store names the upstream of a host any more."""
+        row = self.row(host)
+        if row != MISSING and self.listing[row] == Listing.LISTED:
+            self.listing[row] = Listing.LAPSED
+            self.lapsed_at[row] = now
+
     def _apply_record(self, host: int, upstream: Upstream, now: int) -> None:
         row = self.ensure_row(host, name_id("service", upstream.service), now)
         if row == MISSING:
@@ -264,6 +349,6 @@
         self.data_centre[row] = name_id("data_centre", upstream.data_centre)
         self.slots[row] = max(1, upstream.slots)
         self.leaving[row] = upstream.is_leaving
-        self.record_revision[row] = upstream.revision
-        if upstream.cold_ms:
+        if upstream.cold_ms and self.record_revision[row] != upstream.revision:
             self.cold_until[row] = max(self.cold_until[row], now + upstream.cold_ms)
+        self.record_revision[row] = upstream.revision
