Read a feed whole when the answer to a watch is too large

Cause: the answer to the watch had all six entries and was longer than MAX_BODY_BYTES. The call failed as if the store were unreachable, and the same watch was repeated for as long as the store keeps its history.

Evidence: before the change, the test of the client got SERVICE_UNREACHABLE, and the test of the core saw no read after the failed watch.

Change: a body above the limit is MESSAGE_TOO_LARGE. After such a watch the core reads the feed at once, in pages, and watches from there. If a page itself is too large, the read is repeated with the usual pauses.

--- a/shallotshore/packets/feeds.py
+++ b/shallotshore/packets/feeds.py
@@ -115,12 +115,15 @@
             return
         if copy.is_complete and not self._feeds.is_reading:
             return
-        copy.is_call_pending = True
         if copy.is_complete:
             wait = WATCH_WAIT_MS if copy.failing_since == NEVER else RECOVERY_WATCH_WAIT_MS
-            self._outbox.send(STORE_ADDRESS, WatchFeed(copy.feed, copy.watch_after, wait))
+            self._send_store_call(copy, WatchFeed(copy.feed, copy.watch_after, wait))
         else:
-            self._outbox.send(STORE_ADDRESS, ReadFeed(copy.feed))
+            self._send_store_call(copy, ReadFeed(copy.feed))
+
+    def _send_store_call(self, copy: FeedCopy, call: ReadFeed | WatchFeed) -> None:
+        copy.is_call_pending = True
+        self._outbox.send(STORE_ADDRESS, call)
         self._counters.add("store.calls")
 
     def _fetch_from_peer(self, copy: FeedCopy, now: int) -> None:
@@ -235,6 +238,14 @@
             copy.next_call_at = now
             self._log.write(now, "store_history_lost", feed=copy.feed.name, after=copy.watch_after)
             return
+        if failed.code is Code.MESSAGE_TOO_LARGE and copy.is_complete:
+            # The same watch would fail again. A read comes in pages, and the next watch begins at
+            # its revision.
+            self._send_store_call(copy, ReadFeed(copy.feed))
+            self._log.write(
+                now, "store_changes_too_large", feed=copy.feed.name, after=copy.watch_after
+            )
+            return
         if copy.failing_since == NEVER:
             copy.failing_since = now
             age = now - copy.confirmed_at if copy.confirmed_at != NEVER else None
--- a/shallotshore/packets/http_client.py
+++ b/shallotshore/packets/http_client.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-__all__ = ["HttpConnection", "HttpError"]
+__all__ = ["BodyTooLargeError", "HttpConnection", "HttpError"]
 
 import asyncio
 import errno
@@ -34,6 +34,13 @@
         self.status = status
 
 
+class BodyTooLargeError(HttpError):
+    """The body of a response is longer than the limit."""
+
+    def __init__(self, limit_bytes: int) -> None:
+        super().__init__(0, f"body above {limit_bytes} bytes")
+
+
 class HttpConnection:
     """One connection that serves one request at a time."""
 
@@ -58,6 +65,7 @@
             timeout_ms: Time limit for connecting and for the whole response.
 
         Raises:
+            BodyTooLargeError: The body is longer than the limit.
             HttpError: There was no response, or its status was not 200.
         """
         try:
@@ -67,7 +75,7 @@
         except TimeoutError:
             self.close()
             raise HttpError(0, f"no answer within {timeout_ms} ms") from None
-        except asyncio.CancelledError:
+        except (asyncio.CancelledError, BodyTooLargeError):
             self.close()
             raise
         except (OSError, httptools.HttpParserError) as error:
@@ -173,7 +181,7 @@
         """Appends a part of the body; a body above the limit fails the request."""
         self._body += body
         if len(self._body) > self._max_body_bytes:
-            self._fail_request(OSError(errno.EMSGSIZE, f"body above {self._max_body_bytes} bytes"))
+            self._fail_request(BodyTooLargeError(self._max_body_bytes))
             self.abort()
 
     def on_message_complete(self) -> None:
--- a/shallotshore/packets/store_messages.py
+++ b/shallotshore/packets/store_messages.py
@@ -74,7 +74,7 @@
     Attributes:
         feed: Which feed was requested.
         code: SERVICE_STALE when the store no longer has the requested changes,
-            SERVICE_RATE_LIMITED, SERVICE_UNREACHABLE or MESSAGE_MALFORMED.
+            SERVICE_RATE_LIMITED, SERVICE_UNREACHABLE, MESSAGE_TOO_LARGE or MESSAGE_MALFORMED.
         reason: Description of the failure, for logs.
     """
 
--- a/tests/test_packet_feeds.py
+++ b/tests/test_packet_feeds.py
@@ -98,6 +98,32 @@
         self.assertEqual([ReadFeed], [type(one) for one in sent])
         self.assertEqual({"i-2"}, set(self.feeds.upstreams.content.upstreams))
 
+    def test_too_large_answer_to_a_watch_is_followed_by_a_read(self) -> None:
+        """Guards against a watch that is repeated for ever since its answer is too large.
+
+        Another writer's entries of a megabyte came in one answer, and no change of any upstream
+        was seen after them. A read comes in pages.
+        """
+        self.read_both()
+        self.run_for(20)
+        failed = StoreFailed(Feed.UPSTREAMS, Code.MESSAGE_TOO_LARGE, "body above 4194304 bytes")
+        sent = self.answer(failed)
+        self.assertEqual([ReadFeed], [type(one) for one in sent])
+        self.assertTrue(self.feeds.upstreams.is_current(self.now))
+        (watch,) = self.answer(StoreSnapshot(Feed.UPSTREAMS, 30, [upstream("i-2", 20)]))
+        assert isinstance(watch, WatchFeed)
+        self.assertEqual(30, watch.after)
+        self.assertEqual({"i-2"}, set(self.feeds.upstreams.content.upstreams))
+
+    def test_too_large_page_is_read_again_with_pauses(self) -> None:
+        """Guards against calls without a pause when a page itself is too large."""
+        self.run_for(20)
+        calls = 0
+        for _ in range(100):
+            failed = StoreFailed(Feed.UPSTREAMS, Code.MESSAGE_TOO_LARGE, "body above the limit")
+            calls += len(self.answer(failed))
+        self.assertLess(calls, 20)
+
     def test_failed_calls_are_repeated_with_growing_pauses(self) -> None:
         """Guards against retrying a store that is down without pauses; each call is charged."""
         self.read_both()
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -211,6 +211,14 @@
             self.assertEqual(code, delivered.code, raw)
             self.assertTrue(delivered.reason)
 
+    async def test_too_large_answer_has_a_code_of_its_own(self) -> None:
+        """Guards against a watch that is repeated, though its answer will be too large again."""
+        value = base64.b64encode(b"x" * store_module.MAX_BODY_BYTES).decode()
+        raw = body({"events": [{"key": "servers/x", "rev": 11, "value": value}], "currentRev": 11})
+        delivered = await self.call_store(lambda path: raw, WatchFeed(Feed.UPSTREAMS, 9, 100))
+        assert isinstance(delivered, StoreFailed)
+        self.assertEqual(Code.MESSAGE_TOO_LARGE, delivered.code)
+
     async def test_unexpected_error_is_a_failure(self) -> None:
         """Guards against a feed that waits for ever for the answer to a call that has ended.
 
