Log an unreadable entry once while it stays

What operators saw: a line entry_unreadable, and since the entry counts as a change also a line feed_changed, each time that another writer rewrote its entry or the feed was read whole. The routing tables were computed anew.

Cause: every delivered change was logged and counted as a change of content.

Change: the content of a feed remembers the keys that are left out; a line is written when a key is added, within the rate of decisions. apply_change tells whether the records have changed; a change without effect is neither logged nor passed to the systems, but kept for processes that hold an earlier revision.

--- a/shallotshore/packets/feed_content.py
+++ b/shallotshore/packets/feed_content.py
@@ -75,14 +75,18 @@
 
     The operator's feed uses `configuration` and `data_centres_out`, the upstreams' feed
     `upstreams`.
+
+    Attributes:
+        unreadable: Keys of the entries that are left out.
     """
 
-    __slots__ = ("configuration", "data_centres_out", "upstreams")
+    __slots__ = ("configuration", "data_centres_out", "unreadable", "upstreams")
 
     def __init__(self) -> None:
         self.configuration = Configuration()
         self.data_centres_out: set[str] = set()
         self.upstreams: dict[str, Upstream] = {}
+        self.unreadable: set[str] = set()
 
     @classmethod
     def from_state(cls, state: FeedState) -> FeedContent:
@@ -105,33 +109,44 @@
 
 
 @singledispatch
-def apply_change(change: Change, content: FeedContent) -> None:
-    """Applies one change to the content of a feed."""
+def apply_change(change: Change, content: FeedContent) -> bool:
+    """Applies one change to the content of a feed.
+
+    Returns:
+        Whether the records have changed.
+    """
     raise TypeError(f"no handler for a change of type {type(change).__name__}")
 
 
 @apply_change.register
-def _(change: ConfigurationChange, content: FeedContent) -> None:
-    if change.configuration.version >= content.configuration.version:
-        content.configuration = change.configuration
+def _(change: ConfigurationChange, content: FeedContent) -> bool:
+    content.unreadable.discard(change.key)
+    if change.configuration.version < content.configuration.version:
+        return False
+    content.configuration = change.configuration
+    return True
 
 
 @apply_change.register
-def _(change: DataCentreChange, content: FeedContent) -> None:
+def _(change: DataCentreChange, content: FeedContent) -> bool:
+    was_out = change.key in content.data_centres_out
     if change.is_gone:
         content.data_centres_out.discard(change.key)
     else:
         content.data_centres_out.add(change.key)
+    return was_out == change.is_gone
 
 
 @apply_change.register
-def _(change: UpstreamChange, content: FeedContent) -> None:
+def _(change: UpstreamChange, content: FeedContent) -> bool:
+    content.unreadable.discard(change.key)
     if change.upstream is None:
-        content.upstreams.pop(change.key, None)
-    else:
-        content.upstreams[change.key] = change.upstream
+        return content.upstreams.pop(change.key, None) is not None
+    content.upstreams[change.key] = change.upstream
+    return True
 
 
 @apply_change.register
-def _(change: UnreadableEntry, content: FeedContent) -> None:
-    content.upstreams.pop(change.key, None)
+def _(change: UnreadableEntry, content: FeedContent) -> bool:
+    content.unreadable.add(change.key)
+    return content.upstreams.pop(change.key, None) is not None
--- a/shallotshore/packets/feeds.py
+++ b/shallotshore/packets/feeds.py
@@ -176,7 +176,7 @@
         if message.revision <= copy.revision:
             return
         changes = [to_change(entry) for entry in message.entries]
-        self._log_unreadable(changes, now)
+        self._log_unreadable(copy, changes, now)
         for change in changes:
             if change.revision > copy.revision:
                 apply_change(change, copy.content)
@@ -210,7 +210,7 @@
         content = FeedContent()
         for change in snapshot.changes:
             apply_change(change, content)
-        self._log_unreadable(snapshot.changes, now)
+        self._log_unreadable(copy, snapshot.changes, now)
         self._replace_content(copy, content, snapshot.revision, "store", now)
 
     def _handle_changes(self, changes: StoreChanges, now: int) -> None:
@@ -219,7 +219,7 @@
         copy.watch_after = max(copy.watch_after, changes.revision)
         if changes.changes:
             copy.next_call_at = now + COALESCE_MS
-        self._log_unreadable(changes.changes, now)
+        self._log_unreadable(copy, changes.changes, now)
         held_revision = copy.revision
         for change in changes.changes:
             if change.revision > held_revision:
@@ -269,7 +269,9 @@
         copy.next_fetch_at = now
         if state.revision > copy.revision:
             content = FeedContent.from_state(state)
-            self._log_unreadable(fetched.refused, now)
+            self._log_unreadable(copy, fetched.refused, now)
+            for entry in fetched.refused:
+                apply_change(entry, content)
             self._replace_content(copy, content, state.revision, "peer", now)
 
     def _replace_content(
@@ -297,8 +299,10 @@
         )
 
     def _apply_to_copy(self, copy: FeedCopy, change: Change, now: int) -> None:
-        apply_change(change, copy.content)
         copy.keep_change(change)
+        if not apply_change(change, copy.content):
+            # Another writer may rewrite an unreadable entry at any rate.
+            return
         self._feeds.changed.add(copy.feed)
         self._log.write(
             now,
@@ -311,10 +315,14 @@
             is_gone=change.is_gone,
         )
 
-    def _log_unreadable(self, changes: Sequence[Change], now: int) -> None:
+    def _log_unreadable(self, copy: FeedCopy, changes: Sequence[Change], now: int) -> None:
+        """Counts the entries that are left out, and logs each key once while it stays so."""
         for change in changes:
-            if isinstance(change, UnreadableEntry):
-                self._counters.add("store.unreadable_entries")
+            if not isinstance(change, UnreadableEntry):
+                continue
+            self._counters.add("store.unreadable_entries")
+            is_known = change.key in copy.content.unreadable
+            if not is_known and self._log.try_admit_decision(now):
                 self._log.write(
                     now,
                     "entry_unreadable",
--- a/tests/test_packet_feeds.py
+++ b/tests/test_packet_feeds.py
@@ -245,6 +245,25 @@
         self.assertEqual({"i-1", "i-2"}, set(self.feeds.upstreams.content.upstreams))
         self.assertEqual(1, self.counters["store.unreadable_entries"])
 
+    def test_unreadable_entry_is_logged_once_while_it_stays(self) -> None:
+        """Guards against a log full of one entry, whose writer writes it again and again."""
+        self.read_both()
+        for revision in range(12, 40):
+            bad = UnreadableEntry("i-9", revision, f"no object at {revision}")
+            self.answer(StoreChanges(Feed.UPSTREAMS, revision, [bad]))
+        snapshot = [upstream("i-1", 9), UnreadableEntry("i-9", 39, "no object")]
+        self.answer(StoreSnapshot(Feed.UPSTREAMS, 41, snapshot))
+        events = [event for _, event, _ in self.node.log.drain()]
+        self.assertEqual(1, events.count("entry_unreadable"))
+        self.assertEqual(0, events.count("feed_changed"))
+        self.assertEqual(41, self.feeds.upstreams.revision)
+        self.assertEqual(29, self.counters["store.unreadable_entries"])
+        self.answer(StoreChanges(Feed.UPSTREAMS, 42, [upstream("i-9", 42)]))
+        self.answer(StoreChanges(Feed.UPSTREAMS, 43, [UnreadableEntry("i-9", 43, "no object")]))
+        events = [event for _, event, _ in self.node.log.drain()]
+        self.assertEqual(1, events.count("entry_unreadable"))
+        self.assertEqual({"i-1"}, set(self.feeds.upstreams.content.upstreams))
+
     def test_copy_is_doubtful_when_unconfirmed_or_behind(self) -> None:
         """Guards against resets of live flows whose upstream is missing from a stale copy."""
         self.read_both()
