Drop messages that no system of a role takes

Cause: messages stay in the inbox until a system takes their type, and a balancer has no system for Subscribe, an agent none for Report.

Evidence: the new test found the inbox of a balancer not empty after a tick.

Change: what is left in the inbox after the systems have run is dropped and counted as messages.unexpected.

--- a/shallotshore/packets/packet_core.py
+++ b/shallotshore/packets/packet_core.py
@@ -49,6 +49,11 @@
             except Exception as error:
                 self.counters.add(f"systems.failed.{type(system).__name__}")
                 first_error = first_error or error
+        # An entry of another writer may name this process's address, so that other processes take
+        # it for one of another role.
+        untaken = self.inbox.clear()
+        if untaken:
+            self.counters.add("messages.unexpected", untaken)
         if first_error is not None:
             raise first_error
 
--- a/tests/test_hostile_messages.py
+++ b/tests/test_hostile_messages.py
@@ -146,6 +146,20 @@
         """Guards against one message that stops the forwarding of all others."""
         self.play(make_agent)
 
+    def test_messages_for_another_role_do_not_stay(self) -> None:
+        """Guards against memory that grows with messages which no system takes.
+
+        Balancers subscribe to each address in an entry of the store, also to a balancer's.
+        """
+        for core in (make_balancer(), make_agent()):
+            core.tick(START)
+            for number in range(50):
+                for message in VALID:
+                    core.receive(("10.9.0.2", PORT), message)
+                core.tick(START + 20 * number)
+                self.assertFalse(core.inbox)
+            self.assertGreater(core.counters["messages.unexpected"], 50)
+
     def test_failed_system_does_not_stop_the_others(self) -> None:
         """Guards against a fault in one system after which no packet is routed in that tick."""
         for core in (make_balancer(), make_agent()):
