--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -239,6 +239,58 @@
         assert isinstance(delivered, StoreFailed)
         self.assertIn("no answer within 80 ms", delivered.reason)
 
+    async def test_slow_answer_is_read_while_it_arrives(self) -> None:
+        """Guards against a page that is requested again and again on a link that it fills.
+
+        An entry of a megabyte takes longer on a small link than the time limit of a request.
+        """
+        for pause_s, is_read in ((0.05, True), (0.4, False)):
+            ended = asyncio.Event()
+
+            async def serve(
+                reader: asyncio.StreamReader,
+                writer: asyncio.StreamWriter,
+                pause_s: float = pause_s,
+                ended: asyncio.Event = ended,
+            ) -> None:
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n")
+                for _ in range(8):
+                    await asyncio.sleep(pause_s)
+                    writer.write(b"x")
+                await wait_for_end(reader, writer)
+                ended.set()
+
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            connection = HttpConnection(server.sockets[0].getsockname()[:2], 1_000)
+            if is_read:
+                self.assertEqual(b"x" * 8, await connection.get("/", 200))
+            else:
+                with self.assertRaises(HttpError):
+                    await connection.get("/", 200)
+            connection.close()
+            await asyncio.wait_for(ended.wait(), 5)
+            server.close()
+
+    async def test_dripping_answer_ends(self) -> None:
+        """Guards against a call that a store holds for hours by a byte now and then."""
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 800\r\n\r\n")
+            with contextlib.suppress(ConnectionError):
+                while not writer.is_closing():
+                    writer.write(b"x")
+                    await asyncio.sleep(0.02)
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        connection = HttpConnection(server.sockets[0].getsockname()[:2], 1_000)
+        with mock.patch.object(http_client, "MAX_RESPONSE_MS", 100), self.assertRaises(HttpError):
+            await asyncio.wait_for(connection.get("/", 200), 3)
+        await asyncio.sleep(0.05)
+        server.close()
+
     async def test_endless_answer_is_aborted(self) -> None:
         """Guards against an answer without end that would fill the memory."""
         endless = b"HTTP/1.1 200 OK\r\nContent-Length: 9999999999\r\n\r\n" + b"x" * 300_000
