--- a/tests/test_record_reader.py
+++ b/tests/test_record_reader.py
@@ -9,6 +9,7 @@
 from shallotshore.codes import Code
 from shallotshore.record_reader import read_record
 from shallotshore.records import SCHEMAS, Record, Upstream, encode_record, key_of_record
+from tests.odd_entries import list_odd_entries
 
 JSON = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
@@ -114,3 +115,12 @@
 
     def check_round_trip(self, record: Record) -> None:
         self.assertEqual(read_record(key_of_record(record), encode_record(record)).unwrap(), record)
+
+
+class OddRecordTest(unittest.TestCase):
+    """Records as another writer may leave them."""
+
+    def test_no_odd_text_raises(self) -> None:
+        """Guards against a record that ends the reader, and so the reading of all others."""
+        for name, text in list_odd_entries("10.1.1.1:8080", "spend").items():
+            self.assertTrue(read_record("upstream/i-1", text).is_err(), name)
