--- a/shallotshore/packets/own_upstream.py
+++ b/shallotshore/packets/own_upstream.py
@@ -9,7 +9,7 @@
 from shallotshore.packets.hosts import host_number, host_text
 from shallotshore.packets.node_messages import UpstreamHealth
 from shallotshore.packets.openings_limit import RETURNED_DATA_CENTRE_COLD_MS
-from shallotshore.packets.record_choice import choose_record
+from shallotshore.packets.record_choice import ReportedUpstream, choose_record
 from shallotshore.packets.view import Upstream
 
 # An upstream without a record is treated as cold for this long, since it starts with its agent.
@@ -98,7 +98,8 @@
         host = host_text(state.host)
         upstreams = state.feeds.upstreams.content.upstreams.values()
         own = [upstream for upstream in upstreams if upstream.host == host]
-        return choose_record(own, state.service, state.settings.upstream[1])
+        reported = ReportedUpstream(state.service, state.data_centre, state.settings.upstream[1])
+        return choose_record(own, reported)
 
     def _set_limit(self) -> None:
         state = self._state
--- a/shallotshore/packets/ownership.py
+++ b/shallotshore/packets/ownership.py
@@ -21,6 +21,7 @@
     Report,
 )
 from shallotshore.packets.packet import DecodePacket, Packet
+from shallotshore.packets.record_choice import ReportedUpstream
 from shallotshore.packets.routing import send_reset
 from shallotshore.packets.search import query_agents, record_denial, send_carry, start_search
 from shallotshore.tables import MISSING
@@ -85,7 +86,8 @@
         state = self._state
         host = host_number(source[0])
         upstreams = state.upstreams
-        row = upstreams.record_agent(host, report.service, report.port, now)
+        reported = ReportedUpstream(report.service, report.data_centre, report.port)
+        row = upstreams.record_agent(host, reported, now)
         if row == MISSING:
             return
         if report.is_complete or not upstreams.is_reporting[row]:
--- a/shallotshore/packets/upstream_table.py
+++ b/shallotshore/packets/upstream_table.py
@@ -11,7 +11,7 @@
 from shallotshore.hashing import name_id
 from shallotshore.packets.hosts import host_number
 from shallotshore.packets.node_messages import UpstreamHealth
-from shallotshore.packets.record_choice import choose_record
+from shallotshore.packets.record_choice import ReportedUpstream, choose_record
 from shallotshore.packets.upstream_use import max_report_age_ms
 from shallotshore.packets.view import Upstream
 from shallotshore.packets.vm_state import VmState
@@ -61,6 +61,7 @@
         vm_state_at: When `vm_state` was last found, in ms.
         record_revision: Revision of the store's entry that is in use.
         agent_port: Port of the upstream that the agent's last report names; 0 before a report.
+        agent_data_centre: Id of the data centre that the agent's last report names; 0 before one.
 
     Attributes:
         are_unlisted_usable: Whether upstreams without an entry may get new flows.
@@ -74,6 +75,7 @@
         "_by_service",
         "_disputed",
         "added_at",
+        "agent_data_centre",
         "agent_port",
         "answers_searches",
         "are_unlisted_usable",
@@ -134,6 +136,7 @@
         "vm_state_at": "q",
         "record_revision": "Q",
         "agent_port": "H",
+        "agent_data_centre": "Q",
     }
 
     service: array[int]
@@ -163,6 +166,7 @@
     vm_state_at: array[int]
     record_revision: array[int]
     agent_port: array[int]
+    agent_data_centre: array[int]
 
     def __init__(self) -> None:
         super().__init__(MAX_UPSTREAM_ROWS)
@@ -240,35 +244,34 @@
         """Applies the records of hosts that have several, or whose agent contradicts the record."""
         self.must_settle_disputes = False
         for host, records in self._disputed.items():
-            row = self.row(host)
-            if row != MISSING and self.has_fresh_report(row, now):
-                chosen = choose_record(records, self.service[row], self.agent_port[row])
-            else:
-                chosen = choose_record(records, named_services=self.named_services)
+            reported = self._reported_upstream(host, now)
+            chosen = choose_record(records, reported, self.named_services)
             if chosen is None:
                 self._mark_lapsed(host, now)
             else:
                 self._apply_record(host, chosen, now)
 
-    def record_agent(self, host: int, service: int, port: int, now: int) -> int:
+    def record_agent(self, host: int, reported: ReportedUpstream, now: int) -> int:
         """Records which upstream the agent of a host names in a report.
 
         Args:
             host: The host.
-            service: Id of the upstream's service.
-            port: Port of the upstream.
+            reported: The upstream.
             now: Time in ms.
 
         Returns:
             The row of the host, or MISSING when the table is full.
         """
         row = self.row(host)
-        if row != MISSING and self.service[row] != service:
+        if row != MISSING and self.service[row] != reported.service:
             self.must_apply_records = True
-        row = self.ensure_row(host, service, now)
-        if row != MISSING and (self.agent_port[row] != port or not self.has_fresh_report(row, now)):
-            self.agent_port[row] = port
-            self.must_settle_disputes = host in self._disputed or self.must_settle_disputes
+        row = self.ensure_row(host, reported.service, now)
+        if row == MISSING:
+            return row
+        if host in self._disputed and not self.has_fresh_report(row, now):
+            self.must_settle_disputes = True
+        self.agent_port[row] = reported.port
+        self.agent_data_centre[row] = reported.data_centre
         return row
 
     def name_services(self, services: Iterable[int]) -> None:
@@ -327,11 +330,16 @@
 
     def _is_contradicted(self, host: int, upstream: Upstream, now: int) -> bool:
         """Whether the host's agent reports an upstream of another service than a record names."""
+        reported = self._reported_upstream(host, now)
+        return reported is not None and reported.service != name_id("service", upstream.service)
+
+    def _reported_upstream(self, host: int, now: int) -> ReportedUpstream | None:
+        """Returns the upstream that the host's agent has reported lately, or None."""
         row = self.row(host)
-        return (
-            row != MISSING
-            and self.has_fresh_report(row, now)
-            and self.service[row] != name_id("service", upstream.service)
+        if row == MISSING or not self.has_fresh_report(row, now):
+            return None
+        return ReportedUpstream(
+            self.service[row], self.agent_data_centre[row], self.agent_port[row]
         )
 
     def _mark_lapsed(self, host: int, now: int) -> None:
