Allow a second for each further part of a response

A watch has a limit of 4.8 s, and each part of its answer extended the limit by as much, so that a connection that falls silent within an answer was noticed up to 4.8 s later than before.

Change: a part extends the limit to at most 1 s from then, never shortens it. The check whether an agent contradicts a record no longer builds an object.

Measured: tests of the client, the choice between records and flows pass.

--- a/shallotshore/packets/directory.py
+++ b/shallotshore/packets/directory.py
@@ -42,7 +42,7 @@
             self._swept_at = now
             # An agent that has gone silent no longer decides which record counts.
             upstreams.settle_disputes(now)
-            state.upstreams.expire_unlisted(now)
+            upstreams.expire_unlisted(now)
             self._mark_silent_agents(now)
 
     def _decide_on_unlisted(self, now: int) -> None:
--- a/shallotshore/packets/http_client.py
+++ b/shallotshore/packets/http_client.py
@@ -17,7 +17,8 @@
 CONNECT_TIMEOUT_MS = 400  # data centres are a few ms apart
 # A page of 1.4 MB takes over 2 s on a link of 5 Mbit/s. A request that fails while its response
 # arrives would be repeated, and fill the link.
-MAX_RESPONSE_MS = 10_000
+PART_TIMEOUT_MS = 1_000  # from one part of a response to the next
+MAX_RESPONSE_MS = 10_000  # after the time limit of the request
 # Keep-alive probes end a connection whose peer is cut off, while a response is awaited.
 KEEP_ALIVE_IDLE_S = 1
 KEEP_ALIVE_INTERVAL_S = 1
@@ -65,8 +66,8 @@
 
         Args:
             path: Path and query.
-            timeout_ms: Time limit for connecting and for the first part of the response, and for
-                each further part; the whole response may take MAX_RESPONSE_MS more.
+            timeout_ms: Time limit for connecting and for the response. A response that arrives by
+                then may take longer, as long as each part follows within PART_TIMEOUT_MS.
 
         Raises:
             BodyTooLargeError: The body is longer than the limit.
@@ -75,8 +76,7 @@
         try:
             async with asyncio.timeout(timeout_ms / 1000) as limit:
                 protocol = await self._connect()
-                patience = _Patience(limit, timeout_ms)
-                status, body = await protocol.request(path, self._address, patience)
+                status, body = await protocol.request(path, self._address, _Deadline(limit))
         except TimeoutError:
             self.close()
             raise HttpError(0, f"no answer within {timeout_ms} ms") from None
@@ -117,21 +117,21 @@
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES)
 
 
-class _Patience:
-    """Extends the time limit of a request while its response arrives."""
+class _Deadline:
+    """The time limit of a request, which moves while the response arrives."""
 
-    __slots__ = ("_latest", "_limit", "_timeout_s")
+    __slots__ = ("_latest", "_limit")
 
-    def __init__(self, limit: asyncio.Timeout, timeout_ms: int) -> None:
+    def __init__(self, limit: asyncio.Timeout) -> None:
         self._limit = limit
-        self._timeout_s = timeout_ms / 1000
         self._latest = (limit.when() or 0.0) + MAX_RESPONSE_MS / 1000
 
     def extend(self) -> None:
-        """Extends the limit after a part of the response has arrived."""
-        if not self._limit.expired():
-            now = asyncio.get_running_loop().time()
-            self._limit.reschedule(min(self._latest, now + self._timeout_s))
+        """Allows PART_TIMEOUT_MS for the next part of the response."""
+        now = asyncio.get_running_loop().time()
+        when = self._limit.when()
+        if when is not None and when > now:
+            self._limit.reschedule(max(when, min(self._latest, now + PART_TIMEOUT_MS / 1000)))
 
 
 class _ResponseProtocol(asyncio.Protocol):
@@ -139,9 +139,9 @@
 
     __slots__ = (
         "_body",
+        "_deadline",
         "_max_body_bytes",
         "_parser",
-        "_patience",
         "_pending_response",
         "_transport",
         "is_closed",
@@ -152,14 +152,14 @@
         self._transport: asyncio.Transport | None = None
         self._parser: httptools.HttpResponseParser | None = None
         self._body = bytearray()
-        self._patience: _Patience | None = None
+        self._deadline: _Deadline | None = None
         self._pending_response: asyncio.Future[tuple[int, bytes]] | None = None
         self.is_closed = False
 
-    async def request(self, path: str, address: Address, patience: _Patience) -> tuple[int, bytes]:
+    async def request(self, path: str, address: Address, deadline: _Deadline) -> tuple[int, bytes]:
         """Sends a GET request and returns the status and the body of its response."""
         assert self._transport is not None
-        self._patience = patience
+        self._deadline = deadline
         self._parser = httptools.HttpResponseParser(self)
         self._body.clear()
         self._pending_response = asyncio.get_running_loop().create_future()
@@ -187,8 +187,8 @@
         if self._parser is None or self._pending_response is None or self._pending_response.done():
             self.abort()
             return
-        if self._patience is not None:
-            self._patience.extend()
+        if self._deadline is not None:
+            self._deadline.extend()
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
--- a/shallotshore/packets/record_choice.py
+++ b/shallotshore/packets/record_choice.py
@@ -50,8 +50,8 @@
 
     def rank(record: Upstream) -> tuple[bool, bool, bool, int]:
         if reported is None:
-            is_expected = name_id("service", record.service) in named_services
-            return is_expected, False, record.is_leaving, record.revision
+            is_named = name_id("service", record.service) in named_services
+            return is_named, False, record.is_leaving, record.revision
         is_near = name_id("data_centre", record.data_centre) == reported.data_centre
         return record.port == reported.port, is_near, record.is_leaving, record.revision
 
--- a/shallotshore/packets/upstream_table.py
+++ b/shallotshore/packets/upstream_table.py
@@ -281,7 +281,7 @@
         self.must_settle_disputes |= len(self.named_services) != before
 
     def is_foreign(self, row: int) -> bool:
-        """Whether no configuration names the service, and no message of an agent came."""
+        """Whether an upstream is only an entry: of an unnamed service, and its agent never heard."""
         return self.service[row] not in self.named_services and not self.heard_at[row]
 
     def expire_unlisted(self, now: int) -> None:
@@ -330,8 +330,12 @@
 
     def _is_contradicted(self, host: int, upstream: Upstream, now: int) -> bool:
         """Whether the host's agent reports an upstream of another service than a record names."""
-        reported = self._reported_upstream(host, now)
-        return reported is not None and reported.service != name_id("service", upstream.service)
+        row = self.row(host)
+        return (
+            row != MISSING
+            and self.has_fresh_report(row, now)
+            and self.service[row] != name_id("service", upstream.service)
+        )
 
     def _reported_upstream(self, host: int, now: int) -> ReportedUpstream | None:
         """Returns the upstream that the host's agent has reported lately, or None."""
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -263,11 +263,12 @@
 
             server = await asyncio.start_server(serve, "127.0.0.1", 0)
             connection = HttpConnection(server.sockets[0].getsockname()[:2], 1_000)
-            if is_read:
-                self.assertEqual(b"x" * 8, await connection.get("/", 200))
-            else:
-                with self.assertRaises(HttpError):
-                    await connection.get("/", 200)
+            with mock.patch.object(http_client, "PART_TIMEOUT_MS", 200):
+                if is_read:
+                    self.assertEqual(b"x" * 8, await connection.get("/", 200))
+                else:
+                    with self.assertRaises(HttpError):
+                        await connection.get("/", 200)
             connection.close()
             await asyncio.wait_for(ended.wait(), 5)
             server.close()
