--- a/shallotshore/packets/upstream_table.py
+++ b/shallotshore/packets/upstream_table.py
@@ -281,7 +281,7 @@
         self.must_settle_disputes |= len(self.named_services) != before
 
     def is_foreign(self, row: int) -> bool:
-        """Whether an upstream is only an entry: of an unnamed service, and its agent never heard."""
+        """Whether an upstream is known only by an entry of a service that was never named."""
         return self.service[row] not in self.named_services and not self.heard_at[row]
 
     def expire_unlisted(self, now: int) -> None:
