Keep the values of the loopback store as they were published

The stand-in encoded values when they were published; it encodes them when they are read again, as before, so that its entries can be compared and replaced. tests.test_odd_entry_processes and tests.test_platform_processes pass.

--- a/standins/packet_processes.py
+++ b/standins/packet_processes.py
@@ -61,7 +61,7 @@
         self._seeds = seeds
         self.upstreams: dict[str, PacketUpstream] = {}
         self.log_lines: list[dict[str, Any]] = []
-        self._store_entries: dict[str, tuple[int, bytes]] = {}
+        self._store_entries: dict[str, tuple[int, object]] = {}
         self._revision = 0
         self._processes: dict[str, asyncio.subprocess.Process] = {}
         self._log_readers: list[asyncio.Task[None]] = []
@@ -101,8 +101,7 @@
             value: Content: the bytes as they are, or any other value as JSON.
         """
         self._revision += 1
-        content = value if isinstance(value, bytes) else json.dumps(value).encode()
-        self._store_entries[key] = (self._revision, content)
+        self._store_entries[key] = (self._revision, value)
 
     async def start_balancer(self, host: str) -> None:
         """Starts the balancer of a host, or restarts it after it ended."""
@@ -314,7 +313,12 @@
 
     def _select_entries(self, prefix: str, after: int) -> list[dict[str, object]]:
         return [
-            {"key": key, "rev": revision, "value": base64.b64encode(value).decode()}
+            {"key": key, "rev": revision, "value": base64.b64encode(_to_bytes(value)).decode()}
             for key, (revision, value) in self._store_entries.items()
             if key.startswith(prefix) and revision > after
         ]
+
+
+def _to_bytes(value: object) -> bytes:
+    """Returns the content of an entry as the store keeps it."""
+    return value if isinstance(value, bytes) else json.dumps(value).encode()
