Serve renewed certificates without a new server

What callers saw: a peer that connects while certificates are renewed sees its TLS handshake end (own front end).

Cause: renew_certificates started a second server on the port and stopped the first. gRPC cuts the handshakes in progress at a listener that it closes.

Change: each handshake uses the certificates in force then, by grpc.dynamic_ssl_server_credentials. Only a new authority calls for a new server, so that open connections of peers that the old one has signed end; a test checks that they do.

--- a/shallotshore/control.py
+++ b/shallotshore/control.py
@@ -40,7 +40,7 @@
     ("grpc.min_reconnect_backoff_ms", 500),
     ("grpc.max_reconnect_backoff_ms", 1000),
 ]
-# To renew certificates, a second server starts on the same port before the first one ends.
+# When the authority changes, a second server starts on the same port before the first one ends.
 _SERVER_OPTIONS = [*_OPTIONS, ("grpc.so_reuseport", 1)]
 
 _BATCH_DECODER = msgspec.msgpack.Decoder(tuple[codec.WIRE_ADDRESS_TYPE, list[bytes]])
@@ -75,6 +75,7 @@
         "_last_read_id",
         "_pending_reads",
         "_server",
+        "_served_authority",
         "_tls",
     )
 
@@ -101,6 +102,7 @@
         self._deliver = deliver
         self._build_status_report = build_status_report
         self._server: aio.Server | None = None
+        self._served_authority = b""
         self._pending_reads: dict[Address, asyncio.Future[Message]] = {}
         self._last_read_id = 0
 
@@ -116,14 +118,19 @@
             server.add_insecure_port(format_target(self._address))
         else:
             server.add_secure_port(format_target(self._address), self._tls.server_credentials())
+            self._served_authority = self._tls.authority
         await server.start()
         self._server = server
 
     async def renew_certificates(self) -> None:
-        """Replaces the server by one with the current certificates.
+        """Ends the connections of peers whose certificates another authority has signed.
 
-        Calls in progress at the old server may take up to `_CALL_TIMEOUT_S` to end.
+        Handshakes use the current certificates by themselves. Only a new authority calls for a new
+        server: the old one ends its connections, and cuts the handshakes in progress. Its calls in
+        progress may take up to `_CALL_TIMEOUT_S` to end.
         """
+        if self._tls is None or self._tls.authority == self._served_authority:
+            return
         old = self._server
         await self.start()
         if old is not None:
--- a/shallotshore/security.py
+++ b/shallotshore/security.py
@@ -133,7 +133,7 @@
 class TlsMaterial:
     """Certificates for mutual TLS between the system's processes."""
 
-    __slots__ = ("_authority", "_certificate", "_files", "_key", "_loaded_state")
+    __slots__ = ("_authority", "_certificate", "_configuration", "_files", "_key", "_loaded_state")
 
     def __init__(self, files: TlsFiles) -> None:
         """Reads the files.
@@ -163,6 +163,11 @@
         """Name that the certificate of every peer must carry."""
         return self._files.peer_name
 
+    @property
+    def authority(self) -> bytes:
+        """PEM text of the authority that must have signed the certificates of all peers."""
+        return self._authority
+
     def reload(self) -> bool:
         """Reads the files again if one has changed.
 
@@ -181,11 +186,21 @@
         return True
 
     def server_credentials(self) -> grpc.ServerCredentials:
-        """Returns credentials that require a certificate from every client."""
-        return grpc.ssl_server_credentials(
-            [(self._key, self._certificate)],
-            root_certificates=self._authority,
-            require_client_auth=True,
+        """Returns credentials that require a certificate from every client.
+
+        Each handshake uses the material that is then in force.
+        """
+        served = self._configuration
+
+        def fetch_changed_configuration() -> grpc.ServerCertificateConfiguration | None:
+            nonlocal served
+            if served is self._configuration:
+                return None
+            served = self._configuration
+            return served
+
+        return grpc.dynamic_ssl_server_credentials(
+            served, fetch_changed_configuration, require_client_authentication=True
         )
 
     def channel_credentials(self) -> grpc.ChannelCredentials:
@@ -199,6 +214,10 @@
         authority, certificate, key = (_read(path) for path in self._files[:3])
         _check_key_pair(self._files)
         self._authority, self._certificate, self._key = authority, certificate, key
+        # gRPC reads this attribute in a thread of its own, so it is replaced as a whole.
+        self._configuration = grpc.ssl_server_certificate_configuration(
+            [(key, certificate)], root_certificates=authority
+        )
 
 
 def _file_state(path: Path) -> tuple[int, int, int]:
--- a/tests/test_security.py
+++ b/tests/test_security.py
@@ -27,8 +27,12 @@
         self.addCleanup(folder.cleanup)
         self.folder = Path(folder.name)
         self.install_certificate("first")
+        shutil.copy(DATA / "authority.pem", self.folder / "authority.pem")
         files = TlsFiles(
-            DATA / "authority.pem", self.folder / "cert.pem", self.folder / "key", "shallotshore"
+            self.folder / "authority.pem",
+            self.folder / "cert.pem",
+            self.folder / "key",
+            "shallotshore",
         )
         self.core, self.address = Core(), free_address()
         config = ApplicationConfig(self.address, tls=TlsMaterial(files))
@@ -100,6 +104,48 @@
             while await self.served_certificate() == before:
                 await asyncio.sleep(0.05)
 
+    async def test_renewal_cuts_no_handshake(self) -> None:
+        """Guards against calls of peers that fail while the certificates are renewed.
+
+        The server was replaced by a new one, and the handshakes in progress at the old one were
+        cut.
+        """
+        errors: list[Exception] = []
+        is_renewing = True
+
+        async def connect() -> None:
+            while is_renewing:
+                try:
+                    await self.served_certificate()
+                except OSError as error:
+                    errors.append(error)
+
+        callers = [asyncio.ensure_future(connect()) for _ in range(8)]
+        for name in ("renewed", "first", "renewed"):
+            before = self.core.counters["security.renewal_failed"]
+            self.install_certificate(name)
+            await asyncio.sleep(1.2)
+            self.assertEqual(before, self.core.counters["security.renewal_failed"])
+        is_renewing = False
+        await asyncio.gather(*callers)
+        self.assertEqual([], errors)
+        self.assertEqual((DATA / "renewed.pem").read_text(), await self.served_certificate())
+
+    async def test_new_authority_ends_open_connections(self) -> None:
+        """Guards against a withdrawn certificate in use on a connection that stays open."""
+        files = (DATA / "authority.pem", DATA / "first.pem", DATA / "first.key")
+        client = ControlClient(
+            ("127.0.0.1", 9), TlsMaterial(TlsFiles(*files, "shallotshore")), Counters()
+        )
+        self.addAsyncCleanup(client.close)
+        await client.status(self.address, StatusRequest(0))
+        shutil.copy(DATA / "foreign.pem", self.folder / "authority.pem")
+        async with asyncio.timeout(10):
+            with self.assertRaises(CallFailedError):
+                while True:
+                    await client.status(self.address, StatusRequest(0))
+                    await asyncio.sleep(0.1)
+
     def test_missing_files_are_named(self) -> None:
         with self.assertRaisesRegex(MaterialError, "/missing"):
             TlsMaterial(TlsFiles(Path("/missing"), Path("/missing"), Path("/missing"), "x"))
