Reset lost flows although the VM of a departed upstream runs on

Each waited for the agent of an upstream that had been drained and removed, one a second since second 36: its agent had ended, its VM refused connections for six seconds more, and a refusal counted as an agent that only restarts. The agents of the other service were never asked meanwhile, and an abandoned search was never started again.

Change: a check tells a refused connection from an accepted one. A refusal counts as gone if the upstream has announced that it leaves and the store has removed its entry. The agents of other services are asked after 200 ms, and an abandoned search begins anew with the client's next packet.

--- a/shallotshore/packets/application.py
+++ b/shallotshore/packets/application.py
@@ -32,7 +32,7 @@
 from shallotshore.packets.traffic import count_received, count_sent
 from shallotshore.packets.view import Feed, FeedState
 from shallotshore.packets.vm_checks import CheckVm, VmChecked
-from shallotshore.packets.vm_probe import is_vm_answering
+from shallotshore.packets.vm_probe import probe_vm
 from shallotshore.systems import Counters, Outbox
 
 if TYPE_CHECKING:
@@ -348,8 +348,7 @@
         self._deliver(source, answer)
 
     async def _check_vm(self, host: int, address: Address) -> None:
-        is_answering = await is_vm_answering(address)
-        self._deliver(address, VmChecked(host, is_answering))
+        self._deliver(address, VmChecked(host, await probe_vm(address)))
 
     def _fabric_address(self, client: Address) -> Address:
         """Returns the address at which the fabric accepts packets for a client."""
--- a/shallotshore/packets/pending_flows.py
+++ b/shallotshore/packets/pending_flows.py
@@ -8,6 +8,7 @@
 from shallotshore.packets.balancer_state import BalancerState
 from shallotshore.packets.flow_cache import MAX_TRIED_UPSTREAMS, CachedFlowStage
 from shallotshore.packets.hosts import host_text
+from shallotshore.packets.packet import Packet
 from shallotshore.packets.routing import offer_flow, send_reset
 from shallotshore.packets.search import (
     find_possible_owners,
@@ -174,10 +175,20 @@
         send_reset(state, packet, Code.NO_SUCH_FLOW, now)
 
     def _abandon_search(self, row: int, possible_owners: set[int], now: int) -> None:
-        """Stops checking a search that has had no result for too long."""
+        """Ends a search that has had no result for too long.
+
+        The client's next packet starts a new search. Without it nobody would reset the client.
+        """
         state = self._state
         state.counters.add("flows.searches_abandoned")
         packet = state.flows.pending_packet[row]
+        self._log_abandoned_search(row, packet, possible_owners, now)
+        state.flows.remove(state.flows.key[row])
+
+    def _log_abandoned_search(
+        self, row: int, packet: Packet | None, possible_owners: set[int], now: int
+    ) -> None:
+        state = self._state
         if packet is None or not state.log.try_admit_decision(now):
             return
         silent = possible_owners - (state.flows.denied[row] or {}).keys()
--- a/shallotshore/packets/search.py
+++ b/shallotshore/packets/search.py
@@ -30,6 +30,9 @@
 MAX_SEARCH_AGENTS = 200
 # Most flows are owned by upstreams in the balancer's data centre, whose agents answer within 10 ms.
 SAME_DATA_CENTRE_SEARCH_MS = 30
+# An agent of the route's services that has not decided by then does not delay the queries to the
+# agents of all other services, whose denials a reset needs as well.
+ROUTE_SERVICES_SEARCH_MS = 200
 # Clients retransmit a packet after 200, 600 and 1,400 ms. Agents are queried again only when a
 # packet arrives after this time, since earlier answers may still wait to be read.
 SEARCH_RETRY_MS = 500
@@ -186,8 +189,9 @@
     """Queries more agents, when the agents queried so far have denied a flow or had time to answer.
 
     Agents of the route's services in the balancer's data centre are queried first, then those in
-    the other data centres. Once these have denied the flow, the agents of all other services are
-    queried, since an earlier configuration may have sent the flow to another service.
+    the other data centres. Once these have denied the flow, or after ROUTE_SERVICES_SEARCH_MS, the
+    agents of all other services are queried, since an earlier configuration may have sent the flow
+    to another service.
     """
     flows = state.flows
     packet = flows.pending_packet[row]
@@ -196,10 +200,10 @@
         return
     scope = SearchScope(flows.scope[row])
     denied = flows.denied[row] or {}
-    is_late = (
-        scope == SearchScope.SAME_DATA_CENTRE
-        and now - flows.last_sent_at[row] >= SAME_DATA_CENTRE_SEARCH_MS
-    )
+    if scope == SearchScope.SAME_DATA_CENTRE:
+        is_late = now - flows.last_sent_at[row] >= SAME_DATA_CENTRE_SEARCH_MS
+    else:
+        is_late = now - flows.search_started_at[row] >= ROUTE_SERVICES_SEARCH_MS
     if not is_late and not _have_all_denied(
         state, _find_hosts_in_scope(state, route, scope), denied, now
     ):
--- a/shallotshore/packets/upstream_table.py
+++ b/shallotshore/packets/upstream_table.py
@@ -328,6 +328,13 @@
             return self.are_unlisted_usable
         return now - self.lapsed_at[row] < LAPSE_GRACE_MS
 
+    def has_left(self, row: int) -> bool:
+        """Whether an upstream has announced that it leaves, and its entry has been removed since.
+
+        An entry alone may also lapse while the upstream cannot reach the store.
+        """
+        return bool(self.leaving[row]) and self.listing[row] == Listing.LAPSED
+
     def _is_contradicted(self, host: int, upstream: Upstream, now: int) -> bool:
         """Whether the host's agent reports an upstream of another service than a record names."""
         row = self.row(host)
--- a/shallotshore/packets/vm_checks.py
+++ b/shallotshore/packets/vm_checks.py
@@ -19,6 +19,8 @@
 CHECK_INTERVAL_MS = 500
 RUN_INTERVAL_MS = 50
 MAX_STATE_AGE_MS = 1_500  # a VM may answer again some time after a check that failed
+# The agent of an upstream that has left answers a query within 30 ms while it runs.
+MIN_DEPARTED_CHECK_SILENCE_MS = 300
 # When an agent has been silent for this long and its VM does not answer either, clients should not
 # wait for the flows of its upstream.
 MIN_GONE_SILENCE_MS = 1_500
@@ -42,28 +44,33 @@
 
     Attributes:
         host: IP address of the VM.
-        is_answering: Whether the VM accepted or refused a connection in time.
+        state: How the VM reacted to a connection.
     """
 
-    __slots__ = ("host", "is_answering")
+    __slots__ = ("host", "state")
 
-    def __init__(self, host: int, is_answering: bool) -> None:
+    def __init__(self, host: int, state: VmState) -> None:
         self.host = host
-        self.is_answering = is_answering
+        self.state = state
 
 
 def is_gone(state: BalancerState, row: int, now: int) -> bool:
-    """Whether an agent is silent because its VM is gone; queues a check of a silent agent's VM."""
+    """Whether an agent is silent because its VM or its upstream is gone.
+
+    The VM of an upstream that has left may run on for some time, without the agent's process. An
+    agent whose process alone is away starts again, and its upstream may still hold flows.
+    """
     upstreams = state.upstreams
     silence_ms = _silence_ms(state, row, now)
-    if silence_ms < MIN_CHECK_SILENCE_MS:
+    has_left = upstreams.has_left(row)
+    if silence_ms < (MIN_DEPARTED_CHECK_SILENCE_MS if has_left else MIN_CHECK_SILENCE_MS):
         return False
     state.queued_vm_checks.add(upstreams.key[row])
-    return (
-        silence_ms >= MIN_GONE_SILENCE_MS
-        and upstreams.vm_state[row] == VmState.SILENT
-        and now - upstreams.vm_state_at[row] <= MAX_STATE_AGE_MS
-    )
+    if now - upstreams.vm_state_at[row] > MAX_STATE_AGE_MS:
+        return False
+    if upstreams.vm_state[row] == VmState.REFUSES:
+        return has_left
+    return upstreams.vm_state[row] == VmState.SILENT and silence_ms >= MIN_GONE_SILENCE_MS
 
 
 def _silence_ms(state: BalancerState, row: int, now: int) -> int:
@@ -114,14 +121,13 @@
         row = upstreams.row(checked.host)
         if row == MISSING:
             return
-        vm_state = VmState.ANSWERS if checked.is_answering else VmState.SILENT
-        if upstreams.vm_state[row] != vm_state:
+        if upstreams.vm_state[row] != checked.state:
             self._state.log.write(
                 now,
                 "vm_checked",
                 upstream=host_text(checked.host),
-                state=vm_state.name,
+                state=checked.state.name,
                 silent_ms=_silence_ms(self._state, row, now),
             )
-        upstreams.vm_state[row] = vm_state
+        upstreams.vm_state[row] = checked.state
         upstreams.vm_state_at[row] = now
--- a/shallotshore/packets/vm_state.py
+++ b/shallotshore/packets/vm_state.py
@@ -9,5 +9,6 @@
     """Result of the last check of a VM since its agent's last report."""
 
     UNKNOWN = 0
-    ANSWERS = 1  # accepts or refuses connections, so that only the agent is silent
+    ANSWERS = 1  # accepts connections, so that the agent's process runs
     SILENT = 2  # without power, cut off or suspended
+    REFUSES = 3  # refuses connections, so that the VM is alive and the agent's process is not
--- a/standins/packet_world.py
+++ b/standins/packet_world.py
@@ -44,6 +44,7 @@
     Upstream,
 )
 from shallotshore.packets.vm_checks import CHECK_TIMEOUT_MS, CheckVm, VmChecked
+from shallotshore.packets.vm_state import VmState
 from standins.packet_client import PacketClient
 from standins.packet_store import StoreStandin
 from standins.packet_upstream import PacketUpstream
@@ -277,7 +278,10 @@
             and not {host, destination[0]} & self.disconnected_hosts
         )
         delay = 2 * NETWORK_DELAY_MS if is_alive else CHECK_TIMEOUT_MS
-        answer = VmChecked(request.host, is_alive)
+        state = VmState.SILENT
+        if is_alive:
+            state = VmState.ANSWERS if destination[0] in self.agents else VmState.REFUSES
+        answer = VmChecked(request.host, state)
         self.call_later(delay, lambda: self._deliver_to_node(host, core, destination, answer))
 
     def _send_to_node(self, source: str, destination: str, frame: bytes) -> None:
