Decode the target latency and the time limit of routes

Change: Route gets target_ms and limit_ms at its end (0: not declared); the adapter rounds them to whole ms.

--- a/shallotshore/packets/view.py
+++ b/shallotshore/packets/view.py
@@ -44,6 +44,8 @@
         port: Port of the virtual address.
         shares: Services with their weights; one entry when the flows are not split.
         priority: Rank of the route's requests among those of other routes; 0 goes first.
+        target_ms: Target latency of the route's requests; 0 when none is declared.
+        limit_ms: Time limit of the route's requests; 0 when none is declared.
     """
 
     name: str
@@ -51,6 +53,8 @@
     port: Port
     shares: tuple[tuple[str, Count], ...]
     priority: Count = 0
+    target_ms: Count = 0
+    limit_ms: Count = 0
 
 
 class ServiceLimits(msgspec.Struct, array_like=True, frozen=True, gc=False):
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -144,6 +144,8 @@
                 {
                     "host": "198.18.0.1",
                     "prefix": "/8443/",
+                    "timeoutMs": 2500.6,
+                    "targetLatencyMs": 302,
                     "trafficSplit": [
                         {"service": "a", "weight": 90},
                         {"service": "b", "weight": 10},
@@ -159,6 +161,8 @@
         first, second = change.configuration.routes
         self.assertEqual((8080, (("a", 1),)), (first.port, first.shares))
         self.assertEqual((8443, (("a", 90), ("b", 10))), (second.port, second.shares))
+        self.assertEqual((0, 0), (first.target_ms, first.limit_ms))
+        self.assertEqual((302, 2501), (second.target_ms, second.limit_ms))
 
     def test_reads_data_centres_that_are_out_and_in(self) -> None:
         """Guards against a data centre that stays out of service after its entry was removed."""
