Check a configuration document and compare it with the one in force

Cause: a faulty configuration was noticed only after it was sent. Processes refuse it as a whole at its first fault, or ignore what they do not use. Change: the adapter decodes the document into typed declarations and lists every problem, also repeated and misspelt fields. The product finds routes, splits and services that can never match, limits that contradict each other or cannot be kept, and what differs from the version in force. Result codes 513 and 530 to 535.

--- a/shallotshore/codes.py
+++ b/shallotshore/codes.py
@@ -64,12 +64,20 @@
     RECORD_ID_COLLISION = 510
     RECORD_TOO_LARGE = 511
     RECORD_UNREADABLE = 512
+    RECORD_FIELD_REPEATED = 513
 
     REVISION_NOT_RISING = 520
     REVISION_UNDECODABLE = 521
     REVISION_MOSTLY_REFUSED = 522
     REVISION_GAP = 523
 
+    ROUTE_ADDRESS_TAKEN = 530
+    SPLIT_WITHOUT_WEIGHT = 531
+    SPLIT_SERVICE_REPEATED = 532
+    TARGET_ABOVE_LIMIT = 533
+    LIMIT_UNATTAINABLE = 534
+    COLD_LIMIT_UNUSED = 535
+
     MESSAGE_TRUNCATED = 600
     MESSAGE_KIND_UNKNOWN = 601
     MESSAGE_MALFORMED = 602
@@ -93,7 +101,7 @@
     2: "Not run",
     3: "Unknown outcome, and refused claims",
     4: "Flows and packets",
-    5: "Records and revisions",
+    5: "Records, revisions and configurations",
     6: "Messages",
     7: "Settings",
     8: "Peers and platform",
@@ -144,10 +152,17 @@
     Code.RECORD_ID_COLLISION: "Two names have the same 64-bit id; one must be renamed.",
     Code.RECORD_TOO_LARGE: "The text of the record exceeds the size limit.",
     Code.RECORD_UNREADABLE: "The record's file cannot be read.",
+    Code.RECORD_FIELD_REPEATED: "An object has the same field more than once.",
     Code.REVISION_NOT_RISING: "The revision is not higher than the one in force.",
     Code.REVISION_UNDECODABLE: "The revision cannot be decoded.",
     Code.REVISION_MOSTLY_REFUSED: "More than half of the changed records were refused.",
     Code.REVISION_GAP: "The delta starts at a revision above the one in force.",
+    Code.ROUTE_ADDRESS_TAKEN: "A route before it has the same address; only one takes effect.",
+    Code.SPLIT_WITHOUT_WEIGHT: "All weights of a split are 0, so that no service gets flows.",
+    Code.SPLIT_SERVICE_REPEATED: "A split names the same service twice.",
+    Code.TARGET_ABOVE_LIMIT: "The target latency of a route is above its time limit.",
+    Code.LIMIT_UNATTAINABLE: "No server can keep the limit.",
+    Code.COLD_LIMIT_UNUSED: "A limit for cold servers is declared for a service without a route.",
     Code.MESSAGE_TRUNCATED: "The message ends before its last field.",
     Code.MESSAGE_KIND_UNKNOWN: "The message kind is unknown.",
     Code.MESSAGE_MALFORMED: "A field of the message has the wrong type or range.",
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -263,6 +263,9 @@
     def test_names_of_the_platform_stay_in_its_folder(self) -> None:
         """Guards against names of the platform's protocol in the sources of the product."""
         names = ("trafficSplit", "coldRemainingMs", "datagramAddr", "kv-watch", "evacuate")
+        names += ("timeoutMs", "targetLatencyMs", "coldStartS", "coldPerS", "healthPath")
+        names += ("maxConnections", "maxHeaderBytes", "maxBodyBytes", "idleTimeoutMs")
+        names += ("headerTimeoutMs", "op/config")
         for path in (ROOT / "shallotshore").rglob("*.py"):
             text = path.read_text()
             self.assertEqual([], [name for name in names if name in text], path)
