--- a/shallotshore/command_help.py
+++ b/shallotshore/command_help.py
@@ -35,9 +35,12 @@
         _PROCESS_STATUSES,
     ),
     "check": _CommandHelp(
-        "check DIRECTORY, or check --explain CODE",
-        "Lists every problem in a directory of records, or explains a result code.",
-        "check docs/examples",
+        "check DIRECTORY, check --configuration FILE [--in-force FILE], or check --explain CODE",
+        "Lists every problem in a directory of records or in the platform's configuration\n"
+        "document, or explains a result code. --in-force also shows what a document changes.\n"
+        "The platform's format is read by its adapter in platform/, which a checkout contains;\n"
+        "elsewhere that folder has to be on PYTHONPATH.",
+        "check --configuration next.json --in-force current.json",
         "0 without problems, 1 with problems, 2 for wrong usage",
     ),
     "diff": _CommandHelp(
--- a/shallotshore/main.py
+++ b/shallotshore/main.py
@@ -29,6 +29,7 @@
   balancer --SETTING=VALUE ...   run a balancer
   agent --SETTING=VALUE ...      run the agent beside an upstream
   check DIRECTORY                list every problem in a directory of records
+  check --configuration FILE     list every problem in a configuration of the packet front end
   check --explain CODE           explain a result code
   diff OLD NEW                   show what publishing NEW over OLD changes
   status --address=IP:PORT       show the status report of a process
--- a/tests/test_main.py
+++ b/tests/test_main.py
@@ -2,13 +2,17 @@
 
 import contextlib
 import io
+import sys
 import tempfile
 import unittest
 from pathlib import Path
+from unittest import mock
 
 from shallotshore import __version__
 from shallotshore.main import main
 
+EXAMPLES = Path(__file__).resolve().parent.parent / "docs" / "examples-configuration"
+
 
 class MainTest(unittest.TestCase):
     """Guards against changed exit statuses, which operators' scripts rely on."""
@@ -57,6 +61,29 @@
         self.assertIn("HELD", self.run_main("check", "--explain", "300")[1])
         self.assertEqual(self.run_main("check", "--explain")[0], 2)
 
+    def test_check_of_a_configuration(self) -> None:
+        """Guards against a deployment script that goes on after a refused configuration."""
+        old, new = (str(EXAMPLES / name) for name in ("in-force.json", "next.json"))
+        self.assertEqual(self.run_main("check", "--configuration", new, f"--in-force={old}")[0], 0)
+        status, output = self.run_main("check", f"--configuration={old}", "--in-force", new)
+        self.assertEqual(status, 1)
+        self.assertIn("520 REVISION_NOT_RISING", output)
+        for arguments in (
+            ("--in-force", old),
+            ("--configuration",),
+            ("--configuration", "/missing"),
+            ("--configuration", "a\0b"),
+            ("--configuration", old, "--other"),
+        ):
+            self.assertEqual(self.run_main("check", *arguments)[0], 2, arguments)
+
+    def test_check_of_a_configuration_without_the_adapter(self) -> None:
+        """Guards against a traceback where only the product is installed."""
+        with mock.patch.dict(sys.modules, {"adapter.configuration_document": None}):
+            status, output = self.run_main("check", "--configuration", __file__)
+        self.assertEqual(status, 2)
+        self.assertIn("adapter of the platform is not installed", output)
+
     def test_diff_needs_two_directories(self) -> None:
         self.assertEqual(self.run_main("diff", "/missing", "/missing")[0], 2)
         with tempfile.TemporaryDirectory() as folder:
