--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -164,6 +164,17 @@
         self.assertEqual((0, 0), (first.target_ms, first.limit_ms))
         self.assertEqual((302, 2501), (second.target_ms, second.limit_ms))
 
+    def test_odd_durations_of_a_route_read_as_undeclared(self) -> None:
+        """Guards against a configuration that is refused as a whole for one odd duration."""
+        for value in (-1, "1", None, True, [5], 1 << 40, 1e300):
+            route = {"host": "198.18.0.1", "prefix": "/80/", "service": "a"}
+            route |= {"timeoutMs": value, "targetLatencyMs": value}
+            config = {"version": 3, "routes": [route]}
+            change = decode_item(item("op/config", json.dumps(config).encode()))
+            assert isinstance(change, ConfigurationChange), value
+            (decoded,) = change.configuration.routes
+            self.assertEqual((0, 0), (decoded.target_ms, decoded.limit_ms), value)
+
     def test_reads_data_centres_that_are_out_and_in(self) -> None:
         """Guards against a data centre that stays out of service after its entry was removed."""
         evacuation = decode_item(item("op/evacuate/bud-a", b"{}"))
