Let replies of a platform service carry the era of its store

Cause: a configuration service that is restored from a copy assigns revisions again, and nothing told a reader so. A message also could not gain a field: decoders refuse an array of another length.

Change: PlatformReply has the field `era`, default 0. Fields with a default are left out at the end of a message while they have it, so a reply without an era is encoded byte for byte as before. A type with such fields ignores fields that a later release appends.

--- a/shallotshore/codec.py
+++ b/shallotshore/codec.py
@@ -1,4 +1,8 @@
-"""Encodes and decodes messages: one byte for the kind, then a msgpack array of the fields."""
+"""Encodes and decodes messages: one byte for the kind, then a msgpack array of the fields.
+
+Fields with a default may be absent at the end of the array, and are left out while they have their
+default. A message type with such fields also ignores fields that a later release appends.
+"""
 
 __all__ = [
     "MAX_MESSAGE_BYTES",
@@ -12,7 +16,7 @@
 
 import typing
 from collections.abc import Callable
-from dataclasses import fields
+from dataclasses import MISSING, fields
 from enum import IntEnum
 from functools import singledispatch
 from operator import attrgetter
@@ -155,7 +159,7 @@
     kind: int
     message_type: type[Message]
     read_fields: Callable[[Any], Any]
-    decoder: msgspec.msgpack.Decoder
+    decode_fields: Callable[[Any], tuple]
     converters: tuple[tuple[int, Callable[[Any], Any]], ...]
 
 
@@ -203,13 +207,19 @@
     hints = typing.get_type_hints(message_type)
     names = [field.name for field in fields(message_type)]  # type: ignore[arg-type]
     types = [hints[name] for name in names]
-    wire = _tuple_type(*map(_wire_type, types))
+    wire_types = [_wire_type(field_type) for field_type in types]
+    defaults = [
+        field.default
+        for field in fields(message_type)  # type: ignore[arg-type]
+        if field.default is not MISSING
+    ]
+    read_fields = _make_field_reader(names, types)
     converters = ((index, _make_converter(field_type)) for index, field_type in enumerate(types))
     return _Format(
         kind,
         message_type,
-        _make_field_reader(names, types),
-        msgspec.msgpack.Decoder(wire),
+        _make_default_remover(read_fields, defaults) if defaults else read_fields,
+        _make_decoder(names, wire_types, defaults),
         tuple((index, convert) for index, convert in converters if convert is not None),
     )
 
@@ -225,6 +235,40 @@
     return attrgetter(*names)
 
 
+def _make_default_remover(
+    read_fields: Callable[[Any], Any], defaults: list[Any]
+) -> Callable[[Any], Any]:
+    """Returns a function that reads the fields up to the last one that differs from its default."""
+
+    def read_needed_fields(message: Any) -> Any:
+        values = read_fields(message)
+        needed = len(values)
+        for default in reversed(defaults):
+            if values[needed - 1] != default:
+                break
+            needed -= 1
+        return values[:needed]
+
+    return read_needed_fields
+
+
+def _make_decoder(
+    names: list[str], types: list[Any], defaults: list[Any]
+) -> Callable[[Any], tuple]:
+    """Returns a function that decodes the fields; those with defaults may be absent."""
+    if not defaults:
+        return msgspec.msgpack.Decoder(_tuple_type(*types)).decode
+    required = len(names) - len(defaults)
+    specification: list[Any] = [
+        *zip(names[:required], types[:required], strict=True),
+        *zip(names[required:], types[required:], defaults, strict=True),
+    ]
+    decoder = msgspec.msgpack.Decoder(
+        msgspec.defstruct("OptionalFields", specification, array_like=True)
+    )
+    return lambda data: msgspec.structs.astuple(decoder.decode(data))
+
+
 def _make_nested_encoder(name: str) -> Callable[[Any], bytes]:
     getter = attrgetter(name)
     return lambda message: encode(getter(message))
@@ -308,7 +352,7 @@
     if message_format is None:
         return Err(Code.MESSAGE_KIND_UNKNOWN)
     try:
-        values = message_format.decoder.decode(memoryview(data)[1:])
+        values = message_format.decode_fields(memoryview(data)[1:])
         return Ok(_build_message(message_format, values))
     except _NestedError as error:
         return Err(error.code)
--- a/shallotshore/control_messages.py
+++ b/shallotshore/control_messages.py
@@ -101,13 +101,18 @@
 
 @dataclass(slots=True)
 class PlatformReply(Message):
-    """Carries the entries above the requested revision; a `code` other than OK is a failure."""
+    """Carries the entries above the requested revision; a `code` other than OK is a failure.
+
+    `era` is the era of the service's store, which rises when the store is restored from a copy.
+    `SERVICE_STALE` with an era above 0 refuses a watch from a revision that the store lacks.
+    """
 
     source: Source
     code: int
     base: int
     revision: int
     entries: tuple[Entry, ...]
+    era: int = 0
 
 
 @dataclass(slots=True)
