Order the state by era and revision in the request front end

Cause: after the configuration service went back by 41 revisions, a new configuration at a revision known before was never applied, and readers took the service for a stale one.

A position of era 0 equals its revision. A reply of a higher era causes a full read. It is compared in steps with the entries held, and only the differences are applied and relayed. The stand-in of the service learns the drill: back by n revisions, era plus 1, SERVICE_STALE (its 410) to watches from later revisions.

--- a/shallotshore/agent.py
+++ b/shallotshore/agent.py
@@ -22,6 +22,7 @@
 from shallotshore.peering import PropagationConfig
 from shallotshore.peers import PeersSystem, extend_peer_leases, hand_over_flow_claims
 from shallotshore.placement import Placement
+from shallotshore.positions import describe_position
 from shallotshore.propagation import Propagation
 from shallotshore.requests import RequestIntakeSystem, RequestSystem
 from shallotshore.systems import Core
@@ -169,7 +170,7 @@
             "upstream": state.config.upstream,
             "service": state.config.service,
             "data_centre": state.config.data_centre,
-            "revision": state.catalog.revision,
+            **describe_position(state.catalog.revision),
             "membership": state.membership_revision,
             "health": state.health(now).name,
             "incarnation": state.upstream.incarnation,
--- a/shallotshore/balancer.py
+++ b/shallotshore/balancer.py
@@ -17,6 +17,7 @@
 from shallotshore.listed_peers import ListedPeers
 from shallotshore.membership import Membership
 from shallotshore.messages import Address, Source
+from shallotshore.positions import describe_position
 from shallotshore.propagation import Propagation, PropagationConfig
 from shallotshore.systems import Core, System
 from shallotshore.tables import MISSING
@@ -189,7 +190,7 @@
         report = {
             "role": "balancer",
             "data_centre": self._config.data_centre,
-            "revision": state.catalog.revision,
+            **describe_position(state.catalog.revision),
             "serving": not state.is_suspended,
             "stopping": self._stopping_since != MISSING,
             "doubts_itself": self._watching.doubts_itself,
--- a/shallotshore/following.py
+++ b/shallotshore/following.py
@@ -25,6 +25,11 @@
         self._receiver = receiver
         self._next_offer_at = 0
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether work is left for the next tick; an agent reads no platform service."""
+        return False
+
     def run(self, now: int) -> None:
         """Handles received offers and sends this agent's offers when they are due."""
         for address, offer in self._peering.inbox.take(RevisionOffer):
--- a/shallotshore/platform_reader.py
+++ b/shallotshore/platform_reader.py
@@ -5,13 +5,17 @@
 
 __all__ = ["PlatformReader"]
 
+from collections.abc import Iterable
+
 from shallotshore.codes import Code
 from shallotshore.control_messages import PlatformRead, PlatformReply
 from shallotshore.delta_receiver import DeltaReceiver
+from shallotshore.era_reading import EraReading
 from shallotshore.hashing import address_key, rank
 from shallotshore.membership import READERS_PER_DATA_CENTRE
-from shallotshore.messages import Address, Source
+from shallotshore.messages import Address, Entry, Source
 from shallotshore.peering import NEVER, Peering
+from shallotshore.positions import MAX_ERA, MAX_REVISION, era_of, in_same_phase, revision_of
 
 WATCH_DURATION_MS = 10_000  # long, since each watch costs one read
 WATCH_GRACE_MS = 2000  # a watch without a reply is taken as lost this long after its end
@@ -56,6 +60,7 @@
     __slots__ = (
         "_cached_at_change",
         "_cached_order",
+        "_eras",
         "_peering",
         "_receiver",
         "_standby_since",
@@ -66,10 +71,16 @@
         self._peering = peering
         self._receiver = receiver
         self._states = {source: SourceState() for source in peering.config.platform}
+        self._eras = EraReading(peering, peering.config.platform)
         self._standby_since = NEVER
         self._cached_order: list[Address] = []
         self._cached_at_change = -1
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether work is left for the next tick, which should follow at once."""
+        return self._eras.is_busy
+
     def run(self, now: int) -> None:
         """Handles replies, and reads if this balancer is an active reader.
 
@@ -79,9 +90,14 @@
         for source, result in self._receiver.update_results:
             if source in self._states and not result.accepted:
                 self._states[source].refused_revision = self._states[source].started_revision
+        self._eras.track_phases(now)
         for _, reply in self._peering.inbox.take(PlatformReply):
             if reply.source in self._states:
                 self._handle_reply(reply, now)
+        for source, read in self._eras.step_comparisons():
+            if not self._receiver.is_receiving(source):
+                self._peering.counters.add("platform.retained_keys", read.retained)
+                self._start_update(source, read.position, read.changes, now)
         if self._peering.is_validated and self._is_active_reader(now):
             for source, state in self._states.items():
                 self._read(source, state, now)
@@ -133,7 +149,9 @@
         if now < state.retry_at or self._receiver.is_receiving(source):
             return
         address = self._peering.config.platform[source]
-        current_revision = self._peering.replicas[source].revision
+        current_revision = revision_of(self._peering.replicas[source].revision)
+        if self._eras.is_phase_over(source, now):
+            self._eras.request_full_read(source, now)
         if now >= state.watch_expires_at:
             state.watch_expires_at = now + WATCH_DURATION_MS + WATCH_GRACE_MS
             self._peering.counters.add("platform.reads")
@@ -152,40 +170,58 @@
 
     def _handle_reply(self, reply: PlatformReply, now: int) -> None:
         state = self._states[reply.source]
-        replica = self._peering.replicas[reply.source]
         counters = self._peering.counters
-        if reply.code != Code.OK:
+        # A store that sends an era refuses a watch from a revision that it does not have. All other
+        # errors are failures.
+        is_refused_watch = reply.code == Code.SERVICE_STALE and reply.era > 0
+        if reply.code != Code.OK and not is_refused_watch:
             is_rate_limited = reply.code == Code.SERVICE_RATE_LIMITED
             counters.add("platform.rate_limited" if is_rate_limited else "platform.failures")
             initial_backoff_ms = RATE_LIMITED_BACKOFF_MS if is_rate_limited else INITIAL_BACKOFF_MS
             self._back_off(reply.source, state, initial_backoff_ms, now)
             return
         state.failures = 0
+        position = in_same_phase(self._peering.replicas[reply.source].revision, reply.revision)
         if state.unanswered_polls:
             state.unanswered_polls = 0
         else:
             # A stale service answers every watch immediately, so the next watch is delayed unless
             # the reply is new.
-            is_new = reply.revision > replica.revision and reply.revision != state.refused_revision
+            is_new = self._is_new(reply, position)
             state.watch_expires_at = now if is_new else now + STALE_WATCH_DELAY_MS
-        if reply.revision < replica.revision:
-            counters.add("platform.stale")
-        elif reply.base > replica.revision:
-            counters.add("platform.gaps")
-            state.next_poll_at = now
-        elif reply.revision > replica.revision and reply.revision != state.refused_revision:
-            self._start_update(reply, now)
-
-    def _start_update(self, reply: PlatformReply, now: int) -> None:
-        if self._receiver.is_receiving(reply.source):
-            return
-        replica = self._peering.replicas[reply.source]
-        self._states[reply.source].started_revision = reply.revision
-        update = replica.start_update(reply.revision, relayed=False)
-        update.feed(reply.entries)
+        held = self._peering.replicas[reply.source].revision
+        if reply.era and (reply.era > MAX_ERA or reply.revision > MAX_REVISION):
+            counters.add("platform.out_of_range")
+        elif reply.era < era_of(held):
+            counters.add("platform.old_era")
+        elif not self._eras.handle_reply(reply, state.refused_revision, now):
+            self._handle_changes(reply, position, now)
+
+    def _is_new(self, reply: PlatformReply, position: int) -> bool:
+        held = self._peering.replicas[reply.source].revision
+        if reply.era != era_of(held):
+            return reply.era > era_of(held)
+        return position > held and position != self._states[reply.source].refused_revision
+
+    def _handle_changes(self, reply: PlatformReply, position: int, now: int) -> None:
+        """Handles a reply of the era and phase in force."""
+        held = self._peering.replicas[reply.source].revision
+        if position < held:
+            self._peering.counters.add("platform.stale")
+        elif reply.base > revision_of(held):
+            self._peering.counters.add("platform.gaps")
+            self._states[reply.source].next_poll_at = now
+        elif self._is_new(reply, position) and not self._receiver.is_receiving(reply.source):
+            self._start_update(reply.source, position, _to_positions(reply, held), now)
+
+    def _start_update(
+        self, source: Source, position: int, entries: Iterable[Entry], now: int
+    ) -> None:
+        self._states[source].started_revision = position
+        update = self._peering.replicas[source].start_update(position, relayed=False)
+        update.feed(entries)
         update.mark_complete()
-        address = self._peering.config.platform[reply.source]
-        self._receiver.start_transfer(reply.source, update, address, now)
+        self._receiver.start_transfer(source, update, self._peering.config.platform[source], now)
 
     def _back_off(
         self, source: Source, state: SourceState, initial_backoff_ms: int, now: int
@@ -196,3 +232,18 @@
         state.next_poll_at = state.retry_at
         state.watch_expires_at = state.retry_at
         state.unanswered_polls = 0
+
+
+def _to_positions(reply: PlatformReply, held: int) -> Iterable[Entry]:
+    """Returns the entries of a reply with positions in place of revisions.
+
+    In an era above 0, entries up to the revision held are left out: they are known, but may have
+    been read in an earlier phase, so that another position would make the digests differ.
+    """
+    if era_of(held) == 0:
+        return reply.entries
+    return [
+        entry._replace(revision=in_same_phase(held, entry.revision))
+        for entry in reply.entries
+        if entry.revision > revision_of(held)
+    ]
--- a/shallotshore/propagation.py
+++ b/shallotshore/propagation.py
@@ -27,6 +27,10 @@
 class Role(Protocol):
     """The part of propagation that differs between balancers and agents."""
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether work is left for the next tick, which should follow at once."""
+
     def run(self, now: int) -> None:
         """Answers messages and sends what is due."""
 
@@ -90,8 +94,8 @@
 
     @property
     def is_busy(self) -> bool:
-        """Whether an update waits to be applied, so that the next tick should follow at once."""
-        return self._receiver.is_busy
+        """Whether an update or comparison is under way, so that the next tick should be soon."""
+        return self._receiver.is_busy or self._role.is_busy
 
     @property
     def update_results(self) -> list[tuple[Source, UpdateResult]]:
--- a/shallotshore/relay.py
+++ b/shallotshore/relay.py
@@ -117,6 +117,11 @@
         self._pushed_revisions = dict.fromkeys(Source, 0)
         self._next_gossip_at = peering.rng.randrange(GOSSIP_INTERVAL_MS)
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether the reader has work left for the next tick, which should follow at once."""
+        return self._reader.is_busy
+
     def run(self, now: int) -> None:
         """Reads the platform, answers messages, pushes new revisions and gossips."""
         self._reader.run(now)
--- /dev/null
+++ b/shallotshore/restored_read.py
@@ -0,0 +1,157 @@
+"""Compares a full read of a restored platform service with the entries that a process holds."""
+
+__all__ = ["RestoredRead"]
+
+from bisect import bisect_left
+from collections.abc import Iterable, Iterator
+from itertools import chain
+
+from shallotshore.messages import Entry
+from shallotshore.positions import (
+    RETAINING,
+    VERIFIED,
+    era_of,
+    in_same_phase,
+    make_position,
+    phase_of,
+    revision_of,
+)
+from shallotshore.store import RecordStore, id_of_key, split_key
+from shallotshore.texts import decompress_text
+
+RECORDS_PER_STEP = 100  # comparing a record takes up to 15 us; a step of work may take 2 ms
+_RELAYED_KIND = "members"  # made by the processes, so that the service never holds such keys
+
+
+class RestoredRead:
+    """A full read that is compared in steps, and the changes that lead to it.
+
+    The changes are entries at positions of the new era, which are applied and relayed like any
+    others. In phase `RETAINING`, a key whose value may only be missing from the store's copy keeps
+    the value known here, which gets the position of the read: so it takes precedence over the
+    copy's value at a process that has not known the newer one.
+
+    Attributes:
+        changes: Entries to apply; complete once `step` has returned True.
+        position: Position of the read.
+        replaces: Position that the process held when the comparison started.
+        retained: Number of keys that keep a value which the store does not hold.
+    """
+
+    __slots__ = (
+        "_entries",
+        "_history",
+        "_received",
+        "_retains",
+        "_steps",
+        "_store",
+        "changes",
+        "position",
+        "replaces",
+        "retained",
+    )
+
+    def __init__(self, store: RecordStore, position: int, entries: Iterable[Entry]) -> None:
+        self._store = store
+        self._entries = entries
+        self._received: set[int] = set()
+        self._retains = phase_of(position) == RETAINING
+        self._history = _History(store)
+        self._steps = self._compare()
+        self.changes: list[Entry] = []
+        self.position = position
+        self.replaces = store.revision
+        self.retained = 0
+
+    def step(self) -> bool:
+        """Compares some entries; returns whether all have been compared."""
+        return any(next(self._steps, self) is self for _ in range(RECORDS_PER_STEP))
+
+    def _compare(self) -> Iterator[None]:
+        for entry in self._entries:
+            self._compare_entry(entry)
+            yield
+        for key_id in chain(self._store.all_ids(), list(self._store.refused)):
+            if key_id not in self._received:
+                self._received.add(key_id)
+                self._compare_absent_key(key_id)
+            yield
+
+    def _compare_entry(self, entry: Entry) -> None:
+        key_id = id_of_key(entry.key)
+        self._received.add(key_id)
+        known = _known_entry(self._store, key_id)
+        if known is None:
+            if entry.text:
+                self._add_change(entry)
+        elif known.text == entry.text:
+            return
+        elif self._retains and not self._history.is_new_write(key_id, known, entry.revision):
+            self._retain(key_id, known)
+        else:
+            self._add_change(entry)
+
+    def _compare_absent_key(self, key_id: int) -> None:
+        known = _known_entry(self._store, key_id)
+        if known is None or split_key(known.key)[0] == _RELAYED_KIND:
+            return
+        if self._retains:
+            self._retain(key_id, known)
+        else:
+            self.changes.append(Entry(known.key, self.position, b""))
+
+    def _add_change(self, entry: Entry) -> None:
+        position = in_same_phase(self.position, entry.revision)
+        self.changes.append(entry._replace(revision=position))
+
+    def _retain(self, key_id: int, known: Entry) -> None:
+        self.retained += 1
+        if key_id not in self._store.refused:
+            self.changes.append(known._replace(revision=self.position))
+
+
+def _known_entry(store: RecordStore, key_id: int) -> Entry | None:
+    """Returns the newest known entry of a key with its published text, or None."""
+    entry = store.refused.get(key_id) or next(store.accepted_entries(key_id), None)
+    if entry is None or not entry.text:
+        return entry
+    return entry._replace(text=decompress_text(entry.text))
+
+
+class _History:
+    """The writes that a process has seen, from which it recognizes a write of the new era.
+
+    An entry of the store's copy was written in an earlier era. If this process has skipped the
+    entry's revision, the next revision that it held shows whether the key had been written since.
+    """
+
+    __slots__ = ("_base", "_held", "_is_first_change", "_writes")
+
+    def __init__(self, store: RecordStore) -> None:
+        self._is_first_change = era_of(store.revision) == 0
+        self._base = store.log_base_revision
+        self._held: dict[int, list[int]] = {}
+        for position in store.held_positions:
+            self._held.setdefault(era_of(position), []).append(revision_of(position))
+        self._writes: dict[int, list[int]] = {}
+        for key_id, position in store.logged_changes():
+            self._writes.setdefault(key_id, []).append(position)
+
+    def is_new_write(self, key_id: int, known: Entry, revision: int) -> bool:
+        """Whether an entry whose text differs from the known one was written in the new era."""
+        if self._is_first_change and revision >= known.revision:
+            return True
+        return not any(self._may_be_copied(key_id, revision, era) for era in self._held)
+
+    def _may_be_copied(self, key_id: int, revision: int, era: int) -> bool:
+        """Whether the key may have been written at a revision in an earlier era."""
+        held = self._held[era]
+        if revision > held[-1]:
+            return False
+        if revision <= held[0] or make_position(era, VERIFIED, revision) <= self._base:
+            return True
+        next_held = held[bisect_left(held, revision)]
+        return any(
+            era_of(at) == era and revision <= revision_of(at) <= next_held
+            for at in self._writes.get(key_id, ())
+        )
--- a/shallotshore/store.py
+++ b/shallotshore/store.py
@@ -13,6 +13,7 @@
 from shallotshore.tables import MISSING
 
 MAX_LOGGED_CHANGES = 8192  # about a day of changes at the design size
+MAX_HELD_POSITIONS = 8192  # as many as changes, since a revision has at least one
 
 # Key prefix of a relayed text that is valid by itself, but conflicts with other records.
 CONFLICT_PREFIX = "contested/"
@@ -55,6 +56,7 @@
         "_log_revisions",
         "conflicting",
         "digest",
+        "held_positions",
         "kind",
         "location",
         "log_base_revision",
@@ -79,6 +81,8 @@
         self.digest = 0
         self.log_base_revision = 0
         self.revision = 0
+        # Every position that was held, so that a change missing from the log did not take place.
+        self.held_positions = array("Q")
         self.refused: dict[int, Entry] = {}
         # Ids of the refused texts that are valid by themselves, but conflict with other records.
         self.conflicting: set[int] = set()
@@ -228,6 +232,10 @@
             self._changed_ids = (revision, dict.fromkeys(self._log_ids[start:]))
         return self._changed_ids[1]
 
+    def logged_changes(self) -> Iterator[tuple[int, int]]:
+        """Iterates over key id and revision of every change in the log."""
+        return zip(self._log_ids, self._log_revisions, strict=True)
+
     def all_ids(self) -> Iterator[int]:
         """Yields the ids of all rows; the table may change during the iteration."""
         row = 0
@@ -254,6 +262,9 @@
         """
         is_first = self.revision == 0
         self.revision = revision
+        self.held_positions.append(revision)
+        if len(self.held_positions) > MAX_HELD_POSITIONS:
+            del self.held_positions[: MAX_HELD_POSITIONS // 4]
         if is_first or not logged:
             self._trim_log(len(self._log_ids), revision)
         elif len(self._log_ids) > MAX_LOGGED_CHANGES:
--- a/standins/configuration_service.py
+++ b/standins/configuration_service.py
@@ -1,9 +1,13 @@
-"""Stand-in of the platform's configuration service: rate-limited reads and watches, no writes."""
+"""Stand-in of the platform's configuration service: rate-limited reads and watches, no writes.
+
+In a drill, the store is restored from a copy that is some revisions old.
+"""
 
 __all__ = ["ConfigurationService", "Mode", "PlatformService"]
 
 from collections.abc import Mapping
 from enum import Enum
+from itertools import groupby
 
 from shallotshore.codes import Code
 from shallotshore.control_messages import PlatformRead, PlatformReply
@@ -26,6 +30,7 @@
     """A key-value store of texts whose revision rises with each publication.
 
     Attributes:
+        era: Number of times that the store was restored from a copy.
         mode: UP answers, DOWN never answers, STALE answers with a revision fixed when it began.
         lag_ms: Time in ms until a publication becomes visible.
         reads: Number of calls received.
@@ -40,6 +45,7 @@
         "_stale_revision",
         "_window_reads",
         "_window_s",
+        "era",
         "lag_ms",
         "mode",
         "reads",
@@ -49,6 +55,7 @@
 
     def __init__(self, source: Source, lag_ms: int = 0) -> None:
         super().__init__()
+        self.era = 0
         self.mode = Mode.UP
         self.lag_ms = lag_ms
         self.reads = 0
@@ -92,6 +99,27 @@
         self._stale_revision = max(0, self.visible_revision() - revisions_behind)
         self.mode = mode
 
+    def restore_copy(self, revisions_behind: int) -> list[dict[str, bytes]]:
+        """Restores the store from a copy and raises its era; open watches are lost.
+
+        Args:
+            revisions_behind: Number of publications that the copy lacks.
+
+        Returns:
+            The texts of the lost publications by key, in order of publication.
+        """
+        revisions = sorted({entry.revision for _, entry in self._publications})
+        kept = revisions[: max(0, len(revisions) - revisions_behind)]
+        last = kept[-1] if kept else 0
+        lost = [entry for _, entry in self._publications if entry.revision > last]
+        self._publications = [item for item in self._publications if item[1].revision <= last]
+        self.era += 1
+        self.watches.clear()
+        return [
+            {entry.key: entry.text for entry in group}
+            for _, group in groupby(lost, lambda entry: entry.revision)
+        ]
+
     def visible_revision(self) -> int:
         """Returns the revision that readers see at present."""
         if self.mode is Mode.STALE:
@@ -131,7 +159,8 @@
             for _, entry in self._publications
             if after < entry.revision <= up_to and code == Code.OK
         }
-        reply = PlatformReply(self._source, code, after, up_to, tuple(newest.values()))
+        entries = tuple(newest.values())
+        reply = PlatformReply(self._source, code, after, up_to, entries, self.era)
         self.outbox.send(reader, reply)
 
 
@@ -159,6 +188,8 @@
                 continue
             if not core.admit_read(now):
                 core.send_reply(reader, read.after, Code.SERVICE_RATE_LIMITED)
+            elif core.era and read.wait > 0 and read.after > core.visible_revision():
+                core.send_reply(reader, read.after, Code.SERVICE_STALE)
             elif read.wait <= 0 or core.visible_revision() != read.after:
                 core.send_reply(reader, read.after)
             else:
