--- a/standins/configuration_service.py
+++ b/standins/configuration_service.py
@@ -42,6 +42,7 @@
         "_now",
         "_publications",
         "_source",
+        "_restored_revision",
         "_stale_revision",
         "_window_reads",
         "_window_s",
@@ -63,6 +64,7 @@
         self.watches: list[tuple[Address, int, int]] = []
         self._source = source
         self._publications: list[tuple[int, Entry]] = []
+        self._restored_revision = 0
         self._stale_revision = 0
         self._window_s = -1
         self._window_reads = 0
@@ -113,6 +115,7 @@
         last = kept[-1] if kept else 0
         lost = [entry for _, entry in self._publications if entry.revision > last]
         self._publications = [item for item in self._publications if item[1].revision <= last]
+        self._restored_revision = last
         self.era += 1
         self.watches.clear()
         return [
@@ -120,6 +123,13 @@
             for _, group in groupby(lost, lambda entry: entry.revision)
         ]
 
+    def is_rewritten(self, key: str) -> bool:
+        """Whether a key was published after the store was last restored."""
+        return any(
+            entry.key == key and entry.revision > self._restored_revision
+            for _, entry in self._publications
+        )
+
     def visible_revision(self) -> int:
         """Returns the revision that readers see at present."""
         if self.mode is Mode.STALE:
--- a/standins/events.py
+++ b/standins/events.py
@@ -9,7 +9,7 @@
 
 from standins import planned
 from standins.caller_state import CallerLoad
-from standins.configuration_service import Mode
+from standins.configuration_service import Mode, PlatformService
 from standins.deployments import data_centre_record, upstream_record
 from standins.journal import Span
 from standins.network import Link
@@ -278,6 +278,33 @@
     world.tick_process(PLATFORM_PLACE + ".vm_list")
 
 
+@verb
+def restore_copy(world: World, arguments: list[str]) -> None:
+    """Restores the store of a platform service from a copy.
+
+    Arguments are "configuration" or "vm_list", the number of publications that the copy lacks, and
+    the time in ms after which the lost publications are written again, if they are.
+    """
+    service_name, count, *delay = arguments
+    _record_fault(world, "restore_copy " + " ".join(arguments))
+    service = world.configuration if service_name == "configuration" else world.vm_list
+    lost = service.restore_copy(int(count))
+    if delay:
+        write_again = partial(_publish_again, world, service_name, service, lost)
+        world.runtime.call_at(world.now + int(delay[0]), write_again)
+
+
+def _publish_again(
+    world: World, name: str, service: PlatformService, lost: list[dict[str, bytes]]
+) -> None:
+    for texts in lost:
+        missing = {key: text for key, text in texts.items() if not service.is_rewritten(key)}
+        if missing:
+            # Visible at once: the lag of the service concerns its sources, which have not changed.
+            service.publish(missing, world.now - service.lag_ms)
+    world.tick_process(f"{PLATFORM_PLACE}.{name}")
+
+
 @verb
 def publish(world: World, arguments: list[str]) -> None:
     """Publishes a text under a key without checking it."""
