--- a/shallotshore/packets/application.py
+++ b/shallotshore/packets/application.py
@@ -356,7 +356,7 @@
         return (client[0], self._settings.client_address[1])
 
     def _get_feed_state(self, feed: Feed) -> FeedState:
-        return self._core.feeds.copy(feed).state()
+        return self._core.feeds.copy(feed).state(clock())
 
     def _ready_page(self) -> Page:
         if self._core.is_ready:
--- a/shallotshore/packets/directory.py
+++ b/shallotshore/packets/directory.py
@@ -34,7 +34,8 @@
             self._apply_configuration(now)
         upstreams = state.upstreams
         if Feed.UPSTREAMS in state.feeds.changed or upstreams.must_apply_records:
-            upstreams.apply_records(state.feeds.upstreams.content.upstreams.values(), now)
+            records = state.feeds.upstreams.content.upstreams.values()
+            upstreams.apply_records(records, now, state.feeds.lapsed_hosts)
         elif upstreams.must_settle_disputes:
             upstreams.settle_disputes(now)
         self._decide_on_unlisted(now)
--- a/shallotshore/packets/exposition.py
+++ b/shallotshore/packets/exposition.py
@@ -37,6 +37,10 @@
         for copy in (self._core.feeds.operator, self._core.feeds.upstreams):
             feeds.add_metric([copy.feed.name.lower()], copy.revision)
         yield feeds
+        eras = GaugeMetricFamily(f"{_PREFIX}_store_era", "Era of the store.", labels=["feed"])
+        for copy in (self._core.feeds.operator, self._core.feeds.upstreams):
+            eras.add_metric([copy.feed.name.lower()], copy.era)
+        yield eras
         flows = GaugeMetricFamily(f"{_PREFIX}_flows", "Flows known.")
         flows.add_metric([], len(self._core.state.flows))
         yield flows
--- a/shallotshore/packets/feed_content.py
+++ b/shallotshore/packets/feed_content.py
@@ -97,6 +97,15 @@
         content.upstreams = {upstream.id: upstream for upstream in state.upstreams}
         return content
 
+    def copy(self) -> FeedContent:
+        """Returns content with the same records, which can be changed on its own."""
+        content = FeedContent()
+        content.configuration = self.configuration
+        content.data_centres_out = set(self.data_centres_out)
+        content.upstreams = dict(self.upstreams)
+        content.unreadable = set(self.unreadable)
+        return content
+
     def state(self, feed: Feed, revision: int) -> FeedState:
         """Returns a copy to send to another process."""
         return FeedState(
--- a/shallotshore/packets/feed_copies.py
+++ b/shallotshore/packets/feed_copies.py
@@ -17,6 +17,7 @@
 
 from shallotshore.packets.feed_content import Change, FeedContent
 from shallotshore.packets.feed_entries import FeedEntry, to_entry
+from shallotshore.packets.restored_store import RetainedValues
 from shallotshore.packets.view import Feed, FeedState
 
 if TYPE_CHECKING:
@@ -41,6 +42,8 @@
 
     Attributes:
         feed: Which feed.
+        era: Era of the store in which `revision` was assigned. The store comes back with a higher
+            era from a backup, and then assigns revisions again.
         revision: Revision of the newest change in the copy; 0 when nothing was ever read.
         watch_after: Revision of the store after which the next watch asks for changes.
         confirmed_at: When the store last answered, in ms; NEVER before the first answer.
@@ -51,7 +54,10 @@
         next_call_at: Earliest time of the next call to the store, in ms.
         is_fetch_pending: Whether another process's copy is awaited.
         next_fetch_at: Earliest time of the next fetch from another process, in ms.
-        best_offered_revision: Newest revision that another process holds; 0 when there is none.
+        best_offered: Era and revision of the newest copy that another process holds; (0, 0) when
+            there is none.
+        offered_era: Highest era that another process has offered.
+        reread_era: Era for which the store was last read again because another process offered it.
         behind_since: When a newer revision than the copy's was first offered, in ms.
         best_offer_source: Address of the process that holds the newest revision.
         is_best_offer_same_data_centre: Whether the process at `best_offer_source` is in this
@@ -60,14 +66,16 @@
         fetch_started_at: When another process's changes or copy were last requested, in ms.
         needs_whole_copy: Whether the changes since this copy's revision are not to be had.
         content: The records.
+        retained: Entries in `content` whose value is older than the era.
     """
 
     __slots__ = (
         "behind_since",
         "best_offer_source",
-        "best_offered_revision",
+        "best_offered",
         "confirmed_at",
         "content",
+        "era",
         "failing_since",
         "_changes_since",
         "_kept_changes",
@@ -82,12 +90,16 @@
         "needs_whole_copy",
         "next_call_at",
         "next_fetch_at",
+        "offered_era",
+        "reread_era",
+        "retained",
         "revision",
         "watch_after",
     )
 
     def __init__(self, feed: Feed) -> None:
         self.feed = feed
+        self.era = 0
         self.revision = 0
         self.watch_after = 0
         self.confirmed_at = NEVER
@@ -98,7 +110,9 @@
         self.next_call_at = NEVER
         self.is_fetch_pending = False
         self.next_fetch_at = NEVER
-        self.best_offered_revision = 0
+        self.best_offered = (0, 0)
+        self.offered_era = 0
+        self.reread_era = 0
         self.behind_since = NEVER
         self.best_offer_source: Address | None = None
         self.is_best_offer_same_data_centre = False
@@ -106,31 +120,36 @@
         self.fetch_started_at = NEVER
         self.needs_whole_copy = False
         self.content = FeedContent()
+        self.retained = RetainedValues()
         self._kept_changes: deque[FeedEntry] = deque()
         self._changes_since = 0  # all changes after this revision are kept
 
+    @property
+    def position(self) -> tuple[int, int]:
+        """Era and revision, by which copies of different processes are ordered."""
+        return self.era, self.revision
+
     def is_current(self, now: int) -> bool:
         """Whether the copy can be taken as up to date.
 
         The copy must be complete, calls to the store must not be failing, and the store must have
         answered within CONFIRMATION_VALID_MS. A newer revision that another process offers makes
         the copy outdated only after MAX_WATCH_LAG_MS, since one process's watch can lag behind the
-        watch of another by that time.
+        watch of another by that time. A newer era makes it outdated at once.
         """
-        if not self.is_complete or self.failing_since != NEVER:
+        if not self.is_complete or self.failing_since != NEVER or self.offered_era > self.era:
             return False
-        is_behind = (
-            self.best_offered_revision > self.revision
-            and now - self.behind_since > MAX_WATCH_LAG_MS
-        )
+        is_behind = self.best_offered > self.position and now - self.behind_since > MAX_WATCH_LAG_MS
         return now - self.confirmed_at < CONFIRMATION_VALID_MS and not is_behind
 
-    def record_confirmation(self, revision: int, age_ms: int | None, now: int) -> bool:
+    def record_confirmation(self, era: int, revision: int, age_ms: int | None, now: int) -> bool:
         """Records that the store has confirmed another process's copy.
 
-        That copy contains nothing newer than this one if its revision is not higher.
+        That copy contains nothing newer than this one if its era is the same and its revision is
+        not higher.
 
         Args:
+            era: Era of the other copy.
             revision: Revision of the other copy.
             age_ms: How long ago the store confirmed it, in ms, or None.
             now: Time in ms.
@@ -140,6 +159,8 @@
         """
         if age_ms is None or revision > self.revision or not self.is_complete:
             return False
+        if era != self.era:
+            return False
         confirmed_at = now - age_ms
         if confirmed_at <= max(self.confirmed_at, self.failing_since):
             return False
@@ -148,9 +169,17 @@
         self.failures = 0
         return True
 
-    def state(self) -> FeedState:
-        """Returns a copy to send to another process."""
-        return self.content.state(self.feed, self.revision)
+    def state(self, now: int) -> FeedState:
+        """Returns a copy to send to another process, at a time in ms."""
+        state = self.content.state(self.feed, self.revision)
+        state.era = self.era
+        state.held = self.retained.to_entries(now)
+        state.held_ms = max(0, self.retained.until - now)
+        return state
+
+    def forget_offers(self) -> None:
+        """Forgets which process holds the newest copy, since it did not hand it over."""
+        self.best_offered, self.best_offer_source = (0, 0), None
 
     def keep_change(self, change: Change) -> None:
         """Keeps an applied change for processes that hold an earlier revision."""
@@ -163,9 +192,9 @@
         self._kept_changes.clear()
         self._changes_since = self.revision
 
-    def changes_after(self, revision: int) -> tuple[FeedEntry, ...] | None:
-        """Returns the changes after a revision, or None if some are no longer kept."""
-        if revision < self._changes_since:
+    def changes_after(self, era: int, revision: int) -> tuple[FeedEntry, ...] | None:
+        """Returns the changes after a revision of an era, or None if some are no longer kept."""
+        if era != self.era or revision < self._changes_since:
             return None
         return tuple(entry for entry in self._kept_changes if entry.revision > revision)
 
@@ -180,9 +209,19 @@
         is_reading: Whether this process watches the store. A process that does not watch it reads
             the store only until its copies are complete.
         is_backup: Whether this process watches only because no reader answers it.
+        lapsed_hosts: Hosts whose upstream's entry is lost with the store's last era, and was
+            retained until this tick.
     """
 
-    __slots__ = ("_told", "changed", "is_backup", "is_reading", "operator", "upstreams")
+    __slots__ = (
+        "_told",
+        "changed",
+        "is_backup",
+        "is_reading",
+        "lapsed_hosts",
+        "operator",
+        "upstreams",
+    )
 
     def __init__(self) -> None:
         self.operator = FeedCopy(Feed.OPERATOR)
@@ -190,6 +229,7 @@
         self.changed: set[Feed] = set()
         self.is_reading = True
         self.is_backup = False
+        self.lapsed_hosts: set[str] = set()
         self._told: tuple[int, ...] = ()
 
     def take_news(self) -> bool:
@@ -198,7 +238,7 @@
         told = tuple(
             value
             for copy in copies
-            for value in (copy.revision, copy.confirmed_at, copy.failing_since)
+            for value in (copy.era, copy.revision, copy.confirmed_at, copy.failing_since)
         )
         if told == self._told:
             return False
@@ -209,8 +249,18 @@
         """Returns the copy of a feed."""
         return self.operator if feed is Feed.OPERATOR else self.upstreams
 
+    def eras(self) -> tuple[int, int]:
+        """Returns the eras of the copies of the operator's and of the upstreams' feed."""
+        return self.operator.era, self.upstreams.era
+
     def record_offer(
-        self, source: Address, operator: int, upstreams: int, now: int, is_same_data_centre: bool
+        self,
+        source: Address,
+        operator: int,
+        upstreams: int,
+        now: int,
+        is_same_data_centre: bool,
+        eras: tuple[int, int] = (0, 0),
     ) -> None:
         """Records which revisions another process holds.
 
@@ -220,16 +270,18 @@
             upstreams: The process's revision of the upstreams' feed.
             now: Time in ms.
             is_same_data_centre: Whether that process is in this process's data centre.
+            eras: Eras of the store in which the revisions were assigned.
         """
-        for copy, revision in ((self.operator, operator), (self.upstreams, upstreams)):
-            if revision <= copy.revision:
+        offers = ((self.operator, eras[0], operator), (self.upstreams, eras[1], upstreams))
+        for copy, era, revision in offers:
+            offered = (era, revision)
+            if offered <= copy.position:
                 continue
-            if copy.best_offered_revision <= copy.revision:
+            copy.offered_era = max(copy.offered_era, era)
+            if copy.best_offered <= copy.position:
                 copy.behind_since = now
             is_nearer = is_same_data_centre or not copy.is_best_offer_same_data_centre
-            if revision > copy.best_offered_revision or (
-                revision == copy.best_offered_revision and is_nearer
-            ):
-                copy.best_offered_revision = revision
+            if offered > copy.best_offered or (offered == copy.best_offered and is_nearer):
+                copy.best_offered = offered
                 copy.best_offer_source = source
                 copy.is_best_offer_same_data_centre = is_same_data_centre
--- a/shallotshore/packets/feed_following.py
+++ b/shallotshore/packets/feed_following.py
@@ -171,13 +171,18 @@
         feeds = self._state.feeds
         operator, upstreams = feeds.operator, feeds.upstreams
         status = FeedStatus(
-            operator.revision, upstreams.revision, _age_ms(operator, now), _age_ms(upstreams, now)
+            operator.revision,
+            upstreams.revision,
+            _age_ms(operator, now),
+            _age_ms(upstreams, now),
+            *feeds.eras(),
         )
         self._state.outbox.send(destination, status)
 
     def _handle_status(self, source: Address, status: FeedStatus, now: int) -> None:
         host = host_number(source[0])
         feeds = self._state.feeds
+        eras = (status.operator_era, status.upstreams_era)
         answers = self._answers.get(host)
         if answers is not None:
             ages = (status.operator_age_ms, status.upstreams_age_ms)
@@ -185,16 +190,21 @@
             answers.answered_at = now
             answers.is_confirmed = all(
                 age is not None and age <= MAX_CONFIRMATION_AGE_MS for age in ages
-            )
+            ) and all(era >= own for era, own in zip(eras, feeds.eras(), strict=True))
         feeds.record_offer(
-            source, status.operator_revision, status.upstreams_revision, now, self._is_near(host)
+            source,
+            status.operator_revision,
+            status.upstreams_revision,
+            now,
+            self._is_near(host),
+            eras,
         )
-        for copy, revision, age_ms in (
-            (feeds.operator, status.operator_revision, status.operator_age_ms),
-            (feeds.upstreams, status.upstreams_revision, status.upstreams_age_ms),
+        for copy, era, revision, age_ms in (
+            (feeds.operator, eras[0], status.operator_revision, status.operator_age_ms),
+            (feeds.upstreams, eras[1], status.upstreams_revision, status.upstreams_age_ms),
         ):
             lost_since = copy.failing_since
-            if copy.record_confirmation(revision, age_ms, now) and lost_since != NEVER:
+            if copy.record_confirmation(era, revision, age_ms, now) and lost_since != NEVER:
                 self._state.log.write(
                     now,
                     "store_regained",
--- a/shallotshore/packets/feeds.py
+++ b/shallotshore/packets/feeds.py
@@ -12,11 +12,13 @@
     Change,
     FeedContent,
     UnreadableEntry,
+    UpstreamChange,
     apply_change,
 )
 from shallotshore.packets.feed_copies import COALESCE_MS, NEVER, WATCH_WAIT_MS, FeedCopy
 from shallotshore.packets.feed_entries import to_change
 from shallotshore.packets.node_messages import FeedChanges, FeedRequest, encode
+from shallotshore.packets.restored_store import HELD_BELIEF_MS, read_held, restore_stored
 from shallotshore.packets.store_messages import (
     FetchedFeed,
     FetchFailed,
@@ -27,7 +29,7 @@
     StoreSnapshot,
     WatchFeed,
 )
-from shallotshore.packets.view import Feed
+from shallotshore.packets.view import Feed, FeedState
 
 if TYPE_CHECKING:
     from shallotshore.messages import Address
@@ -50,6 +52,7 @@
 FETCH_RETRY_PAUSE_MS = 100
 CHANGES_TIMEOUT_MS = 200  # data centres are a few ms apart; the whole copy is fetched afterwards
 MAX_CHANGES_BYTES = 8_000  # of a datagram with changes
+MAX_LOGGED_KEYS = 5  # of the values that one log line counts
 STORE_ADDRESS: Address = ("", 0)  # a placeholder; the application object knows the store's address
 
 
@@ -79,6 +82,7 @@
     def run(self, now: int) -> None:
         """Handles the answers that have arrived and makes the calls due at `now` (ms)."""
         self._feeds.changed.clear()
+        self._feeds.lapsed_hosts.clear()
         for _, snapshot in self._inbox.take(StoreSnapshot):
             self._handle_snapshot(snapshot, now)
         for _, changes in self._inbox.take(StoreChanges):
@@ -91,7 +95,7 @@
             copy = self._feeds.copy(failed_fetch.feed)
             copy.is_fetch_pending = copy.needs_whole_copy = False
             copy.next_fetch_at = now + FETCH_RETRY_PAUSE_MS
-            copy.best_offered_revision, copy.best_offer_source = 0, None
+            copy.forget_offers()
             self._log.write(
                 now, "peer_copy_failed", feed=copy.feed.name, reason=failed_fetch.reason
             )
@@ -100,18 +104,34 @@
         for _, peer_changes in self._inbox.take(FeedChanges):
             self._handle_peer_changes(peer_changes, now)
         for copy in (self._feeds.operator, self._feeds.upstreams):
+            self._release_retained(copy, now)
             self._call_store(copy, now)
             self._fetch_from_peer(copy, now)
 
     def reread(self, now: int) -> None:
         """Reads both feeds whole again, after a pause in which changes may have been missed."""
         for copy in (self._feeds.operator, self._feeds.upstreams):
-            copy.is_complete = False
-            copy.is_call_pending = False  # the read replaces a watch whose connection may be dead
-            copy.next_call_at = now
+            self._reread_copy(copy, now)
+
+    def _reread_copy(self, copy: FeedCopy, now: int) -> None:
+        copy.is_complete = False
+        copy.is_call_pending = False  # the read replaces a watch whose connection may be dead
+        copy.next_call_at = now
+
+    def _reread_older_copies(self, era: int, now: int) -> None:
+        """Reads again the feeds of which an earlier era than the store's is held."""
+        for copy in (self._feeds.operator, self._feeds.upstreams):
+            if copy.era < era and copy.is_complete:
+                self._reread_copy(copy, now)
 
     def _call_store(self, copy: FeedCopy, now: int) -> None:
-        if not self._reads_store or copy.is_call_pending or now < copy.next_call_at:
+        if not self._reads_store:
+            return
+        is_old = copy.offered_era > max(copy.era, copy.reread_era)
+        if is_old and copy.is_complete and self._feeds.is_reading:
+            copy.reread_era = copy.offered_era
+            self._reread_copy(copy, now)
+        if copy.is_call_pending or now < copy.next_call_at:
             return
         if copy.is_complete and not self._feeds.is_reading:
             return
@@ -134,14 +154,15 @@
                 return
             copy.is_fetch_pending, copy.needs_whole_copy = False, True
             self._counters.add("peers.changes_unanswered")
-        if copy.is_fetch_pending or source is None or copy.best_offered_revision <= copy.revision:
+        if copy.is_fetch_pending or source is None or copy.best_offered <= copy.position:
             return
         if now < copy.next_fetch_at or now - copy.behind_since < self._offer_wait_ms(copy):
             return
         copy.is_fetch_pending = True
         copy.fetch_started_at = now
-        if copy.revision and not copy.needs_whole_copy:
-            self._outbox.send(source, FeedRequest(copy.feed, copy.revision))
+        is_same_era = copy.best_offered[0] == copy.era
+        if copy.revision and is_same_era and not copy.needs_whole_copy:
+            self._outbox.send(source, FeedRequest(copy.feed, copy.revision, copy.era))
             self._counters.add("peers.changes_requested")
         else:
             copy.needs_whole_copy = True
@@ -158,10 +179,10 @@
 
     def _answer_request(self, source: Address, request: FeedRequest) -> None:
         copy = self._feeds.copy(request.feed)
-        entries = copy.changes_after(request.revision)
-        answer = FeedChanges(copy.feed, copy.revision, entries)
+        entries = copy.changes_after(request.era, request.revision)
+        answer = FeedChanges(copy.feed, copy.revision, entries, copy.era)
         if entries is not None and len(encode(answer)) > MAX_CHANGES_BYTES:
-            answer = FeedChanges(copy.feed, copy.revision, None)
+            answer = FeedChanges(copy.feed, copy.revision, None, copy.era)
         self._outbox.send(source, answer)
 
     def _handle_peer_changes(self, message: FeedChanges, now: int) -> None:
@@ -169,7 +190,10 @@
         if not copy.is_fetch_pending or copy.needs_whole_copy:
             return  # the answer came too late, and a whole copy is awaited
         copy.is_fetch_pending = False
-        if message.entries is None:
+        if message.era < copy.era:
+            self._count_old_copy(copy)
+            return
+        if message.entries is None or message.era > copy.era:
             copy.needs_whole_copy = True
             return
         copy.is_fetch_urgent = False
@@ -179,8 +203,7 @@
         self._log_unreadable(copy, changes, now)
         for change in changes:
             if change.revision > copy.revision:
-                apply_change(change, copy.content)
-                copy.keep_change(change)
+                self._apply_write(copy, change, now)
         copy.revision = message.revision
         copy.watch_after = max(copy.watch_after, message.revision)
         self._feeds.changed.add(copy.feed)
@@ -199,10 +222,14 @@
 
     def _handle_snapshot(self, snapshot: StoreSnapshot, now: int) -> None:
         copy = self._feeds.copy(snapshot.feed)
+        if snapshot.era < copy.era:
+            self._refuse_old_era(copy, snapshot.era, now)
+            return
         self._record_store_answer(copy, now)
+        self._reread_older_copies(snapshot.era, now)
         copy.watch_after = snapshot.revision
         copy.is_complete = True
-        if snapshot.revision < copy.revision:
+        if (snapshot.era, snapshot.revision) < copy.position:
             # The snapshot is older than the copy that a peer sent; the watch returns the changes
             # in between.
             self._counters.add("store.old_snapshots")
@@ -211,11 +238,22 @@
         for change in snapshot.changes:
             apply_change(change, content)
         self._log_unreadable(copy, snapshot.changes, now)
-        self._replace_content(copy, content, snapshot.revision, "store", now)
+        until = now + HELD_BELIEF_MS if snapshot.era else now
+        self._retain_known(copy, content, snapshot.era, until, now)
+        self._replace_content(copy, content, snapshot.era, snapshot.revision, "store", now)
 
     def _handle_changes(self, changes: StoreChanges, now: int) -> None:
         copy = self._feeds.copy(changes.feed)
+        if changes.era < copy.era:
+            self._refuse_old_era(copy, changes.era, now)
+            return
         self._record_store_answer(copy, now)
+        if changes.era > copy.era or (changes.era and changes.after > copy.watch_after):
+            # Changes of another era, or after a revision of another era, do not follow on from
+            # this copy.
+            self._reread_copy(copy, now)
+            self._reread_older_copies(changes.era, now)
+            return
         copy.watch_after = max(copy.watch_after, changes.revision)
         if changes.changes:
             copy.next_call_at = now + COALESCE_MS
@@ -231,6 +269,7 @@
         copy.is_call_pending = False
         copy.failures += 1
         self._counters.add(f"store.failed.{failed.code.name.lower()}")
+        self._reread_older_copies(failed.era, now)
         if failed.code is Code.SERVICE_STALE:
             # The store no longer has all changes since the last answer; only a whole read shows
             # which entries were removed meanwhile.
@@ -267,20 +306,120 @@
         copy = self._feeds.copy(state.feed)
         copy.is_fetch_pending = copy.is_fetch_urgent = copy.needs_whole_copy = False
         copy.next_fetch_at = now
-        if state.revision > copy.revision:
-            content = FeedContent.from_state(state)
+        if state.era < copy.era:
+            self._count_old_copy(copy)
+        elif (state.era, state.revision) > copy.position:
+            effective = FeedContent.from_state(state)
             self._log_unreadable(copy, fetched.refused, now)
             for entry in fetched.refused:
-                apply_change(entry, content)
-            self._replace_content(copy, content, state.revision, "peer", now)
+                apply_change(entry, effective)
+            self._adopt_peer_copy(copy, state, effective, now)
+
+    def _adopt_peer_copy(
+        self, copy: FeedCopy, state: FeedState, effective: FeedContent, now: int
+    ) -> None:
+        """Adopts another process's copy, and what it retains.
+
+        Args:
+            copy: This process's copy.
+            state: The other process's copy.
+            effective: The content that the other process uses.
+            now: Time in ms.
+        """
+        held = read_held(state, now)
+        content = effective.copy() if held else effective
+        for value in held:
+            restore_stored(value.stored, content)
+        until = now + min(state.held_ms, HELD_BELIEF_MS)
+        is_new_era = state.era > copy.era
+        self._retain_known(copy, content, state.era, until, now)
+        copy.retained.adopt(held, effective, content, now)
+        if is_new_era:
+            # A watch from a revision of the last era would miss changes.
+            copy.watch_after = state.revision
+            if copy.is_call_pending:
+                self._reread_copy(copy, now)
+        self._replace_content(copy, content, state.era, state.revision, "peer", now)
+
+    def _retain_known(
+        self, copy: FeedCopy, content: FeedContent, era: int, until: int, now: int
+    ) -> None:
+        """Puts into new content what this process knows and a restored store has lost.
+
+        Args:
+            copy: This process's copy.
+            content: The content that the store holds.
+            era: Era of the content.
+            until: When the store's values take effect, in ms.
+            now: Time in ms.
+        """
+        if era == copy.era:
+            copy.retained.carry_over(copy.content, content)
+            return
+        copy.retained.begin_era(copy.content, content, until, now)
+        if not copy.revision:
+            return
+        self._counters.add("store.era_changes")
+        self._counters.add("feeds.values_retained", len(copy.retained))
+        self._log.write(
+            now,
+            "store_era_changed",
+            feed=copy.feed.name,
+            era=era,
+            was=copy.era,
+            revision=copy.revision,
+            retained=len(copy.retained),
+        )
+
+    def _release_retained(self, copy: FeedCopy, now: int) -> None:
+        """Puts the store's values into use for which the time of retention is over."""
+        released = copy.retained.release_expired(copy.content, now)
+        if not released:
+            return
+        self._feeds.changed.add(copy.feed)
+        for known in released:
+            upstream = known.upstream if isinstance(known, UpstreamChange) else None
+            if upstream is not None and known.key not in copy.content.upstreams:
+                self._feeds.lapsed_hosts.add(upstream.host)
+        self._counters.add("feeds.values_dropped", len(released))
+        self._log.write(
+            now,
+            "retained_values_dropped",
+            feed=copy.feed.name,
+            count=len(released),
+            keys=[known.key for known in released[:MAX_LOGGED_KEYS]],
+            version=copy.content.configuration.version,
+        )
+
+    def _refuse_old_era(self, copy: FeedCopy, era: int, now: int) -> None:
+        """Counts an answer of an earlier era than the copy's as a failure of the store."""
+        self._counters.add("store.old_era_answers")
+        reason = f"answer of era {era} after era {copy.era}"
+        failed = StoreFailed(copy.feed, Code.SERVICE_UNREACHABLE, reason)
+        self._handle_store_failure(failed, now)
+
+    def _count_old_copy(self, copy: FeedCopy) -> None:
+        self._counters.add("peers.old_era_copies")
+        copy.forget_offers()
 
     def _replace_content(
-        self, copy: FeedCopy, content: FeedContent, revision: int, source: str, now: int
+        self,
+        copy: FeedCopy,
+        content: FeedContent,
+        era: int,
+        revision: int,
+        source: str,
+        now: int,
     ) -> None:
-        """Replaces a copy's content, but keeps the old configuration if its version is higher."""
-        if content.configuration.version < copy.content.configuration.version:
+        """Replaces a copy's content.
+
+        Within an era the configuration in use stays if its version is higher.
+        """
+        if era == copy.era and content.configuration.version < copy.content.configuration.version:
             content.configuration = copy.content.configuration
+        copy.retained.record_replacement(copy.content, content, now)
         copy.content = content
+        copy.era = era
         copy.revision = revision
         copy.forget_changes()
         self._feeds.changed.add(copy.feed)
@@ -299,8 +438,7 @@
         )
 
     def _apply_to_copy(self, copy: FeedCopy, change: Change, now: int) -> None:
-        copy.keep_change(change)
-        if not apply_change(change, copy.content):
+        if not self._apply_write(copy, change, now):
             # Another writer may rewrite an unreadable entry at any rate.
             return
         self._feeds.changed.add(copy.feed)
@@ -315,6 +453,19 @@
             is_gone=change.is_gone,
         )
 
+    def _apply_write(self, copy: FeedCopy, change: Change, now: int) -> bool:
+        """Applies a write of the copy's era, and returns whether the records have changed."""
+        copy.keep_change(change)
+        retained = len(copy.retained)
+        if not copy.retained.admit_write(change, copy.content, now):
+            return False
+        if len(copy.retained) < retained:
+            self._counters.add("feeds.values_rewritten")
+        is_changed = apply_change(change, copy.content)
+        if is_changed:
+            copy.retained.record_change(change, now)
+        return is_changed
+
     def _log_unreadable(self, copy: FeedCopy, changes: Sequence[Change], now: int) -> None:
         """Counts the entries that are left out, and logs each key once while it stays so."""
         for change in changes:
--- a/shallotshore/packets/http_client.py
+++ b/shallotshore/packets/http_client.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-__all__ = ["BodyTooLargeError", "HttpConnection", "HttpError"]
+__all__ = ["BodyTooLargeError", "HttpConnection", "HttpError", "HttpResponse"]
 
 import asyncio
 import errno
@@ -23,19 +23,39 @@
 KEEP_ALIVE_IDLE_S = 1
 KEEP_ALIVE_INTERVAL_S = 1
 KEEP_ALIVE_PROBES = 1
+MAX_HEADERS = 64  # of a response; later ones are left out
 _STATUS_OK = 200
 
 
+class HttpResponse:
+    """A complete response.
+
+    Attributes:
+        status: HTTP status.
+        headers: Values of the headers by name in lower case.
+        body: The body.
+    """
+
+    __slots__ = ("body", "headers", "status")
+
+    def __init__(self, status: int, headers: dict[str, str], body: bytes) -> None:
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+
 class HttpError(Exception):
     """A request failed: there was no response, or not a successful one.
 
     Attributes:
         status: HTTP status of the response; 0 if there was none.
+        headers: Values of the headers of the response by name in lower case.
     """
 
-    def __init__(self, status: int, reason: str) -> None:
+    def __init__(self, status: int, reason: str, headers: dict[str, str] | None = None) -> None:
         super().__init__(reason)
         self.status = status
+        self.headers = headers or {}
 
 
 class BodyTooLargeError(HttpError):
@@ -61,8 +81,8 @@
         self._max_body_bytes = max_body_bytes
         self._protocol: _ResponseProtocol | None = None
 
-    async def get(self, path: str, timeout_ms: int) -> bytes:
-        """Sends a GET request and returns the body of the response.
+    async def get(self, path: str, timeout_ms: int) -> HttpResponse:
+        """Sends a GET request and returns the response.
 
         Args:
             path: Path and query.
@@ -76,7 +96,7 @@
         try:
             async with asyncio.timeout(timeout_ms / 1000) as limit:
                 protocol = await self._connect()
-                status, body = await protocol.request(path, self._address, _Deadline(limit))
+                response = await protocol.request(path, self._address, _Deadline(limit))
         except TimeoutError:
             self.close()
             raise HttpError(0, f"no answer within {timeout_ms} ms") from None
@@ -86,9 +106,9 @@
         except (OSError, httptools.HttpParserError) as error:
             self.close()
             raise HttpError(0, repr(error)) from None
-        if status != _STATUS_OK:
-            raise HttpError(status, f"status {status}")
-        return body
+        if response.status != _STATUS_OK:
+            raise HttpError(response.status, f"status {response.status}", response.headers)
+        return response
 
     def close(self) -> None:
         """Closes the connection; the next request opens a new one."""
@@ -140,6 +160,7 @@
     __slots__ = (
         "_body",
         "_deadline",
+        "_headers",
         "_max_body_bytes",
         "_parser",
         "_pending_response",
@@ -152,16 +173,18 @@
         self._transport: asyncio.Transport | None = None
         self._parser: httptools.HttpResponseParser | None = None
         self._body = bytearray()
+        self._headers: dict[str, str] = {}
         self._deadline: _Deadline | None = None
-        self._pending_response: asyncio.Future[tuple[int, bytes]] | None = None
+        self._pending_response: asyncio.Future[HttpResponse] | None = None
         self.is_closed = False
 
-    async def request(self, path: str, address: Address, deadline: _Deadline) -> tuple[int, bytes]:
-        """Sends a GET request and returns the status and the body of its response."""
+    async def request(self, path: str, address: Address, deadline: _Deadline) -> HttpResponse:
+        """Sends a GET request and returns its response."""
         assert self._transport is not None
         self._deadline = deadline
         self._parser = httptools.HttpResponseParser(self)
         self._body.clear()
+        self._headers = {}
         self._pending_response = asyncio.get_running_loop().create_future()
         head = f"GET {path} HTTP/1.1\r\nHost: {address[0]}:{address[1]}\r\n\r\n"
         self._transport.write(head.encode("ascii"))
@@ -204,6 +227,11 @@
         if self._pending_response is not None and self._pending_response.done():
             self.abort()
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keeps a header of the response."""
+        if len(self._headers) < MAX_HEADERS:
+            self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+
     def on_body(self, body: bytes) -> None:
         """Appends a part of the body; a body above the limit fails the request."""
         self._body += body
@@ -218,7 +246,10 @@
             and not self._pending_response.done()
             and self._parser is not None
         ):
-            self._pending_response.set_result((self._parser.get_status_code(), bytes(self._body)))
+            status = self._parser.get_status_code()
+            response = HttpResponse(status, self._headers, bytes(self._body))
+            self._pending_response.set_result(response)
+            self._headers = {}  # a second response in the same data has headers of its own
             if not self._parser.should_keep_alive():
                 self.abort()
 
--- a/shallotshore/packets/members.py
+++ b/shallotshore/packets/members.py
@@ -67,7 +67,12 @@
         source = (host_text(host), state.node_port)
         is_same_data_centre = hello.data_centre == state.data_centre
         state.feeds.record_offer(
-            source, hello.operator_revision, hello.upstreams_revision, now, is_same_data_centre
+            source,
+            hello.operator_revision,
+            hello.upstreams_revision,
+            now,
+            is_same_data_centre,
+            (hello.operator_era, hello.upstreams_era),
         )
         if hello.wants_reply:
             self._send_hello(host, False)
@@ -111,6 +116,7 @@
             feeds.upstreams.revision,
             self._sample(list(self._members.keys()), MAX_HELLO_MEMBERS),
             self._sample(self._members.hosts_in(state.data_centre), MAX_HELLO_NEIGHBOURS),
+            *feeds.eras(),
         )
         state.send(host, hello)
 
--- a/shallotshore/packets/node_messages.py
+++ b/shallotshore/packets/node_messages.py
@@ -130,6 +130,8 @@
         record_revision: Revision of the balancer's record of the agent's upstream; 0 when it has
             none.
         is_end: Whether the subscription ends now.
+        operator_era: Era of the store to which `operator_revision` belongs.
+        upstreams_era: The same for `upstreams_revision` and `record_revision`.
     """
 
     data_centre: Id
@@ -138,6 +140,8 @@
     upstreams_revision: Revision
     record_revision: Revision = 0  # senders of an earlier version leave it out
     is_end: bool = False  # senders of an earlier version leave it out
+    operator_era: Revision = 0  # senders of an earlier version leave it out
+    upstreams_era: Revision = 0  # senders of an earlier version leave it out
 
 
 class Report(msgspec.Struct, array_like=True, tag=5, gc=False):
@@ -158,6 +162,8 @@
         opened: Keys of flows that opened, 8 bytes each.
         closed: Keys of flows that ended, 8 bytes each.
         is_complete: Whether `opened` begins a list of all open flows that concern the receiver.
+        operator_era: Era of the store to which `operator_revision` belongs.
+        upstreams_era: Era of the store to which `upstreams_revision` belongs.
     """
 
     incarnation: Id
@@ -173,6 +179,8 @@
     opened: bytes
     closed: bytes
     is_complete: bool = False  # senders of an earlier version leave it out
+    operator_era: Revision = 0  # senders of an earlier version leave it out
+    upstreams_era: Revision = 0  # senders of an earlier version leave it out
 
 
 class LoadReport(msgspec.Struct, array_like=True, tag=8, gc=False):
@@ -202,6 +210,8 @@
         upstreams_revision: Revision of the sender's copy of the upstreams' feed.
         members: Hosts of some of the balancers that the sender knows.
         neighbours: Hosts of some of the balancers in the sender's data centre.
+        operator_era: Era of the store to which `operator_revision` belongs.
+        upstreams_era: Era of the store to which `upstreams_revision` belongs.
     """
 
     data_centre: Id
@@ -211,6 +221,8 @@
     upstreams_revision: Revision
     members: tuple[Host, ...]
     neighbours: tuple[Host, ...] = ()  # senders of an earlier version leave it out
+    operator_era: Revision = 0  # senders of an earlier version leave it out
+    upstreams_era: Revision = 0  # senders of an earlier version leave it out
 
 
 class Follow(msgspec.Struct, array_like=True, tag=9, gc=False):
@@ -226,19 +238,24 @@
         operator_age_ms: How long ago the store confirmed the copy of the operator's feed, in ms;
             None when calls to the store fail.
         upstreams_age_ms: The same for the upstreams' feed.
+        operator_era: Era of the store to which `operator_revision` belongs.
+        upstreams_era: Era of the store to which `upstreams_revision` belongs.
     """
 
     operator_revision: Revision
     upstreams_revision: Revision
     operator_age_ms: DurationMs | None
     upstreams_age_ms: DurationMs | None
+    operator_era: Revision = 0  # senders of an earlier version leave it out
+    upstreams_era: Revision = 0  # senders of an earlier version leave it out
 
 
 class FeedRequest(msgspec.Struct, array_like=True, tag=11, gc=False):
-    """A request for the changes of a feed after the sender's revision."""
+    """A request for the changes of a feed after the sender's revision of an era of the store."""
 
     feed: Feed
     revision: Revision
+    era: Revision = 0  # senders of an earlier version leave it out
 
 
 class FeedChanges(msgspec.Struct, array_like=True, tag=12, gc=False):
@@ -247,13 +264,16 @@
     Attributes:
         feed: Which feed.
         revision: Revision of the sender's copy.
-        entries: The changes after the requested revision; None when the sender no longer has them
-            or they do not fit into one datagram, so that the whole copy must be fetched.
+        entries: The changes after the requested revision; None when the sender no longer has them,
+            holds another era or they do not fit into one datagram, so that the whole copy must be
+            fetched.
+        era: Era of the store to which the revisions belong.
     """
 
     feed: Feed
     revision: Revision
     entries: tuple[FeedEntry, ...] | None
+    era: Revision = 0  # senders of an earlier version leave it out
 
 
 class Search(msgspec.Struct, array_like=True, tag=13, gc=False):
@@ -310,6 +330,7 @@
     feed: Feed
     revision: Revision
     entries: tuple[msgspec.Raw, ...]
+    era: Revision = 0
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -343,4 +364,4 @@
         entries = tuple(decode_entry(entry) for entry in message.entries)
     except (msgspec.MsgspecError, RecursionError):
         return Err(Code.MESSAGE_MALFORMED)
-    return Ok(FeedChanges(message.feed, message.revision, entries))
+    return Ok(FeedChanges(message.feed, message.revision, entries, message.era))
--- a/shallotshore/packets/ownership.py
+++ b/shallotshore/packets/ownership.py
@@ -108,7 +108,8 @@
             upstreams.cold_until[row] = max(upstreams.cold_until[row], now + report.cold_ms)
         is_same_data_centre = report.data_centre == state.data_centre
         revisions = (report.operator_revision, report.upstreams_revision)
-        state.feeds.record_offer(source, *revisions, now, is_same_data_centre)
+        eras = (report.operator_era, report.upstreams_era)
+        state.feeds.record_offer(source, *revisions, now, is_same_data_centre, eras)
         self._apply_keys(host, report.service, report.opened, report.closed, now)
 
     def _handle_load_report(self, source: Address, load: LoadReport, now: int) -> None:
--- a/shallotshore/packets/record_decoding.py
+++ b/shallotshore/packets/record_decoding.py
@@ -8,12 +8,14 @@
 
 __all__ = ["decode_entry", "decode_state"]
 
+import contextlib
+
 import msgspec
 
 from shallotshore.packets.feed_content import UnreadableEntry
 from shallotshore.packets.feed_entries import FeedEntry, RefusedEntry
-from shallotshore.packets.field_types import Revision
-from shallotshore.packets.view import Configuration, Feed, FeedState, Upstream
+from shallotshore.packets.field_types import DurationMs, Revision
+from shallotshore.packets.view import Configuration, Feed, FeedState, HeldEntry, Upstream
 
 
 class _EntryHead(msgspec.Struct, array_like=True, tag=1, gc=False):
@@ -37,6 +39,9 @@
     configuration: msgspec.Raw
     data_centres_out: list[str]
     upstreams: list[msgspec.Raw]
+    era: Revision = 0
+    held: list[msgspec.Raw] = []
+    held_ms: DurationMs = 0
 
 
 _entry_decoder = msgspec.msgpack.Decoder(FeedEntry)
@@ -45,6 +50,7 @@
 _encoded_state_decoder = msgspec.msgpack.Decoder(_EncodedState)
 _configuration_decoder = msgspec.msgpack.Decoder(Configuration)
 _upstream_decoder = msgspec.msgpack.Decoder(Upstream)
+_held_entry_decoder = msgspec.msgpack.Decoder(HeldEntry)
 _upstream_head_decoder = msgspec.msgpack.Decoder(_UpstreamHead)
 
 
@@ -83,7 +89,16 @@
 
 
 def _decode_records(encoded: _EncodedState) -> tuple[FeedState, list[UnreadableEntry]]:
-    state = FeedState(encoded.feed, encoded.revision, Configuration(), encoded.data_centres_out, [])
+    state = FeedState(
+        encoded.feed,
+        encoded.revision,
+        Configuration(),
+        encoded.data_centres_out,
+        [],
+        encoded.era,
+        _decode_held(encoded.held),
+        encoded.held_ms,
+    )
     refused = []
     try:
         state.configuration = _configuration_decoder.decode(encoded.configuration)
@@ -98,6 +113,15 @@
     return state, refused
 
 
+def _decode_held(encoded: list[msgspec.Raw]) -> list[HeldEntry]:
+    """Decodes the held values; the value in use stays in use for one that cannot be used."""
+    held = []
+    for entry in encoded:
+        with contextlib.suppress(msgspec.MsgspecError, RecursionError):
+            held.append(_held_entry_decoder.decode(entry))
+    return held
+
+
 def _decode_upstream_id(encoded: msgspec.Raw) -> str:
     """Returns the id of an upstream's record, or an empty text if there is none."""
     try:
--- a/shallotshore/packets/reports.py
+++ b/shallotshore/packets/reports.py
@@ -68,8 +68,10 @@
         subscribers.renewed_at[row] = now
         revisions = (subscribe.operator_revision, subscribe.upstreams_revision)
         is_same_data_centre = subscribe.data_centre == state.data_centre
-        state.feeds.record_offer(source, *revisions, now, is_same_data_centre)
-        if subscribe.record_revision > state.record_revision:
+        eras = (subscribe.operator_era, subscribe.upstreams_era)
+        state.feeds.record_offer(source, *revisions, now, is_same_data_centre, eras)
+        known_record = (state.feeds.upstreams.era, state.record_revision)
+        if (subscribe.upstreams_era, subscribe.record_revision) > known_record:
             state.feeds.upstreams.is_fetch_urgent = True
         if subscribe.incarnation != state.incarnation:
             subscribers.opened[row] = self._find_open_keys(subscribe.data_centre)
@@ -154,6 +156,7 @@
             opened,
             closed,
             bool(state.subscribers.is_complete[row]),
+            *state.feeds.eras(),
         )
         state.subscribers.is_complete[row] = False
         state.send(state.subscribers.key[row], report)
--- a/shallotshore/packets/store_messages.py
+++ b/shallotshore/packets/store_messages.py
@@ -47,25 +47,38 @@
 
 
 class StoreSnapshot:
-    """All entries of a feed, read at revision `revision` of the store or later."""
+    """All entries of a feed, read at revision `revision` of the store's era `era` or later."""
 
-    __slots__ = ("changes", "feed", "revision")
+    __slots__ = ("changes", "era", "feed", "revision")
 
-    def __init__(self, feed: Feed, revision: int, changes: list[Change]) -> None:
+    def __init__(self, feed: Feed, revision: int, changes: list[Change], era: int = 0) -> None:
         self.feed = feed
         self.revision = revision
         self.changes = changes
+        self.era = era
 
 
 class StoreChanges:
-    """The changes of a feed up to `revision`."""
+    """The changes of a feed up to `revision`.
 
-    __slots__ = ("changes", "feed", "revision")
+    Attributes:
+        feed: Which feed.
+        revision: Revision of the store.
+        changes: The changes.
+        era: Era of the store.
+        after: Revision after which the watch asked for changes.
+    """
 
-    def __init__(self, feed: Feed, revision: int, changes: list[Change]) -> None:
+    __slots__ = ("after", "changes", "era", "feed", "revision")
+
+    def __init__(
+        self, feed: Feed, revision: int, changes: list[Change], era: int = 0, after: int = 0
+    ) -> None:
         self.feed = feed
         self.revision = revision
         self.changes = changes
+        self.era = era
+        self.after = after
 
 
 class StoreFailed:
@@ -76,14 +89,16 @@
         code: SERVICE_STALE when the store no longer has the requested changes,
             SERVICE_RATE_LIMITED, SERVICE_UNREACHABLE, MESSAGE_TOO_LARGE or MESSAGE_MALFORMED.
         reason: Description of the failure, for logs.
+        era: Era of the store that the answer names; 0 when there is none.
     """
 
-    __slots__ = ("code", "feed", "reason")
+    __slots__ = ("code", "era", "feed", "reason")
 
-    def __init__(self, feed: Feed, code: Code, reason: str) -> None:
+    def __init__(self, feed: Feed, code: Code, reason: str, era: int = 0) -> None:
         self.feed = feed
         self.code = code
         self.reason = reason
+        self.era = era
 
 
 class FetchFeed:
--- a/shallotshore/packets/subscriptions.py
+++ b/shallotshore/packets/subscriptions.py
@@ -40,6 +40,7 @@
         "_known_upstreams",
         "_next_choice_at",
         "_next_run_at",
+        "_sent_eras",
         "_sent_revisions",
         "_started_at",
         "_state",
@@ -48,6 +49,7 @@
     def __init__(self, state: BalancerState) -> None:
         self._state = state
         self._sent_revisions = (0, 0)
+        self._sent_eras = (0, 0)
         self._next_run_at = 0
         self._next_choice_at = 0
         self._known_upstreams = 0
@@ -64,10 +66,12 @@
             self._known_upstreams = len(upstreams)
             self._choose_agents(now)
         revisions = (feeds.operator.revision, feeds.upstreams.revision)
-        is_unchanged = revisions == self._sent_revisions
+        eras = feeds.eras()
+        is_unchanged = (revisions, eras) == (self._sent_revisions, self._sent_eras)
         if now < self._next_run_at and is_unchanged:
             return
         self._sent_revisions = revisions
+        self._sent_eras = eras
         self._next_run_at = now + SUBSCRIBE_CHECK_INTERVAL_MS
         for row in upstreams.rows():
             if not upstreams.is_subscribed[row]:
@@ -154,5 +158,6 @@
             *self._sent_revisions,
             upstreams.record_revision[row],
             is_end,
+            *self._sent_eras,
         )
         state.send(upstreams.key[row], message)
--- a/shallotshore/packets/upstream_table.py
+++ b/shallotshore/packets/upstream_table.py
@@ -217,8 +217,17 @@
             del self._by_service[self.service[row]]
         self.remove(host)
 
-    def apply_records(self, upstreams: Iterable[Upstream], now: int) -> None:
-        """Applies all records of the store; hosts that no longer have a record become LAPSED."""
+    def apply_records(
+        self, upstreams: Iterable[Upstream], now: int, lapsed_hosts: Iterable[str] = ()
+    ) -> None:
+        """Applies all records of the store; hosts that no longer have a record become LAPSED.
+
+        Args:
+            upstreams: The records.
+            now: Time in ms.
+            lapsed_hosts: Hosts whose record was retained until now after the store had lost it, so
+                that their time of grace is over.
+        """
         self.must_apply_records = False
         records: dict[int, Upstream] = {}
         disputed: dict[int, list[Upstream]] = {}
@@ -239,6 +248,10 @@
         for host in self.keys():
             if host not in records:
                 self._mark_lapsed(host, now)
+        for host_of_lapsed in map(host_number, lapsed_hosts):
+            row = self.row(host_of_lapsed)
+            if row != MISSING and self.listing[row] == Listing.LAPSED:
+                self.lapsed_at[row] = now - LAPSE_GRACE_MS
 
     def settle_disputes(self, now: int) -> None:
         """Applies the records of hosts that have several, or whose agent contradicts the record."""
--- a/shallotshore/packets/view.py
+++ b/shallotshore/packets/view.py
@@ -4,6 +4,7 @@
     "Configuration",
     "Feed",
     "FeedState",
+    "HeldEntry",
     "Route",
     "ServiceLimits",
     "Upstream",
@@ -107,6 +108,24 @@
     revision: Revision
 
 
+class HeldEntry(msgspec.Struct, array_like=True, frozen=True, gc=False):
+    """The store's value of an entry for which a process still uses the value of an earlier era.
+
+    Attributes:
+        key: Id of the upstream, name of the data centre, or an empty text for the configuration.
+        upstream: The upstream's record; None when the store has none.
+        configuration: The configuration; only for that entry.
+        is_out: Whether the data centre is out of service; only for a data centre.
+        remaining_ms: How much longer the earlier value is used, in ms.
+    """
+
+    key: str
+    upstream: Upstream | None
+    configuration: Configuration | None
+    is_out: bool
+    remaining_ms: DurationMs
+
+
 class FeedState(msgspec.Struct, array_like=True):
     """A process's copy of one feed, as it is sent to another process.
 
@@ -117,6 +136,9 @@
         data_centres_out: Names of data centres that are out of service; only in the operator's
             feed.
         upstreams: Records of all upstreams; only in the upstreams' feed.
+        era: Era of the store in which `revision` was assigned.
+        held: The store's values of the entries for which the copy has values of an earlier era.
+        held_ms: How much longer the receiver may retain what it knew of an earlier era, in ms.
     """
 
     feed: Feed
@@ -124,6 +146,9 @@
     configuration: Configuration = Configuration()
     data_centres_out: list[str] = []
     upstreams: list[Upstream] = []
+    era: Revision = 0  # senders of an earlier version leave it out, and the following fields
+    held: list[HeldEntry] = []
+    held_ms: DurationMs = 0
 
 
 def check_limits(record: RecordT) -> RecordT:
--- a/standins/packet_store.py
+++ b/standins/packet_store.py
@@ -2,11 +2,14 @@
 
 __all__ = ["StoreStandin"]
 
-from collections.abc import Callable
+import copy
+from collections.abc import Callable, Iterable
+from functools import partial, singledispatch
+
+import msgspec
 
 from shallotshore.codes import Code
-from shallotshore.packets.feed_content import Change, apply_change
-from shallotshore.packets.feed_copies import FeedCopy
+from shallotshore.packets.feed_content import Change, FeedContent, UpstreamChange, apply_change
 from shallotshore.packets.store_messages import (
     ReadFeed,
     StoreChanges,
@@ -18,6 +21,7 @@
 
 StoreAnswer = StoreSnapshot | StoreChanges | StoreFailed
 AnswerCallback = Callable[[int, StoreAnswer], None]
+LostWrite = tuple[Feed, Change]
 ANSWER_DELAY_MS = 4
 
 
@@ -25,6 +29,7 @@
     """Keeps the changes of all feeds, numbered by one revision counter.
 
     Attributes:
+        era: How often the store has come back from a copy.
         revision: Revision of the newest change.
         is_down: Whether every request fails.
         history_start_revision: Watches that start from an earlier revision fail.
@@ -32,6 +37,7 @@
     """
 
     def __init__(self) -> None:
+        self.era = 0
         self.revision = 0
         self.is_down = False
         self.history_start_revision = 0
@@ -54,6 +60,38 @@
         for _, after, reply in pending:
             reply(ANSWER_DELAY_MS, self._build_changes_answer(feed, after))
 
+    def restore(self, lost_revisions: int, keeps_watches: bool = False) -> list[LostWrite]:
+        """Goes back to the state of some revisions ago, as a store restored from a copy does.
+
+        Args:
+            lost_revisions: Number of the newest changes that are lost.
+            keeps_watches: Whether pending watches stay open and are answered in the new era;
+                otherwise they fail.
+
+        Returns:
+            The lost changes in the order of their revisions, for `write_again`.
+        """
+        self.era += 1
+        self.revision -= min(lost_revisions, self.revision)
+        lost = []
+        for feed, changes in self._changes_by_feed.items():
+            lost += [(feed, change) for change in changes if change.revision > self.revision]
+            self._changes_by_feed[feed] = [
+                change for change in changes if change.revision <= self.revision
+            ]
+        if not keeps_watches:
+            pending, self._pending_watches = self._pending_watches, {feed: [] for feed in Feed}
+            for feed, watches in pending.items():
+                for _, _, reply in watches:
+                    failed = StoreFailed(feed, Code.SERVICE_UNREACHABLE, "store is restored")
+                    reply(ANSWER_DELAY_MS, failed)
+        return sorted(lost, key=lambda write: write[1].revision)
+
+    def write_again(self, lost: Iterable[LostWrite]) -> None:
+        """Lets the writers of lost changes write them again."""
+        for feed, change in lost:
+            self.append_change(feed, partial(_with_revision, change))
+
     def remove_history(self) -> None:
         """Removes the history, so that watches from before the present revision fail."""
         self.history_start_revision = self.revision
@@ -73,9 +111,11 @@
         if self.is_down:
             reply(ANSWER_DELAY_MS, StoreFailed(feed, Code.SERVICE_UNREACHABLE, "store is down"))
         elif isinstance(request, ReadFeed):
-            reply(ANSWER_DELAY_MS, StoreSnapshot(feed, self.revision, self._current_changes(feed)))
-        elif request.after < self.history_start_revision:
-            reply(ANSWER_DELAY_MS, StoreFailed(feed, Code.SERVICE_STALE, "history was removed"))
+            changes = self._current_changes(feed)
+            reply(ANSWER_DELAY_MS, StoreSnapshot(feed, self.revision, changes, self.era))
+        elif not self.history_start_revision <= request.after <= self.revision:
+            failed = StoreFailed(feed, Code.SERVICE_STALE, "no such history", self.era)
+            reply(ANSWER_DELAY_MS, failed)
         elif any(change.revision > request.after for change in self._changes_by_feed[feed]):
             reply(ANSWER_DELAY_MS, self._build_changes_answer(feed, request.after))
         else:
@@ -95,12 +135,28 @@
 
     def _build_changes_answer(self, feed: Feed, after: int) -> StoreChanges:
         changes = [change for change in self._changes_by_feed[feed] if change.revision > after]
-        return StoreChanges(feed, self.revision, changes)
+        return StoreChanges(feed, self.revision, changes, self.era, after)
 
     def _current_changes(self, feed: Feed) -> list[Change]:
-        copy = FeedCopy(feed)
+        content = FeedContent()
         newest: dict[str, Change] = {}
         for change in self._changes_by_feed[feed]:
-            apply_change(change, copy.content)
+            apply_change(change, content)
             newest[change.key] = change
         return [change for change in newest.values() if not change.is_gone]
+
+
+@singledispatch
+def _with_revision(change: Change, revision: int) -> Change:
+    """Returns the change as a new write at another revision."""
+    written = copy.copy(change)
+    written.revision = revision
+    return written
+
+
+@_with_revision.register
+def _(change: UpstreamChange, revision: int) -> Change:
+    upstream = change.upstream
+    if upstream is not None:
+        upstream = msgspec.structs.replace(upstream, revision=revision)
+    return UpstreamChange(change.key, revision, upstream)
--- a/standins/packet_world.py
+++ b/standins/packet_world.py
@@ -263,7 +263,7 @@
         peer = self.balancers.get(source[0]) or self.agents.get(source[0])
         answer: FetchedFeed | FetchFailed = FetchFailed(request.feed, "connection refused")
         if peer is not None and not {host, source[0]} & self.disconnected_hosts:
-            copy = msgspec.msgpack.encode(peer.feeds.copy(request.feed).state())
+            copy = msgspec.msgpack.encode(peer.feeds.copy(request.feed).state(self.now))
             answer = FetchedFeed(*decode_state(copy))
         self.call_later(
             2 * NETWORK_DELAY_MS, lambda: self._deliver_to_node(host, core, source, answer)
--- a/tests/test_node_messages.py
+++ b/tests/test_node_messages.py
@@ -40,7 +40,9 @@
 
         A field that this version does not know may hold anything.
         """
-        frame = msgspec.msgpack.encode([*FIRST_SUBSCRIBE, 15, False, 0])[:-1] + b"\x91" * 5_000
+        frame = (
+            msgspec.msgpack.encode([*FIRST_SUBSCRIBE, 15, False, 0, 0, 0])[:-1] + b"\x91" * 5_000
+        )
         self.assertEqual(Code.MESSAGE_MALFORMED, decode(frame).unwrap_err())
 
 
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -163,9 +163,9 @@
 
             server = await asyncio.start_server(serve, "127.0.0.1", 0)
             connection = HttpConnection(server.sockets[0].getsockname()[:2], 1_000)
-            self.assertIn(b"1", await connection.get("/a", 500))
+            self.assertIn(b"1", (await connection.get("/a", 500)).body)
             await asyncio.sleep(2 * delay_s)
-            self.assertIn(b"2", await connection.get("/b", 500))
+            self.assertIn(b"2", (await connection.get("/b", 500)).body)
             connection.close()
             await asyncio.sleep(2 * delay_s + 0.01)
             server.close()
@@ -265,7 +265,7 @@
             connection = HttpConnection(server.sockets[0].getsockname()[:2], 1_000)
             with mock.patch.object(http_client, "PART_TIMEOUT_MS", 200):
                 if is_read:
-                    self.assertEqual(b"x" * 8, await connection.get("/", 200))
+                    self.assertEqual(b"x" * 8, (await connection.get("/", 200)).body)
                 else:
                     with self.assertRaises(HttpError):
                         await connection.get("/", 200)
@@ -332,7 +332,7 @@
         Deep nesting raises RecursionError, which ended the task of the fetch without an answer.
         """
         unknown_field = (
-            msgspec.msgpack.encode([2, 3, [0, [], []], [], [], 0])[:-1] + b"\x91" * 5_000
+            msgspec.msgpack.encode([2, 3, [0, [], []], [], [], 0, [], 0, 0])[:-1] + b"\x91" * 5_000
         )
         for invalid in (b"\xff\x00", unknown_field):
 
