Test the return of the store from a copy on the virtual clock

Cause: no test let the store lose acknowledged writes.

Processes of the last release can be among the new ones.

--- a/standins/packet_store.py
+++ b/standins/packet_store.py
@@ -88,8 +88,9 @@
         return sorted(lost, key=lambda write: write[1].revision)
 
     def write_again(self, lost: Iterable[LostWrite]) -> None:
-        """Lets the writers of lost changes write them again."""
-        for feed, change in lost:
+        """Lets the writers of lost changes write the newest state of each entry again."""
+        newest = {(feed, change.key): change for feed, change in lost}
+        for (feed, _), change in newest.items():
             self.append_change(feed, partial(_with_revision, change))
 
     def remove_history(self) -> None:
--- a/standins/packet_world.py
+++ b/standins/packet_world.py
@@ -54,6 +54,7 @@
 NETWORK_DELAY_MS = 3
 STORE_SILENCE_MS = 2_100  # after which keep-alive probes end a connection to the store
 VIP = ("198.18.0.1", 443)
+ERA_FIELDS = ("era", "operator_era", "upstreams_era")
 
 
 class PacketWorld:
@@ -67,6 +68,7 @@
         clients: Stand-ins of clients by address.
         disconnected_hosts: Hosts that neither send nor receive.
         hosts_without_store: Hosts that are cut off from the store.
+        hosts_of_last_release: Hosts whose processes neither send nor read eras of the store.
         agent_settings: Settings of agents by host.
         data_centre_by_host: Data centres of balancers and agents.
         data_centres: Names of all data centres.
@@ -83,6 +85,7 @@
         self.clients: dict[Address, PacketClient] = {}
         self.disconnected_hosts: set[str] = set()
         self.hosts_without_store: set[str] = set()
+        self.hosts_of_last_release: set[str] = set()
         self.agent_settings: dict[str, AgentSettings] = {}
         self.data_centre_by_host: dict[str, str] = {}
         self.data_centres = data_centres
@@ -255,6 +258,8 @@
 
     def _make_store_reply(self, host: str, core: Any) -> Callable[[int, object], None]:
         def reply(delay: int, answer: object) -> None:
+            if host in self.hosts_of_last_release:
+                _remove_eras(answer)
             self.call_later(delay, lambda: self._deliver_to_node(host, core, STORE_ADDRESS, answer))
 
         return reply
@@ -263,8 +268,11 @@
         peer = self.balancers.get(source[0]) or self.agents.get(source[0])
         answer: FetchedFeed | FetchFailed = FetchFailed(request.feed, "connection refused")
         if peer is not None and not {host, source[0]} & self.disconnected_hosts:
-            copy = msgspec.msgpack.encode(peer.feeds.copy(request.feed).state(self.now))
-            answer = FetchedFeed(*decode_state(copy))
+            state = peer.feeds.copy(request.feed).state(self.now)
+            if {host, source[0]} & self.hosts_of_last_release:
+                _remove_eras(state)
+                state.held, state.held_ms = [], 0
+            answer = FetchedFeed(*decode_state(msgspec.msgpack.encode(state)))
         self.call_later(
             2 * NETWORK_DELAY_MS, lambda: self._deliver_to_node(host, core, source, answer)
         )
@@ -282,6 +290,8 @@
 
     def _send_to_node(self, source: str, destination: str, frame: bytes) -> None:
         message = node_messages.decode(frame).unwrap()
+        if {source, destination} & self.hosts_of_last_release:
+            _remove_eras(message)
         if source in self.balancers:
             self.sent_by_balancers[type(message).__name__] += 1
         if {source, destination} & self.disconnected_hosts:
@@ -325,3 +335,10 @@
             self.call_later(0, lambda: self._deliver_to_node(host, agent, (host, 8080), packet))
 
         return send
+
+
+def _remove_eras(message: Any) -> None:
+    """Sets the eras in a message to what a process of the last release sends and reads."""
+    for field in ERA_FIELDS:
+        if hasattr(message, field):
+            setattr(message, field, 0)
