--- a/shallotshore/packets/feed_copies.py
+++ b/shallotshore/packets/feed_copies.py
@@ -67,6 +67,9 @@
         needs_whole_copy: Whether the changes since this copy's revision are not to be had.
         content: The records.
         retained: Entries in `content` whose value is older than the era.
+        seeks_retained: Whether this process has read the store without knowing anything of the
+            era before, so that another process may retain what the store has lost.
+        retained_source: Address of a process of the same era; None until one is known.
     """
 
     __slots__ = (
@@ -93,7 +96,9 @@
         "offered_era",
         "reread_era",
         "retained",
+        "retained_source",
         "revision",
+        "seeks_retained",
         "watch_after",
     )
 
@@ -121,6 +126,8 @@
         self.needs_whole_copy = False
         self.content = FeedContent()
         self.retained = RetainedValues()
+        self.seeks_retained = False
+        self.retained_source: Address | None = None
         self._kept_changes: deque[FeedEntry] = deque()
         self._changes_since = 0  # all changes after this revision are kept
 
@@ -275,6 +282,8 @@
         offers = ((self.operator, eras[0], operator), (self.upstreams, eras[1], upstreams))
         for copy, era, revision in offers:
             offered = (era, revision)
+            if copy.seeks_retained and era == copy.era:
+                copy.retained_source = source
             if offered <= copy.position:
                 continue
             copy.offered_era = max(copy.offered_era, era)
--- a/shallotshore/packets/feeds.py
+++ b/shallotshore/packets/feeds.py
@@ -4,19 +4,13 @@
 
 __all__ = ["STORE_ADDRESS", "FeedSystem"]
 
-from collections.abc import Sequence
 from typing import TYPE_CHECKING
 
 from shallotshore.codes import Code
-from shallotshore.packets.feed_content import (
-    Change,
-    FeedContent,
-    UnreadableEntry,
-    UpstreamChange,
-    apply_change,
-)
+from shallotshore.packets.feed_content import FeedContent, apply_change
 from shallotshore.packets.feed_copies import COALESCE_MS, NEVER, WATCH_WAIT_MS, FeedCopy
 from shallotshore.packets.feed_entries import to_change
+from shallotshore.packets.feed_updates import FeedUpdates
 from shallotshore.packets.node_messages import FeedChanges, FeedRequest, encode
 from shallotshore.packets.restored_store import HELD_BELIEF_MS, read_held, restore_stored
 from shallotshore.packets.store_messages import (
@@ -52,7 +46,6 @@
 FETCH_RETRY_PAUSE_MS = 100
 CHANGES_TIMEOUT_MS = 200  # data centres are a few ms apart; the whole copy is fetched afterwards
 MAX_CHANGES_BYTES = 8_000  # of a datagram with changes
-MAX_LOGGED_KEYS = 5  # of the values that one log line counts
 STORE_ADDRESS: Address = ("", 0)  # a placeholder; the application object knows the store's address
 
 
@@ -62,7 +55,16 @@
     After each run `Feeds.changed` has the feeds whose content changed.
     """
 
-    __slots__ = ("_counters", "_feeds", "_inbox", "_log", "_outbox", "_reads_store", "_rng")
+    __slots__ = (
+        "_counters",
+        "_feeds",
+        "_inbox",
+        "_log",
+        "_outbox",
+        "_reads_store",
+        "_rng",
+        "_updates",
+    )
 
     def __init__(self, node: NodeState, reads_store: bool) -> None:
         """Creates the system.
@@ -78,6 +80,7 @@
         self._log = node.log
         self._rng = node.rng
         self._reads_store = reads_store
+        self._updates = FeedUpdates(node.feeds, node.counters, node.log)
 
     def run(self, now: int) -> None:
         """Handles the answers that have arrived and makes the calls due at `now` (ms)."""
@@ -104,7 +107,7 @@
         for _, peer_changes in self._inbox.take(FeedChanges):
             self._handle_peer_changes(peer_changes, now)
         for copy in (self._feeds.operator, self._feeds.upstreams):
-            self._release_retained(copy, now)
+            self._updates.release_retained(copy, now)
             self._call_store(copy, now)
             self._fetch_from_peer(copy, now)
 
@@ -147,6 +150,8 @@
         self._counters.add("store.calls")
 
     def _fetch_from_peer(self, copy: FeedCopy, now: int) -> None:
+        if copy.seeks_retained and copy.retained_source is not None:
+            self._fetch_retained(copy, copy.retained_source, now)
         source = copy.best_offer_source
         if copy.is_fetch_pending and not copy.needs_whole_copy:
             # Requests for changes are datagrams, which may be lost.
@@ -169,6 +174,17 @@
             self._outbox.send(source, FetchFeed(copy.feed))
             self._counters.add("peers.copies_fetched")
 
+    def _fetch_retained(self, copy: FeedCopy, source: Address, now: int) -> None:
+        """Fetches the copy of a process that may know what the store has lost, once."""
+        if copy.is_fetch_pending:
+            return
+        copy.seeks_retained = False
+        if now < copy.retained.until:
+            copy.is_fetch_pending = copy.needs_whole_copy = True
+            copy.fetch_started_at = now
+            self._outbox.send(source, FetchFeed(copy.feed))
+            self._counters.add("peers.copies_fetched")
+
     def _offer_wait_ms(self, copy: FeedCopy) -> int:
         """Returns how long a newer revision must have been offered before it is fetched, in ms."""
         if copy.revision == 0 or copy.is_fetch_urgent:
@@ -200,14 +216,14 @@
         if message.revision <= copy.revision:
             return
         changes = [to_change(entry) for entry in message.entries]
-        self._log_unreadable(copy, changes, now)
+        self._updates.log_unreadable(copy, changes, now)
         for change in changes:
             if change.revision > copy.revision:
-                self._apply_write(copy, change, now)
+                self._updates.apply_write(copy, change, now)
         copy.revision = message.revision
         copy.watch_after = max(copy.watch_after, message.revision)
         self._feeds.changed.add(copy.feed)
-        self._log_adopted(copy, "changes", now)
+        self._updates.log_adopted(copy, "changes", now)
 
     def _record_store_answer(self, copy: FeedCopy, now: int) -> None:
         if copy.failing_since != NEVER:
@@ -237,10 +253,13 @@
         content = FeedContent()
         for change in snapshot.changes:
             apply_change(change, content)
-        self._log_unreadable(copy, snapshot.changes, now)
+        self._updates.log_unreadable(copy, snapshot.changes, now)
         until = now + HELD_BELIEF_MS if snapshot.era else now
-        self._retain_known(copy, content, snapshot.era, until, now)
-        self._replace_content(copy, content, snapshot.era, snapshot.revision, "store", now)
+        self._updates.retain_known(copy, content, snapshot.era, until, now)
+        is_first = not copy.revision and snapshot.era > 0
+        # A copy of the upstreams' feed is large, and reports of agents say which upstreams leave.
+        copy.seeks_retained |= is_first and copy.feed is Feed.OPERATOR
+        self._updates.replace_content(copy, content, snapshot.era, snapshot.revision, "store", now)
 
     def _handle_changes(self, changes: StoreChanges, now: int) -> None:
         copy = self._feeds.copy(changes.feed)
@@ -257,12 +276,12 @@
         copy.watch_after = max(copy.watch_after, changes.revision)
         if changes.changes:
             copy.next_call_at = now + COALESCE_MS
-        self._log_unreadable(copy, changes.changes, now)
+        self._updates.log_unreadable(copy, changes.changes, now)
         held_revision = copy.revision
         for change in changes.changes:
             if change.revision > held_revision:
                 copy.revision = max(copy.revision, change.revision)
-                self._apply_to_copy(copy, change, now)
+                self._updates.apply_and_log(copy, change, now)
 
     def _handle_store_failure(self, failed: StoreFailed, now: int) -> None:
         copy = self._feeds.copy(failed.feed)
@@ -310,10 +329,15 @@
             self._count_old_copy(copy)
         elif (state.era, state.revision) > copy.position:
             effective = FeedContent.from_state(state)
-            self._log_unreadable(copy, fetched.refused, now)
+            self._updates.log_unreadable(copy, fetched.refused, now)
             for entry in fetched.refused:
                 apply_change(entry, effective)
             self._adopt_peer_copy(copy, state, effective, now)
+        elif state.era == copy.era and state.held:
+            effective = FeedContent.from_state(state)
+            copy.retained.adopt(read_held(state, now), effective, copy.content, now)
+            self._feeds.changed.add(copy.feed)
+            self._updates.log_adopted(copy, "peer", now)
 
     def _adopt_peer_copy(
         self, copy: FeedCopy, state: FeedState, effective: FeedContent, now: int
@@ -332,64 +356,15 @@
             restore_stored(value.stored, content)
         until = now + min(state.held_ms, HELD_BELIEF_MS)
         is_new_era = state.era > copy.era
-        self._retain_known(copy, content, state.era, until, now)
+        self._updates.retain_known(copy, content, state.era, until, now)
         copy.retained.adopt(held, effective, content, now)
         if is_new_era:
             # A watch from a revision of the last era would miss changes.
             copy.watch_after = state.revision
+            copy.confirmed_at = NEVER
             if copy.is_call_pending:
                 self._reread_copy(copy, now)
-        self._replace_content(copy, content, state.era, state.revision, "peer", now)
-
-    def _retain_known(
-        self, copy: FeedCopy, content: FeedContent, era: int, until: int, now: int
-    ) -> None:
-        """Puts into new content what this process knows and a restored store has lost.
-
-        Args:
-            copy: This process's copy.
-            content: The content that the store holds.
-            era: Era of the content.
-            until: When the store's values take effect, in ms.
-            now: Time in ms.
-        """
-        if era == copy.era:
-            copy.retained.carry_over(copy.content, content)
-            return
-        copy.retained.begin_era(copy.content, content, until, now)
-        if not copy.revision:
-            return
-        self._counters.add("store.era_changes")
-        self._counters.add("feeds.values_retained", len(copy.retained))
-        self._log.write(
-            now,
-            "store_era_changed",
-            feed=copy.feed.name,
-            era=era,
-            was=copy.era,
-            revision=copy.revision,
-            retained=len(copy.retained),
-        )
-
-    def _release_retained(self, copy: FeedCopy, now: int) -> None:
-        """Puts the store's values into use for which the time of retention is over."""
-        released = copy.retained.release_expired(copy.content, now)
-        if not released:
-            return
-        self._feeds.changed.add(copy.feed)
-        for known in released:
-            upstream = known.upstream if isinstance(known, UpstreamChange) else None
-            if upstream is not None and known.key not in copy.content.upstreams:
-                self._feeds.lapsed_hosts.add(upstream.host)
-        self._counters.add("feeds.values_dropped", len(released))
-        self._log.write(
-            now,
-            "retained_values_dropped",
-            feed=copy.feed.name,
-            count=len(released),
-            keys=[known.key for known in released[:MAX_LOGGED_KEYS]],
-            version=copy.content.configuration.version,
-        )
+        self._updates.replace_content(copy, content, state.era, state.revision, "peer", now)
 
     def _refuse_old_era(self, copy: FeedCopy, era: int, now: int) -> None:
         """Counts an answer of an earlier era than the copy's as a failure of the store."""
@@ -401,83 +376,3 @@
     def _count_old_copy(self, copy: FeedCopy) -> None:
         self._counters.add("peers.old_era_copies")
         copy.forget_offers()
-
-    def _replace_content(
-        self,
-        copy: FeedCopy,
-        content: FeedContent,
-        era: int,
-        revision: int,
-        source: str,
-        now: int,
-    ) -> None:
-        """Replaces a copy's content.
-
-        Within an era the configuration in use stays if its version is higher.
-        """
-        if era == copy.era and content.configuration.version < copy.content.configuration.version:
-            content.configuration = copy.content.configuration
-        copy.retained.record_replacement(copy.content, content, now)
-        copy.content = content
-        copy.era = era
-        copy.revision = revision
-        copy.forget_changes()
-        self._feeds.changed.add(copy.feed)
-        self._log_adopted(copy, source, now)
-
-    def _log_adopted(self, copy: FeedCopy, source: str, now: int) -> None:
-        self._log.write(
-            now,
-            "feed_adopted",
-            feed=copy.feed.name,
-            source=source,
-            revision=copy.revision,
-            version=copy.content.configuration.version,
-            out=sorted(copy.content.data_centres_out),
-            upstreams=len(copy.content.upstreams),
-        )
-
-    def _apply_to_copy(self, copy: FeedCopy, change: Change, now: int) -> None:
-        if not self._apply_write(copy, change, now):
-            # Another writer may rewrite an unreadable entry at any rate.
-            return
-        self._feeds.changed.add(copy.feed)
-        self._log.write(
-            now,
-            "feed_changed",
-            feed=copy.feed.name,
-            kind=type(change).__name__,
-            key=change.key,
-            revision=change.revision,
-            version=copy.content.configuration.version,
-            is_gone=change.is_gone,
-        )
-
-    def _apply_write(self, copy: FeedCopy, change: Change, now: int) -> bool:
-        """Applies a write of the copy's era, and returns whether the records have changed."""
-        copy.keep_change(change)
-        retained = len(copy.retained)
-        if not copy.retained.admit_write(change, copy.content, now):
-            return False
-        if len(copy.retained) < retained:
-            self._counters.add("feeds.values_rewritten")
-        is_changed = apply_change(change, copy.content)
-        if is_changed:
-            copy.retained.record_change(change, now)
-        return is_changed
-
-    def _log_unreadable(self, copy: FeedCopy, changes: Sequence[Change], now: int) -> None:
-        """Counts the entries that are left out, and logs each key once while it stays so."""
-        for change in changes:
-            if not isinstance(change, UnreadableEntry):
-                continue
-            self._counters.add("store.unreadable_entries")
-            is_known = change.key in copy.content.unreadable
-            if not is_known and self._log.try_admit_decision(now):
-                self._log.write(
-                    now,
-                    "entry_unreadable",
-                    key=change.key,
-                    code=int(Code.RECORD_UNREADABLE),
-                    reason=change.reason,
-                )
--- a/shallotshore/packets/restored_store.py
+++ b/shallotshore/packets/restored_store.py
@@ -115,9 +115,13 @@
             if is_over and not _has_no_value(value.stored):
                 continue
             belief = _current_value(value.stored, effective)
-            if _key_of(value.stored) in self._held and not _is_preferred(belief, content):
-                continue
-            self._hold(belief, value.stored, min(value.until, self.until), content)
+            if _key_of(value.stored) in self._held:
+                is_usable = _is_preferred(belief, content)
+            else:
+                # A value that differs is a write that the other process had not seen yet.
+                is_usable = _is_same_write(_current_value(value.stored, content), value.stored)
+            if is_usable:
+                self._hold(belief, value.stored, min(value.until, self.until), content)
 
     def admit_write(self, change: Change, content: FeedContent, now: int) -> bool:
         """Returns whether a new write of the store takes effect at once.
@@ -169,10 +173,13 @@
             content: The content in use from now on.
             now: Time in ms.
         """
-        present = content.upstreams.keys() | content.data_centres_out
-        for key in [key for key in self._tombstones if key in present]:
-            del self._tombstones[key]
-        for key in (known.upstreams.keys() | known.data_centres_out) - present:
+        for key in list(self._tombstones):
+            if key in content.upstreams or key in content.data_centres_out:
+                del self._tombstones[key]
+        for key in known.upstreams:
+            if key not in content.upstreams:
+                self._add_tombstone(key, now)
+        for key in known.data_centres_out - content.data_centres_out:
             self._add_tombstone(key, now)
 
     def to_entries(self, now: int) -> list[HeldEntry]:
--- a/tests/test_node_messages.py
+++ b/tests/test_node_messages.py
@@ -5,7 +5,18 @@
 import msgspec
 
 from shallotshore.codes import Code
-from shallotshore.packets.node_messages import Report, Subscribe, UpstreamHealth, decode, encode
+from shallotshore.packets.node_messages import (
+    FeedChanges,
+    FeedRequest,
+    FeedStatus,
+    Hello,
+    Report,
+    Subscribe,
+    UpstreamHealth,
+    decode,
+    encode,
+)
+from shallotshore.packets.view import Feed
 
 # Fields as version 0.1.0 of the packet front end first sent them.
 FIRST_SUBSCRIBE = [4, 11, 12, 13, 14]
@@ -35,6 +46,29 @@
         fields = msgspec.msgpack.decode(encode(report))
         self.assertEqual(FIRST_REPORT, fields[: len(FIRST_REPORT)])
 
+    def test_eras_are_the_last_fields(self) -> None:
+        """Guards against an era that another version reads as another field, or does not read.
+
+        The other version may be the last one, whose messages end before the eras.
+        """
+        report = Report(
+            1, 2, 3, 80, UpstreamHealth.ANSWERS, 0, 2, 5, 13, 14, b"", b"", True, 21, 22
+        )
+        for message, eras in (
+            (Subscribe(11, 12, 13, 14, 15, False, 21, 22), 2),
+            (report, 2),
+            (Hello(11, True, False, 13, 14, (), (), 21, 22), 2),
+            (FeedStatus(13, 14, None, 5, 21, 22), 2),
+            (FeedRequest(Feed.OPERATOR, 13, 21), 1),
+            (FeedChanges(Feed.OPERATOR, 13, (), 21), 1),
+        ):
+            fields = msgspec.msgpack.decode(encode(message))
+            self.assertEqual([21, 22][:eras], fields[-eras:])
+            self.assertEqual(message, decode(encode(message)).unwrap())
+            last = decode(msgspec.msgpack.encode(fields[:-eras])).unwrap()
+            self.assertEqual([0] * eras, msgspec.msgpack.decode(encode(last))[-eras:])
+            self.assertEqual(fields[:-eras], msgspec.msgpack.decode(encode(last))[:-eras])
+
     def test_deep_nesting_is_malformed(self) -> None:
         """Guards against an exception that the reader of the socket does not expect.
 
--- a/tests/test_record_decoding.py
+++ b/tests/test_record_decoding.py
@@ -12,7 +12,14 @@
 from shallotshore.packets.peer_copies import fetch_feed_copy
 from shallotshore.packets.record_decoding import decode_state
 from shallotshore.packets.store_messages import FetchedFeed
-from shallotshore.packets.view import Configuration, Feed, FeedState, Route, Upstream
+from shallotshore.packets.view import (
+    Configuration,
+    Feed,
+    FeedState,
+    HeldEntry,
+    Route,
+    Upstream,
+)
 
 GOOD = Upstream("i-1", "spend", "10.1.1.1", 80, "bud-a", 3, False, 0, 8)
 # Fields of which each makes a record unusable.
@@ -27,6 +34,36 @@
 )
 
 
+class EraTest(unittest.TestCase):
+    """The era and the retained values of a copy that another process sends."""
+
+    def make_state(self) -> FeedState:
+        held = [HeldEntry("i-1", GOOD, None, False, 900), HeldEntry("i-2", None, None, False, 800)]
+        return FeedState(Feed.UPSTREAMS, 9, upstreams=[GOOD], era=3, held=held, held_ms=1_000)
+
+    def test_era_and_retained_values_are_transferred(self) -> None:
+        """Guards against a receiver that takes retained values for those of the store."""
+        state = self.make_state()
+        self.assertEqual((state, []), decode_state(msgspec.msgpack.encode(state)))
+
+    def test_copy_of_the_last_release_has_no_era(self) -> None:
+        """Guards against copies that are refused during a rolling upgrade."""
+        fields = msgspec.to_builtins(self.make_state())[:5]
+        state, _ = decode_state(msgspec.msgpack.encode(fields))
+        self.assertEqual((0, [], 0), (state.era, state.held, state.held_ms))
+
+    def test_refused_record_leaves_the_era_and_the_other_values(self) -> None:
+        """Guards against a copy that falls back to era 0 because of one refused record."""
+        state = self.make_state()
+        state.upstreams.append(msgspec.structs.replace(GOOD, id="i-3", slots=-1))
+        bad = msgspec.structs.replace(GOOD, id="i-4", port=70_000)
+        state.held.insert(0, HeldEntry("i-4", bad, None, False, 900))
+        decoded, refused = decode_state(msgspec.msgpack.encode(state))
+        self.assertEqual(["i-3"], [entry.key for entry in refused])
+        self.assertEqual((3, 1_000), (decoded.era, decoded.held_ms))
+        self.assertEqual(self.make_state().held, decoded.held)
+
+
 class ChangesTest(unittest.TestCase):
     """Changes that another process sends."""
 
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -182,6 +182,20 @@
         self.world.store.write_again(lost)
         self.assert_always(CONFIGURATION_MS + 2_000, lambda: self.assert_routes(NEW_VIP))
 
+    def test_lost_configuration_at_a_process_that_starts_during_the_drill(self) -> None:
+        """Guards against a removed route that serves again at a balancer without a memory."""
+        self.repeat_entries(LOST_REVISIONS - 1)
+        self.world.configure({NEW_VIP: "spend"})
+        self.world.run(1_000)
+        self.restore(LOST_REVISIONS)
+        self.world.run(700)
+        self.start_balancer(BALANCERS[0])
+        self.start_balancer(BALANCERS[3])
+        self.world.run(200)
+        self.assert_always(800, lambda: self.assert_routes(NEW_VIP))
+        self.world.run(HELD_BELIEF_MS)
+        self.assert_routes(VIP)
+
     def test_lost_draining_reopens_no_upstream(self) -> None:
         """Guards against new flows for an upstream whose `draining` the store has lost."""
         self.repeat_entries(LOST_REVISIONS - 1)
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -127,6 +127,39 @@
         )
         self.assertIn("after=servers%2Fa", self.server.paths[1])
 
+    async def test_answers_name_the_era_of_the_store(self) -> None:
+        """Guards against an era that is lost between the header and the core.
+
+        The header's name may have any case, and failed answers have it too.
+        """
+        page = {"items": [item("a", 7)], "events": [], "currentRev": 9}
+        for head, request, expected in (
+            ("200 OK\r\nStore-Era: 3", ReadFeed(Feed.UPSTREAMS), (StoreSnapshot, 3)),
+            ("200 OK\r\nstore-era: 4", WatchFeed(Feed.UPSTREAMS, 9, 1), (StoreChanges, 4)),
+            ("410 Gone\r\nSTORE-ERA: 5", WatchFeed(Feed.UPSTREAMS, 9, 1), (StoreFailed, 5)),
+            ("200 OK", ReadFeed(Feed.UPSTREAMS), (StoreSnapshot, 0)),
+            ("200 OK\r\nStore-Era: x", ReadFeed(Feed.UPSTREAMS), (StoreFailed, 0)),
+            ("200 OK\r\nStore-Era: -1", ReadFeed(Feed.UPSTREAMS), (StoreFailed, 0)),
+            (f"200 OK\r\nStore-Era: {1 << 63}", ReadFeed(Feed.UPSTREAMS), (StoreFailed, 0)),
+        ):
+            delivered = await self.call_store(lambda path, head=head: body(page, head), request)
+            assert isinstance(delivered, StoreSnapshot | StoreChanges | StoreFailed)
+            self.assertEqual(expected, (type(delivered), delivered.era), head)
+
+    async def test_pages_of_two_eras_are_no_snapshot(self) -> None:
+        """Guards against a list that is half of the old era and half of the new one."""
+
+        def answer(path: str) -> bytes:
+            if "after=" in path:
+                page = {"items": [item("b", 3)], "hasMore": False, "currentRev": 4}
+                return body(page, "200 OK\r\nStore-Era: 2")
+            page = {"items": [item("a", 7)], "hasMore": True, "currentRev": 9}
+            return body(page, "200 OK\r\nStore-Era: 1")
+
+        delivered = await self.call_store(answer, ReadFeed(Feed.UPSTREAMS))
+        assert isinstance(delivered, StoreFailed)
+        self.assertEqual((2, Code.SERVICE_UNREACHABLE), (delivered.era, delivered.code))
+
     async def test_watch_gives_changes_and_removals(self) -> None:
         """Guards against a removal that is decoded as a record."""
         events = [item("a", 11), {"key": "servers/b", "rev": 12, "tombstone": True}]
