Bound the number of values that are retained in an era

Cause: after a restore from an empty copy all 150,000 upstreams would be retained; the start of the era took 1,136 ms and its end 954 ms, in which a process handles no packets.

Change: at most 20,000 values of a feed are retained, removals first; feeds.values_left_out counts the others. A whole read that lacks many entries adds at most 4,096 removals.

--- a/shallotshore/packets/feed_updates.py
+++ b/shallotshore/packets/feed_updates.py
@@ -54,6 +54,7 @@
             return
         self._counters.add("store.era_changes")
         self._counters.add("feeds.values_retained", len(copy.retained))
+        self._counters.add("feeds.values_left_out", copy.retained.left_out)
         self._log.write(
             now,
             "store_era_changed",
@@ -62,6 +63,7 @@
             was=copy.era,
             revision=copy.revision,
             retained=len(copy.retained),
+            left_out=copy.retained.left_out,
         )
 
     def release_retained(self, copy: FeedCopy, now: int) -> None:
--- a/shallotshore/packets/restored_store.py
+++ b/shallotshore/packets/restored_store.py
@@ -10,6 +10,7 @@
 
 from collections.abc import Iterable, Iterator
 from functools import singledispatch
+from itertools import islice
 
 import msgspec
 
@@ -26,7 +27,9 @@
 # An upstream repeats its entry every 770 ms and all entries are back within 2 s. The tightest limit
 # on the time until a configuration takes effect is 3 s.
 HELD_BELIEF_MS = 2_500
-MAX_HELD_ENTRIES = 200_000  # of one feed; the system is planned for 150,000 upstreams
+# Of one feed. Beyond it the store's value takes effect at once; balancers then still have the grace
+# of entries that lapsed. A copy some seconds old lacks few entries.
+MAX_HELD_ENTRIES = 20_000
 MAX_TOMBSTONES = 4_096  # of one feed
 TOMBSTONE_LIFETIME_MS = 120_000
 CONFIGURATION_KEY = ""  # no data centre has an empty name
@@ -55,12 +58,15 @@
 
     Attributes:
         until: When the retention for the present era ends, in ms.
+        left_out: Number of values that were not retained at the start of the era, since there were
+            too many.
     """
 
-    __slots__ = ("_held", "_next_due", "_tombstones", "until")
+    __slots__ = ("_held", "_next_due", "_tombstones", "left_out", "until")
 
     def __init__(self) -> None:
         self.until = 0
+        self.left_out = 0
         self._held: dict[str, HeldValue] = {}
         self._next_due = 0
         self._tombstones: dict[str, int] = {}
@@ -79,6 +85,7 @@
         """
         self._held = {}
         self.until = until
+        self.left_out = 0
         removed = [key for key, at in self._tombstones.items() if now - at <= TOMBSTONE_LIFETIME_MS]
         for belief in list(_find_contradicted(known, content, removed)):
             stored = _current_value(belief, content)
@@ -176,9 +183,9 @@
         for key in list(self._tombstones):
             if key in content.upstreams or key in content.data_centres_out:
                 del self._tombstones[key]
-        for key in known.upstreams:
-            if key not in content.upstreams:
-                self._add_tombstone(key, now)
+        removed = known.upstreams.keys() - content.upstreams.keys()
+        for key in islice(removed, MAX_TOMBSTONES):
+            self._add_tombstone(key, now)
         for key in known.data_centres_out - content.data_centres_out:
             self._add_tombstone(key, now)
 
@@ -190,6 +197,7 @@
 
     def _hold(self, belief: Change, stored: Change, until: int, content: FeedContent) -> None:
         if len(self._held) >= MAX_HELD_ENTRIES:
+            self.left_out += 1
             return
         self._next_due = min(self._next_due, until) if self._held else until
         self._held[_key_of(stored)] = HeldValue(stored, until)
@@ -250,6 +258,11 @@
         yield ConfigurationChange(CONFIGURATION_KEY, 0, known.configuration)
     for name in known.data_centres_out - content.data_centres_out:
         yield DataCentreChange(name, 0)
+    for key in removed:
+        if key in content.upstreams:
+            yield UpstreamChange(key, 0, None)
+        if key in content.data_centres_out:
+            yield DataCentreChange(key, 0, is_gone=True)
     for key, upstream in known.upstreams.items():
         stored = content.upstreams.get(key)
         if stored is None or _is_outdated(stored, upstream):
@@ -257,11 +270,6 @@
             # time has been counted already.
             record = msgspec.structs.replace(upstream, revision=0, cold_ms=0)
             yield UpstreamChange(key, 0, record)
-    for key in removed:
-        if key in content.upstreams:
-            yield UpstreamChange(key, 0, None)
-        if key in content.data_centres_out:
-            yield DataCentreChange(key, 0, is_gone=True)
 
 
 def _is_outdated(stored: Upstream, known: Upstream) -> bool:
--- a/tests/test_retained_values.py
+++ b/tests/test_retained_values.py
@@ -19,6 +19,7 @@
 from shallotshore.packets.node_state import NodeState
 from shallotshore.packets.restored_store import (
     HELD_BELIEF_MS,
+    MAX_HELD_ENTRIES,
     MAX_TOMBSTONES,
     TOMBSTONE_LIFETIME_MS,
     RetainedValues,
@@ -134,6 +135,19 @@
         record = content.upstreams["i-1"]
         self.assertEqual((0, 0), (record.revision, record.cold_ms))
 
+    def test_number_of_retained_values_is_bounded(self) -> None:
+        """Guards against a process that stands still after a restore from an empty copy.
+
+        Removals go first, since nothing else keeps an upstream that has left from use.
+        """
+        known = content_of(*(upstream(f"i-{n}", n) for n in range(MAX_HELD_ENTRIES + 5)))
+        retained = RetainedValues()
+        retained.record_change(UpstreamChange("i-gone", 5, None), START)
+        content = content_of(upstream("i-gone", 1))
+        retained.begin_era(known, content, START + HELD_BELIEF_MS, START)
+        self.assertEqual((MAX_HELD_ENTRIES, 6), (len(retained), retained.left_out))
+        self.assertNotIn("i-gone", content.upstreams)
+
     def test_values_take_effect_when_their_time_is_over(self) -> None:
         """Guards against a value that is kept too long, or dropped too early."""
         known = content_of(configuration(9, 50), DataCentreChange("bud-a", 51))
