--- a/bench/process_soak.py
+++ b/bench/process_soak.py
@@ -17,6 +17,7 @@
 from collections import Counter
 from pathlib import Path
 
+from bench.store_drills import StoreDrills
 from standins.loopback_proxy import Disturbance, LoopbackProxy
 from standins.packet_client import PacketClient
 from standins.packet_processes import NODE_PORT, SERVICE, VIP, LoopbackFleet
@@ -27,6 +28,7 @@
 # Number of signals; also the time in s within which signals and disturbances begin.
 FAULT_COUNT = 8
 DISTURBANCE_COUNT = 6
+DRILL_COUNT = 4  # with --drills
 LOG_FOLDER = Path("build/process-soak")  # gets the log lines of all processes of a failed seed
 # Seeds that failed once, and the cause. Runs depend on real time and do not repeat exactly.
 REGRESSION_SEEDS = {
@@ -43,11 +45,23 @@
 class SoakRun:
     """Run of one seed: a fleet with clients and a random series of faults."""
 
-    def __init__(self, seed: int) -> None:
+    def __init__(
+        self, seed: int, has_drills: bool = False, last_release: Path | None = None
+    ) -> None:
+        """Creates a run.
+
+        Args:
+            seed: Seed of all random choices.
+            has_drills: Whether the store comes back from a copy while configurations change.
+            last_release: Folder of the last release, from which one balancer and one agent run.
+        """
         self._seed = seed
         self._rng = random.Random(seed)
         self._proxy = LoopbackProxy(NODE_PORT, random.Random(seed))
-        self._fleet = LoopbackFleet(self._proxy)
+        # Balancers that know each other follow readers of the store.
+        self._fleet = LoopbackFleet(self._proxy, BALANCER_HOSTS if has_drills else ())
+        self._drills = StoreDrills(self._fleet, self._rng) if has_drills else None
+        self._last_release = last_release
         self._clients: list[PacketClient] = []
         self._sent_counts: Counter[int] = Counter()
         self._signalled_hosts: set[str] = set()
@@ -61,10 +75,12 @@
             load_task = asyncio.ensure_future(self._send_requests())
             faults = [self._inject_signal() for _ in range(FAULT_COUNT)]
             disturbances = [self._inject_disturbance() for _ in range(DISTURBANCE_COUNT)]
-            await asyncio.gather(*faults, *disturbances)
+            await asyncio.gather(*faults, *disturbances, self._run_drills())
             load_task.cancel()
             await fleet.wait_until(lambda: not self._find_unanswered_flows(), RECOVERY_TIMEOUT_S)
             problems = self._find_problems()
+            if self._drills is not None:
+                problems += await self._drills.find_problems(self._new_balancers())
             if problems:
                 fleet.save_log_lines(LOG_FOLDER / f"{self._seed}.jsonl")
             return problems
@@ -76,17 +92,10 @@
         route = {"host": VIP[0], "prefix": f"/{VIP[1]}/", "service": SERVICE}
         fleet.publish("op/config", {"version": 2, "routes": [route]})
         for number, host in enumerate(AGENT_HOSTS):
-            entry = {
-                "service": SERVICE,
-                "address": f"{host}:8080",
-                "zone": "bud-a",
-                "version": "v1",
-                "slots": 3,
-                "state": "ready",
-                "coldRemainingMs": 0,
-                "seq": 1,
-            }
-            fleet.publish(f"servers/i-{number}", entry)
+            fleet.publish(f"servers/i-{number}", _make_entry(host))
+        if self._last_release is not None:
+            for host in (BALANCER_HOSTS[0], AGENT_HOSTS[0]):
+                fleet.release_folders[host] = self._last_release
         await asyncio.gather(*(fleet.start_agent(host) for host in AGENT_HOSTS))
         await asyncio.gather(*(fleet.start_balancer(host) for host in BALANCER_HOSTS))
         # Routers send packets only to ready balancers; a start takes seconds on a busy machine.
@@ -102,6 +111,25 @@
             if client.opened_at is None:
                 client.send_opening_packets()
 
+    async def _run_drills(self) -> None:
+        """Restores the store some times while configurations change in quick succession."""
+        drills = self._drills
+        if drills is None:
+            return
+        burst = asyncio.ensure_future(drills.run_burst())
+        times = [self._rng.random() * FAULT_COUNT for _ in range(DRILL_COUNT)]
+        tasks = [drills.inject_drill(first_s) for first_s in times]
+        if self._last_release is None:
+            # A balancer of the last release may go on to use the upstream.
+            host = AGENT_HOSTS[-1]
+            key = f"servers/i-{len(AGENT_HOSTS) - 1}"
+            tasks.append(drills.drain(key, _make_entry(host), host, times[0] + 1.0))
+        await asyncio.gather(*tasks)
+        burst.cancel()
+
+    def _new_balancers(self) -> list[str]:
+        return [host for host in BALANCER_HOSTS if host not in self._fleet.release_folders]
+
     async def _send_requests(self) -> None:
         """Sends requests on all flows, each through a random balancer that runs."""
         while True:
@@ -202,9 +230,23 @@
         return problems
 
 
-def run_seed(seed: int) -> list[str]:
+def _make_entry(host: str) -> dict[str, object]:
+    """Returns the store's entry of the upstream on a host."""
+    return {
+        "service": SERVICE,
+        "address": f"{host}:8080",
+        "zone": "bud-a",
+        "version": "v1",
+        "slots": 3,
+        "state": "ready",
+        "coldRemainingMs": 0,
+        "seq": 1,
+    }
+
+
+def run_seed(seed: int, has_drills: bool = False, last_release: Path | None = None) -> list[str]:
     """Runs one seed and returns the problems found."""
-    return asyncio.run(SoakRun(seed).run())
+    return asyncio.run(SoakRun(seed, has_drills, last_release).run())
 
 
 def main(arguments: list[str]) -> int:
@@ -220,13 +262,19 @@
     parser.add_argument("--seeds", type=int, default=5)
     parser.add_argument("--first", type=int, default=1)
     parser.add_argument("--regression", action="store_true", help="run the seeds that failed once")
+    parser.add_argument(
+        "--drills", action="store_true", help="let the store lose its newest writes"
+    )
+    parser.add_argument(
+        "--last-release", type=Path, help="folder of the last release, to run beside"
+    )
     options = parser.parse_args(arguments)
     failed = 0
     seeds = list(range(options.first, options.first + options.seeds))
     if options.regression:
         seeds = list(REGRESSION_SEEDS)
     for seed in seeds:
-        problems = run_seed(seed)
+        problems = run_seed(seed, options.drills, options.last_release)
         failed += bool(problems)
         print(f"seed {seed}: {'; '.join(problems) or 'ok'}", flush=True)
     print(f"{len(seeds)} seeds, {failed} failed")
--- a/standins/packet_processes.py
+++ b/standins/packet_processes.py
@@ -48,6 +48,7 @@
     Attributes:
         upstreams: Stand-ins of upstreams by public host.
         log_lines: Log lines of all child processes, as decoded JSON objects.
+        release_folders: Folders of other releases from which hosts run their processes.
     """
 
     def __init__(self, proxy: LoopbackProxy | None = None, seeds: Sequence[str] = ()) -> None:
@@ -61,8 +62,13 @@
         self._seeds = seeds
         self.upstreams: dict[str, PacketUpstream] = {}
         self.log_lines: list[dict[str, Any]] = []
+        self.release_folders: dict[str, Path] = {}
+        # All writes to the store: revision, key, and content; None for a removal.
+        self._writes: list[tuple[int, str, object]] = []
         self._store_entries: dict[str, tuple[int, object]] = {}
         self._revision = 0
+        self._era = 0
+        self._is_store_down = False
         self._processes: dict[str, asyncio.subprocess.Process] = {}
         self._log_readers: list[asyncio.Task[None]] = []
         self._clients: dict[int, PacketClient] = {}
@@ -101,8 +107,37 @@
             value: Content: the bytes as they are, or any other value as JSON.
         """
         self._revision += 1
+        self._writes.append((self._revision, key, value))
         self._store_entries[key] = (self._revision, value)
 
+    @property
+    def is_store_down(self) -> bool:
+        """Whether the store answers all requests by status 503."""
+        return self._is_store_down
+
+    async def restore_store(
+        self, lost_revisions: int, down_s: float, keeps_watches: bool = False
+    ) -> dict[str, object]:
+        """Lets the store fail for a moment and come back from a copy, in a new era.
+
+        Args:
+            lost_revisions: Number of the newest writes that are lost.
+            down_s: How long the store answers all requests by status 503, in s.
+            keeps_watches: Whether pending watches are answered in the new era.
+
+        Returns:
+            The newest lost content by key; None for a lost removal.
+        """
+        self._is_store_down = not keeps_watches
+        await asyncio.sleep(down_s)
+        self._revision -= min(lost_revisions, self._revision)
+        lost = {key: value for at, key, value in self._writes if at > self._revision}
+        self._writes = [write for write in self._writes if write[0] <= self._revision]
+        self._store_entries = {key: (at, value) for at, key, value in self._writes}
+        self._era += 1
+        self._is_store_down = False
+        return lost
+
     async def start_balancer(self, host: str) -> None:
         """Starts the balancer of a host, or restarts it after it ended."""
         await self._start_process("balancer", host)
@@ -132,16 +167,17 @@
         process.send_signal(number)
         return await process.wait()
 
-    def open_flow(self, port: int, balancer: str) -> PacketClient:
+    def open_flow(self, port: int, balancer: str, vip: tuple[str, int] = VIP) -> PacketClient:
         """Starts a client that opens a flow.
 
         Args:
             port: Port of the client.
             balancer: Host of the balancer that gets the client's packets; `move_client` changes it.
+            vip: Virtual address that the flow is opened to.
         """
         client = PacketClient(
             (CLIENT_HOST, port),
-            VIP,
+            vip,
             lambda frame: self._send_from_client(port, frame),
             self._call_later,
         )
@@ -226,7 +262,7 @@
             sys.executable,
             "platform/run.py",
             role,
-            cwd=ROOT,
+            cwd=self.release_folders.get(host, ROOT),
             env={**os.environ, "SHALLOTSHORE_NODE_FILE": str(path)},
             stdout=asyncio.subprocess.PIPE,
         )
@@ -274,25 +310,35 @@
             while head := await reader.readline():
                 while (await reader.readline()).strip():
                     pass
-                text = json.dumps(await self._build_store_reply(head.split()[1].decode())).encode()
-                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(text), text))
+                status, page = await self._build_store_reply(head.split()[1].decode())
+                text = json.dumps(page).encode()
+                era = b"Store-Era: %d\r\n" % self._era if self._era else b""
+                writer.write(
+                    b"HTTP/1.1 %d -\r\n%sContent-Length: %d\r\n\r\n%s"
+                    % (status, era, len(text), text)
+                )
         except (ConnectionError, asyncio.CancelledError):
             return
         finally:
             writer.close()
 
-    async def _build_store_reply(self, target: str) -> dict[str, object]:
+    async def _build_store_reply(self, target: str) -> tuple[int, dict[str, object]]:
+        """Returns the status and the page that answer a request."""
         path, _, text = target.partition("?")
         query = dict(parse_qsl(text))
-        if path.endswith("range"):
-            return self._build_page(query["prefix"], query.get("after", ""))
-        after = int(query["after"])
-        for _ in range(int(query["waitMs"]) // 20):
-            if self._select_entries(query["prefix"], after):
+        if path.endswith("range") and not self._is_store_down:
+            return 200, self._build_page(query["prefix"], query.get("after", ""))
+        after = int(query.get("after") or 0) if not path.endswith("range") else 0
+        if after > self._revision and not self._is_store_down:
+            return 410, {}
+        for _ in range(int(query.get("waitMs", 0)) // 20):
+            if self._is_store_down or self._select_entries(query["prefix"], after):
                 break
             await asyncio.sleep(0.02)
+        if self._is_store_down:
+            return 503, {}
         events = self._select_entries(query["prefix"], after)
-        return {"events": events, "currentRev": self._revision}
+        return 200, {"events": events, "currentRev": self._revision}
 
     def _build_page(self, prefix: str, after: str) -> dict[str, object]:
         """Returns the page after a key: about `STORE_PAGE_BYTES`, and at least one entry."""
