--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -127,6 +127,39 @@
         )
         self.assertIn("after=servers%2Fa", self.server.paths[1])
 
+    async def test_answers_name_the_era_of_the_store(self) -> None:
+        """Guards against an era that is lost between the header and the core.
+
+        The header's name may have any case, and failed answers have it too.
+        """
+        page = {"items": [item("a", 7)], "events": [], "currentRev": 9}
+        for head, request, expected in (
+            ("200 OK\r\nStore-Era: 3", ReadFeed(Feed.UPSTREAMS), (StoreSnapshot, 3)),
+            ("200 OK\r\nstore-era: 4", WatchFeed(Feed.UPSTREAMS, 9, 1), (StoreChanges, 4)),
+            ("410 Gone\r\nSTORE-ERA: 5", WatchFeed(Feed.UPSTREAMS, 9, 1), (StoreFailed, 5)),
+            ("200 OK", ReadFeed(Feed.UPSTREAMS), (StoreSnapshot, 0)),
+            ("200 OK\r\nStore-Era: x", ReadFeed(Feed.UPSTREAMS), (StoreFailed, 0)),
+            ("200 OK\r\nStore-Era: -1", ReadFeed(Feed.UPSTREAMS), (StoreFailed, 0)),
+            (f"200 OK\r\nStore-Era: {1 << 63}", ReadFeed(Feed.UPSTREAMS), (StoreFailed, 0)),
+        ):
+            delivered = await self.call_store(lambda path, head=head: body(page, head), request)
+            assert isinstance(delivered, StoreSnapshot | StoreChanges | StoreFailed)
+            self.assertEqual(expected, (type(delivered), delivered.era), head)
+
+    async def test_pages_of_two_eras_are_no_snapshot(self) -> None:
+        """Guards against a list that is half of the old era and half of the new one."""
+
+        def answer(path: str) -> bytes:
+            if "after=" in path:
+                page = {"items": [item("b", 3)], "hasMore": False, "currentRev": 4}
+                return body(page, "200 OK\r\nStore-Era: 2")
+            page = {"items": [item("a", 7)], "hasMore": True, "currentRev": 9}
+            return body(page, "200 OK\r\nStore-Era: 1")
+
+        delivered = await self.call_store(answer, ReadFeed(Feed.UPSTREAMS))
+        assert isinstance(delivered, StoreFailed)
+        self.assertEqual((2, Code.SERVICE_UNREACHABLE), (delivered.era, delivered.code))
+
     async def test_watch_gives_changes_and_removals(self) -> None:
         """Guards against a removal that is decoded as a record."""
         events = [item("a", 11), {"key": "servers/b", "rev": 12, "tombstone": True}]
@@ -163,9 +196,9 @@
 
             server = await asyncio.start_server(serve, "127.0.0.1", 0)
             connection = HttpConnection(server.sockets[0].getsockname()[:2], 1_000)
-            self.assertIn(b"1", await connection.get("/a", 500))
+            self.assertIn(b"1", (await connection.get("/a", 500)).body)
             await asyncio.sleep(2 * delay_s)
-            self.assertIn(b"2", await connection.get("/b", 500))
+            self.assertIn(b"2", (await connection.get("/b", 500)).body)
             connection.close()
             await asyncio.sleep(2 * delay_s + 0.01)
             server.close()
@@ -265,7 +298,7 @@
             connection = HttpConnection(server.sockets[0].getsockname()[:2], 1_000)
             with mock.patch.object(http_client, "PART_TIMEOUT_MS", 200):
                 if is_read:
-                    self.assertEqual(b"x" * 8, await connection.get("/", 200))
+                    self.assertEqual(b"x" * 8, (await connection.get("/", 200)).body)
                 else:
                     with self.assertRaises(HttpError):
                         await connection.get("/", 200)
@@ -332,7 +365,7 @@
         Deep nesting raises RecursionError, which ended the task of the fetch without an answer.
         """
         unknown_field = (
-            msgspec.msgpack.encode([2, 3, [0, [], []], [], [], 0])[:-1] + b"\x91" * 5_000
+            msgspec.msgpack.encode([2, 3, [0, [], []], [], [], 0, [], 0, 0])[:-1] + b"\x91" * 5_000
         )
         for invalid in (b"\xff\x00", unknown_field):
 
