--- /dev/null
+++ b/shallotshore/scheduling/placement.py
@@ -0,0 +1,66 @@
+"""Scores an upstream by the expected completion time of a request that is sent there."""
+
+__all__ = [
+    "MIN_MEDIAN_MS",
+    "completion_score",
+    "median_service_ms",
+    "relative_service",
+    "usable_slots",
+]
+
+from collections.abc import Iterable
+from statistics import median
+
+MIN_MEDIAN_MS = 1.0  # latencies are measured in whole ms
+# A single value of an upstream can neither attract all work nor outweigh that an upstream is silent
+# or unknown.
+MAX_RELATIVE_SERVICE = 8.0
+# A running request is half done on average, so n requests at an upstream with one slot mean a
+# completion after n + 0.5 service times. An idle one is counted the same way, which leaves a slow
+# upstream some work while the others are loaded.
+OWN_SERVICE_TIMES = 0.5
+
+
+def median_service_ms(values: Iterable[float]) -> float:
+    """Returns the median of the known service times in ms; 0.0 when none is known."""
+    known = [value for value in values if value > 0]
+    return max(MIN_MEDIAN_MS, median(known)) if known else 0.0
+
+
+def relative_service(service_ms: float, median_ms: float) -> float:
+    """Returns a service time as a multiple of its service's median; 1.0 when it is not known."""
+    if service_ms <= 0 or median_ms <= 0:
+        return 1.0
+    return min(MAX_RELATIVE_SERVICE, max(1 / MAX_RELATIVE_SERVICE, service_ms / median_ms))
+
+
+def usable_slots(declared_slots: int, concurrency: float) -> int:
+    """Returns the slots that count as places for work.
+
+    Args:
+        declared_slots: Requests that the upstream works on at the same time, by its record.
+        concurrency: Requests that it handles well at the same time; 0.0 when not known.
+    """
+    if concurrency <= 0:
+        return declared_slots
+    return max(1, min(declared_slots, round(concurrency)))
+
+
+def completion_score(
+    load: float, declared_slots: int, concurrency: float, service_ms: float, median_ms: float
+) -> float:
+    """Returns the expected completion time of a further request at an upstream.
+
+    The unit is the median service time of the service, and an idle upstream of median speed has
+    score 0. So an upstream of median speed has its load per slot as score.
+
+    Args:
+        load: Requests at the upstream.
+        declared_slots: Requests that the upstream works on at the same time, by its record.
+        concurrency: Requests that it handles well at the same time; 0.0 when not known.
+        service_ms: How long a request takes there; 0.0 when not known.
+        median_ms: Median of the service's known service times.
+    """
+    slots = min(concurrency, declared_slots) if concurrency > 0 else declared_slots
+    relative = relative_service(service_ms, median_ms)
+    return relative * (load / max(1.0, slots) + OWN_SERVICE_TIMES) - OWN_SERVICE_TIMES
