Learn the capacity of upstreams in the packet front end

Cause: a balancer counted load per declared slot, so that an upstream at half speed, or several times slower for some seconds, got as much as the others.

Change: agents feed the estimator with the time from a client's data to the first byte of its answer, the requests in flight then, resets, returned openings and requests without an answer, and restart it for a new incarnation. Report and LoadReport carry service_ms and concurrency. The agent's own limit follows the learned concurrency, down to 1. Without a target latency on a route to the service all is as before, with the same random draws. Report gets the placeholders of the eras.

--- a/shallotshore/packets/agent_state.py
+++ b/shallotshore/packets/agent_state.py
@@ -21,6 +21,8 @@
 from shallotshore.packets.node_state import NodeState
 from shallotshore.packets.openings_limit import OpeningsLimit
 from shallotshore.packets.packet import PacketToUpstream
+from shallotshore.scheduling.capacity import CapacityEstimator
+from shallotshore.scheduling.placement import usable_slots
 from shallotshore.tables import MISSING
 
 if TYPE_CHECKING:
@@ -103,6 +105,9 @@
         open_flows: Number of flows in the stage OPEN.
         peers: Hosts of the other upstreams of the service in this data centre.
         denials: Keys of flows, 8 bytes each, whose search this agent denies, by balancer.
+        capacity: What is learned of the upstream's service time and concurrency.
+        has_target: Whether a route of the service declares a target latency, so that the learned
+            values are used.
         failures: Decaying counts of the upstream's answers and failures.
         recent_offer_times: When the latest opening packets were sent to the upstream, in ms.
         unanswered_opening_at: When the first opening packet since the upstream's last packet was
@@ -113,9 +118,11 @@
     """
 
     __slots__ = (
+        "capacity",
         "denials",
         "failures",
         "flows",
+        "has_target",
         "health",
         "held_openings",
         "in_flight",
@@ -149,6 +156,8 @@
         self.incarnation = rng.getrandbits(62) + 1
         self.started_at = MISSING
         self.slots = DEFAULT_SLOTS
+        self.capacity = CapacityEstimator(DEFAULT_SLOTS)
+        self.has_target = False
         self.record_revision = 0
         self.is_leaving = False
         self.is_out = False
@@ -181,6 +190,20 @@
             ]
         return self.in_flight + len(self.recent_offer_times)
 
+    def usable_slots(self, now: int) -> int:
+        """Returns the requests that the upstream gets at the same time, besides a queued one."""
+        if not self.has_target:
+            return self.slots
+        return usable_slots(self.slots, self.capacity.concurrency(self.slots, now))
+
+    def learned_values(self, now: int) -> tuple[float, float]:
+        """Returns the service time in ms and the concurrency for reports; 0.0 when not known."""
+        if not self.has_target:
+            return 0.0, 0.0
+        unanswered_ms = now - self.unanswered_data_at if self.unanswered_data_at else 0
+        service_ms = self.capacity.service_ms(now, unanswered_ms)
+        return service_ms, self.capacity.concurrency(self.slots, now)
+
     def knows_all_flows(self, now: int) -> bool:
         """Whether the table has every flow that the upstream can hold."""
         return self.settings.is_first_start or now - self.started_at > self.settings.flow_life_ms
@@ -197,6 +220,8 @@
         flows = self.flows
         if flows.awaits_answer[row] != awaits_answer:
             self.in_flight += 1 if awaits_answer else -1
+            if awaits_answer:
+                flows.in_flight_at_request[row] = self.in_flight
             flows.awaits_answer[row] = awaits_answer
 
     def forget_requests(self) -> None:
--- a/shallotshore/packets/agent_tables.py
+++ b/shallotshore/packets/agent_tables.py
@@ -50,6 +50,7 @@
             upstream has sent more than the acceptance.
         ends: Bits CLIENT_ENDED and UPSTREAM_ENDED.
         last_packet_at: Time of the flow's last packet, in ms.
+        in_flight_at_request: Requests in flight when the client's request began, including it.
         awaiting_since: When the client began to wait for an answer, in ms.
         origin: Host of the balancer that delivered the last packet.
         candidates: Hosts that the opening packet can be passed to.
@@ -67,6 +68,7 @@
         "ends",
         "has_opening",
         "hops",
+        "in_flight_at_request",
         "is_confirmed",
         "is_searched",
         "last_packet_at",
@@ -82,6 +84,7 @@
         "answer_sequence": "L",
         "client_next": "L",
         "awaits_answer": "B",
+        "in_flight_at_request": "H",
         "is_confirmed": "B",
         "is_searched": "B",
         "ends": "B",
@@ -98,6 +101,7 @@
     answer_sequence: array[int]
     client_next: array[int]
     awaits_answer: array[int]
+    in_flight_at_request: array[int]
     is_confirmed: array[int]
     is_searched: array[int]
     ends: array[int]
--- a/shallotshore/packets/balancer.py
+++ b/shallotshore/packets/balancer.py
@@ -9,6 +9,7 @@
 from shallotshore.packets.balancer_state import BalancerSettings, BalancerState
 from shallotshore.packets.directory import DirectorySystem
 from shallotshore.packets.feed_following import FollowSystem
+from shallotshore.packets.learned_capacity import LearnedCapacitySystem
 from shallotshore.packets.members import MemberSystem
 from shallotshore.packets.ownership import OwnershipSystem
 from shallotshore.packets.packet import DecodePacket, Packet
@@ -58,6 +59,7 @@
             self._members,
             FollowSystem(state),
             OwnershipSystem(state, decode),
+            LearnedCapacitySystem(state),
             VmCheckSystem(state),
             SubscriptionSystem(state),
             RoutingSystem(state),
--- a/shallotshore/packets/balancer_state.py
+++ b/shallotshore/packets/balancer_state.py
@@ -77,6 +77,9 @@
         seeds: Hosts that may run balancers.
         members: Other balancers that are known.
         routes: Routes by virtual address.
+        timed_services: Ids of services to which a route with a target latency leads.
+        median_service_ms: Median of the learned service times in ms, by service; only of timed
+            services with a known value.
         cold_per_s: New flows per second declared for a cold upstream, by service.
         data_centres_out: Ids of data centres that the operator has taken out of service.
         searches: Packets of searched flows that wait to be sent to agents.
@@ -89,11 +92,13 @@
         "data_centres_out",
         "flows",
         "is_ready_to_route",
+        "median_service_ms",
         "members",
         "queued_vm_checks",
         "routes",
         "searches",
         "seeds",
+        "timed_services",
         "upstreams",
     )
 
@@ -104,6 +109,8 @@
         self.flows = FlowCache()
         self.upstreams = UpstreamTable()
         self.routes: dict[Address, RouteView] = {}
+        self.timed_services: set[int] = set()
+        self.median_service_ms: dict[int, float] = {}
         self.cold_per_s: dict[int, float] = {}
         self.data_centres_out: set[int] = set()
         self.searches = SearchQueue(self.data_centre, settings.link_mbps)
--- a/shallotshore/packets/directory.py
+++ b/shallotshore/packets/directory.py
@@ -84,6 +84,12 @@
         routed = {service for route in state.routes.values() for service in route.services}
         limited = {name_id("service", one.name) for one in content.configuration.services}
         state.upstreams.name_services(routed | limited)
+        state.timed_services = {
+            name_id("service", name)
+            for route in content.configuration.routes
+            if route.target_ms
+            for name, _ in route.shares
+        }
         state.cold_per_s = {
             name_id("service", limits.name): limits.cold_per_s
             for limits in content.configuration.services
--- a/shallotshore/packets/field_types.py
+++ b/shallotshore/packets/field_types.py
@@ -2,6 +2,7 @@
 
 __all__ = [
     "Count",
+    "Decimal",
     "DurationMs",
     "Hops",
     "Host",
@@ -26,6 +27,7 @@
 Name = Annotated[str, Meta(min_length=1, max_length=200)]  # a key of the store has 200 bytes
 Port = Annotated[int, Meta(ge=1, le=(1 << 16) - 1)]
 Count = Annotated[int, Meta(ge=0, le=(1 << 31) - 1)]
+Decimal = Annotated[float, Meta(ge=0, le=1e9)]  # also of a column of single precision
 DurationMs = Annotated[int, Meta(ge=0, le=(1 << 31) - 1)]
 Revision = Annotated[int, Meta(ge=0, le=(1 << 63) - 1)]
 Hops = Annotated[int, Meta(ge=0, le=255)]
--- a/shallotshore/packets/node_messages.py
+++ b/shallotshore/packets/node_messages.py
@@ -33,7 +33,16 @@
 
 from shallotshore.codes import Code
 from shallotshore.packets.feed_entries import FeedEntry
-from shallotshore.packets.field_types import Count, DurationMs, Hops, Host, Id, Port, Revision
+from shallotshore.packets.field_types import (
+    Count,
+    Decimal,
+    DurationMs,
+    Hops,
+    Host,
+    Id,
+    Port,
+    Revision,
+)
 from shallotshore.packets.record_decoding import decode_entry
 from shallotshore.packets.view import Feed
 
@@ -158,6 +167,10 @@
         opened: Keys of flows that opened, 8 bytes each.
         closed: Keys of flows that ended, 8 bytes each.
         is_complete: Whether `opened` begins a list of all open flows that concern the receiver.
+        operator_era: Era of the store in which `operator_revision` counts.
+        upstreams_era: Era of the store in which `upstreams_revision` counts.
+        service_ms: How long a request takes at the upstream, in ms; 0.0 when not known.
+        concurrency: Requests that the upstream handles well at the same time; 0.0 when not known.
     """
 
     incarnation: Id
@@ -173,6 +186,11 @@
     opened: bytes
     closed: bytes
     is_complete: bool = False  # senders of an earlier version leave it out
+    # Senders of an earlier version leave out what follows.
+    operator_era: Revision = 0
+    upstreams_era: Revision = 0
+    service_ms: Decimal = 0.0
+    concurrency: Decimal = 0.0
 
 
 class LoadReport(msgspec.Struct, array_like=True, tag=8, gc=False):
@@ -183,12 +201,17 @@
         flows: Number of open flows.
         opened: Keys of flows that opened, 8 bytes each.
         closed: Keys of flows that ended, 8 bytes each.
+        service_ms: How long a request takes at the upstream, in ms; 0.0 when not known.
+        concurrency: Requests that the upstream handles well at the same time; 0.0 when not known.
     """
 
     in_flight: Count
     flows: Count
     opened: bytes
     closed: bytes
+    # Senders of an earlier version leave out what follows.
+    service_ms: Decimal = 0.0
+    concurrency: Decimal = 0.0
 
 
 class Hello(msgspec.Struct, array_like=True, tag=6, gc=False):
--- a/shallotshore/packets/openings.py
+++ b/shallotshore/packets/openings.py
@@ -48,7 +48,9 @@
             # The next retransmission will arrive soon and may be offered to another upstream.
             state.counters.add("openings.held_too_long")
             _log_held_too_long(state, opening, now)
-        while len(held) and state.load(now) < state.slots + MAX_UPSTREAM_QUEUED_REQUESTS:
+        while (
+            len(held) and state.load(now) < state.usable_slots(now) + MAX_UPSTREAM_QUEUED_REQUESTS
+        ):
             opening = held.pop_best()
             handle_opening(state, opening.carry, opening.packet, now)
 
@@ -79,7 +81,7 @@
     if refusal is not None:
         pass_to_next_candidate(state, carry.candidates, carry, packet, refusal, now)
         return
-    if state.load(now) < state.slots + MAX_UPSTREAM_QUEUED_REQUESTS:
+    if state.load(now) < state.usable_slots(now) + MAX_UPSTREAM_QUEUED_REQUESTS:
         _offer_to_upstream(state, carry, packet, now)
     elif state.held_openings.try_hold(HeldOpening(carry, packet, now)):
         state.counters.add("openings.held")
--- a/shallotshore/packets/own_upstream.py
+++ b/shallotshore/packets/own_upstream.py
@@ -57,6 +57,7 @@
         if record is not None and record != self._record:
             if self._record is not None and self._record.id != record.id:
                 state.forget_requests()
+                state.capacity.restart(now)
             if self._record is None:
                 self._cold_until = now + record.cold_ms
             elif record.cold_ms:
@@ -73,15 +74,24 @@
             self._record = record
             state.record_revision = record.revision
             state.is_leaving = record.is_leaving
-            state.slots = max(1, record.slots)
+            state.slots = state.capacity.declared_slots = max(1, record.slots)
         is_out = state.settings.data_centre in state.feeds.operator.content.data_centres_out
         if state.is_out and not is_out:
             self._cold_until = max(self._cold_until, now + RETURNED_DATA_CENTRE_COLD_MS)
         if state.is_out != is_out:
             state.is_out = is_out
             state.log.write(now, "data_centre", name=state.settings.data_centre, is_out=is_out)
+        state.has_target = self._finds_target()
         self._set_limit()
 
+    def _finds_target(self) -> bool:
+        """Whether a route to this service declares a target latency."""
+        service = self._state.settings.service
+        routes = self._state.feeds.operator.content.configuration.routes
+        return any(
+            route.target_ms and any(name == service for name, _ in route.shares) for route in routes
+        )
+
     def _find_peers(self) -> frozenset[int]:
         """Returns the hosts of the other upstreams of the service in this data centre."""
         settings = self._state.settings
@@ -135,6 +145,7 @@
                 state.remove_flow(row)
             elif flows.awaits_answer[row] and now - flows.awaiting_since[row] > MAX_ANSWER_WAIT_MS:
                 state.set_awaits_answer(row, False)
+                state.capacity.record_failure(now)
                 state.counters.add("requests.abandoned")
 
     def _expiry_ms(self, row: int) -> int:
--- a/shallotshore/packets/ownership.py
+++ b/shallotshore/packets/ownership.py
@@ -11,6 +11,7 @@
 from shallotshore.packets.balancer_state import BalancerState
 from shallotshore.packets.flow_cache import CachedFlowStage
 from shallotshore.packets.hosts import host_number
+from shallotshore.packets.learned_capacity import record_learned
 from shallotshore.packets.node_messages import (
     CarryKind,
     Denied,
@@ -103,6 +104,7 @@
         upstreams.in_flight[row] = min(report.in_flight, 65_535)
         upstreams.flows[row] = report.flows
         upstreams.health[row] = report.health
+        record_learned(state, row, report.service_ms, report.concurrency)
         upstreams.record_report(row, now)
         if report.cold_ms:
             upstreams.cold_until[row] = max(upstreams.cold_until[row], now + report.cold_ms)
@@ -119,6 +121,7 @@
             return
         upstreams.in_flight[row] = min(load.in_flight, 65_535)
         upstreams.flows[row] = load.flows
+        record_learned(self._state, row, load.service_ms, load.concurrency)
         upstreams.record_report(row, now)
         self._apply_keys(host, upstreams.service[row], load.opened, load.closed, now)
 
--- a/shallotshore/packets/reports.py
+++ b/shallotshore/packets/reports.py
@@ -132,7 +132,8 @@
 
     def _send_load_report(self, row: int, in_flight: int, now: int) -> None:
         opened, closed = self._pop_report_keys(row, in_flight, now)
-        report = LoadReport(in_flight, self._state.open_flows, opened, closed)
+        learned = self._state.learned_values(now)
+        report = LoadReport(in_flight, self._state.open_flows, opened, closed, *learned)
         self._state.send(self._state.subscribers.key[row], report)
 
     def _send_report(self, row: int, in_flight: int, now: int) -> None:
@@ -140,6 +141,7 @@
         opened, closed = self._pop_report_keys(row, in_flight, now)
         state.subscribers.full_report_sent_at[row] = now
         state.subscribers.reported_health[row] = state.health
+        service_ms, concurrency = state.learned_values(now)
         report = Report(
             state.incarnation,
             state.service,
@@ -154,6 +156,8 @@
             opened,
             closed,
             bool(state.subscribers.is_complete[row]),
+            service_ms=service_ms,
+            concurrency=concurrency,
         )
         state.subscribers.is_complete[row] = False
         state.send(state.subscribers.key[row], report)
--- a/shallotshore/packets/selection.py
+++ b/shallotshore/packets/selection.py
@@ -6,6 +6,7 @@
 
 from shallotshore.packets.balancer_state import BalancerState, RouteView
 from shallotshore.packets.node_messages import UpstreamHealth
+from shallotshore.scheduling.placement import completion_score, usable_slots
 
 OPEN_FLOW_SLOTS = 0.03  # load of an open flow without a request in flight
 # Each of the penalties is added to the load per slot, which is 1.0 when all slots are busy.
@@ -92,22 +93,41 @@
     return (
         upstreams.has_fresh_report(row, now)
         and upstreams.health[row] == UpstreamHealth.ANSWERS
-        and upstreams.in_flight[row] < upstreams.slots[row]
+        and upstreams.in_flight[row] < _slots(state, row)
     )
 
 
+def _slots(state: BalancerState, row: int) -> int:
+    """Returns the slots of an upstream that count as places for work."""
+    upstreams = state.upstreams
+    if not upstreams.relative_service[row]:
+        return upstreams.slots[row]
+    return usable_slots(upstreams.slots[row], upstreams.concurrency[row])
+
+
 def _load_score(state: BalancerState, row: int, now: int) -> float:
-    """Returns the load of an upstream as a multiple of its slots, with all penalties."""
+    """Returns the load of an upstream with all penalties.
+
+    The load is a multiple of the upstream's slots. With learned values it is the expected
+    completion time, which is the same for an upstream of median speed.
+    """
     upstreams = state.upstreams
+    is_fresh = upstreams.has_fresh_report(row, now)
     load = upstreams.in_flight[row] + OPEN_FLOW_SLOTS * upstreams.flows[row]
     if now - upstreams.last_offer_at[row] <= RECENT_OFFER_MS:
         load += upstreams.recent_offers[row]
-    score = (load + state.rng.random() * JITTER_SLOTS) / upstreams.slots[row]
+    load += state.rng.random() * JITTER_SLOTS
+    relative = upstreams.relative_service[row]
+    if relative and is_fresh:
+        concurrency = upstreams.concurrency[row]
+        score = completion_score(load, upstreams.slots[row], concurrency, relative)
+    else:
+        score = load / upstreams.slots[row]
     if upstreams.data_centre[row] != state.data_centre:
         score += OTHER_DATA_CENTRE_PENALTY
     if upstreams.cold_until[row] > now:
         score += COLD_PENALTY
-    if not upstreams.has_fresh_report(row, now):
+    if not is_fresh:
         score += UNREPORTED_PENALTY
     if upstreams.health[row] == UpstreamHealth.SILENT:
         score += SILENT_PENALTY
--- a/shallotshore/packets/upstream_packets.py
+++ b/shallotshore/packets/upstream_packets.py
@@ -56,8 +56,10 @@
             state.latencies.record("first_answer", packet.route_name, waited_ms)
             state.set_awaits_answer(row, False)
             state.failures.record_answer(now)
+            state.capacity.record_answer(waited_ms, flows.in_flight_at_request[row], now)
         if packet.flags & RESETS and flows.awaits_answer[row]:
             state.failures.record_failure(now)
+            state.capacity.record_failure(now)
             state.counters.add("flows.reset_by_upstream")
         if packet.flags & ENDS:
             state.record_end(row, UPSTREAM_ENDED)
@@ -92,6 +94,7 @@
     if packet.is_opening:
         if stage == AgentFlowStage.OFFERED:
             state.failures.record_failure(now)
+            state.capacity.record_failure(now, was_running=False)
             _pass_returned_opening(state, row, packet, now)
         return
     if stage == AgentFlowStage.OPEN and not flows.is_confirmed[row]:
--- a/shallotshore/packets/upstream_table.py
+++ b/shallotshore/packets/upstream_table.py
@@ -51,7 +51,9 @@
         answers_searches: 1 when the agent has answered a Search.
         incarnation: Incarnation that the agent's last report with `is_complete` named; 0 before
             such a report.
-        in_flight, flows, health: Values of the agent's last report.
+        in_flight, flows, health, service_ms, concurrency: Values of the agent's last report.
+        relative_service: `service_ms` as a multiple of the median of the service; 0.0 when no
+            upstream of the service has a value, or learned values are not used for it.
         is_reporting: 1 while the agent sends reports.
         recent_offers: Number of flows that this balancer has offered too recently for a report to
             contain them.
@@ -81,6 +83,7 @@
         "are_unlisted_usable",
         "checked_at",
         "cold_until",
+        "concurrency",
         "data_centre",
         "flows",
         "health",
@@ -99,8 +102,10 @@
         "queried_at",
         "recent_offers",
         "record_revision",
+        "relative_service",
         "reported_at",
         "service",
+        "service_ms",
         "slots",
         "subscribed_at",
         "subscribed_since",
@@ -137,6 +142,9 @@
         "record_revision": "Q",
         "agent_port": "H",
         "agent_data_centre": "Q",
+        "service_ms": "f",
+        "concurrency": "f",
+        "relative_service": "f",
     }
 
     service: array[int]
@@ -167,6 +175,9 @@
     record_revision: array[int]
     agent_port: array[int]
     agent_data_centre: array[int]
+    service_ms: array[float]
+    concurrency: array[float]
+    relative_service: array[float]
 
     def __init__(self) -> None:
         super().__init__(MAX_UPSTREAM_ROWS)
--- a/shallotshore/scheduling/capacity.py
+++ b/shallotshore/scheduling/capacity.py
@@ -91,11 +91,18 @@
             self._is_confirmed = False
         self._add_sample(sample, deviation)
 
-    def record_failure(self, now: int) -> None:
-        """Records a request that ended without an answer: reset, returned or abandoned."""
+    def record_failure(self, now: int, was_running: bool = True) -> None:
+        """Records a request that ended without an answer.
+
+        Args:
+            now: Time in ms.
+            was_running: Whether the request was in flight (reset or abandoned), and not returned
+                before it began.
+        """
         self._decay_failures(now)
         self._failures += 1
-        self._departures.append(now)
+        if was_running:
+            self._departures.append(now)
 
     def concurrency(self, declared_slots: int, now: int) -> float:
         """Returns how many concurrent requests the upstream handles well.
--- a/shallotshore/scheduling/placement.py
+++ b/shallotshore/scheduling/placement.py
@@ -28,8 +28,18 @@
 
 
 def relative_service(service_ms: float, median_ms: float) -> float:
-    """Returns a service time as a multiple of its service's median; 1.0 when it is not known."""
-    if service_ms <= 0 or median_ms <= 0:
+    """Returns a service time as a multiple of its service's median.
+
+    Args:
+        service_ms: How long a request takes at the upstream; 0.0 when not known.
+        median_ms: Median of the service's known service times; 0.0 when none is known.
+
+    Returns:
+        The multiple, 1.0 for an upstream without a value; 0.0 when no median is known.
+    """
+    if not median_ms > 0:
+        return 0.0
+    if not service_ms > 0:
         return 1.0
     return min(MAX_RELATIVE_SERVICE, max(1 / MAX_RELATIVE_SERVICE, service_ms / median_ms))
 
@@ -41,13 +51,13 @@
         declared_slots: Requests that the upstream works on at the same time, by its record.
         concurrency: Requests that it handles well at the same time; 0.0 when not known.
     """
-    if concurrency <= 0:
+    if not concurrency > 0:
         return declared_slots
     return max(1, min(declared_slots, round(concurrency)))
 
 
 def completion_score(
-    load: float, declared_slots: int, concurrency: float, service_ms: float, median_ms: float
+    load: float, declared_slots: int, concurrency: float, relative: float
 ) -> float:
     """Returns the expected completion time of a further request at an upstream.
 
@@ -58,9 +68,9 @@
         load: Requests at the upstream.
         declared_slots: Requests that the upstream works on at the same time, by its record.
         concurrency: Requests that it handles well at the same time; 0.0 when not known.
-        service_ms: How long a request takes there; 0.0 when not known.
-        median_ms: Median of the service's known service times.
+        relative: Its service time as a multiple of the median.
     """
-    slots = min(concurrency, declared_slots) if concurrency > 0 else declared_slots
-    relative = relative_service(service_ms, median_ms)
-    return relative * (load / max(1.0, slots) + OWN_SERVICE_TIMES) - OWN_SERVICE_TIMES
+    slots: float = declared_slots
+    if 0 < concurrency < slots:
+        slots = max(1.0, concurrency)
+    return relative * (load / slots + OWN_SERVICE_TIMES) - OWN_SERVICE_TIMES
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -139,13 +139,13 @@
 
     def test_an_upstream_of_median_speed_scores_its_load_per_slot(self) -> None:
         """Fails when a penalty no longer weighs as many busy slots as before."""
-        self.assertEqual(1.5, completion_score(3.0, 2, 0.0, 0.0, 30.0))
-        self.assertEqual(1.5, completion_score(3.0, 2, 2.0, 30.0, 30.0))
+        self.assertEqual(1.5, completion_score(3.0, 2, 0.0, relative_service(0.0, 30.0)))
+        self.assertEqual(1.5, completion_score(3.0, 2, 2.0, relative_service(30.0, 30.0)))
 
     def test_a_slow_upstream_waits_for_load_at_the_others(self) -> None:
         """Fails when slow upstreams get equal loads."""
-        self.assertGreater(completion_score(0.25, 1, 1.0, 47.0, 22.0), 0.25)
-        self.assertLess(completion_score(0.0, 1, 1.0, 47.0, 22.0), 1.0)
+        self.assertGreater(completion_score(0.25, 1, 1.0, 2.1), 0.25)
+        self.assertLess(completion_score(0.0, 1, 1.0, 2.1), 1.0)
 
     def test_values_of_one_upstream_have_a_bounded_effect(self) -> None:
         """Fails when a faulty value outweighs that an upstream does not answer."""
@@ -154,6 +154,8 @@
         self.assertEqual(1, usable_slots(4, 0.01))
         self.assertEqual(4, usable_slots(4, 1e9))
         self.assertEqual(4, usable_slots(4, 0.0))
+        self.assertEqual(4, usable_slots(4, float("nan")))
+        self.assertEqual(1.0, relative_service(float("nan"), 30.0))
 
     def test_the_median_leaves_unknown_values_out(self) -> None:
         """Fails when upstreams without a value pull the median down."""
