--- a/shallotshore/scheduling/placement.py
+++ b/shallotshore/scheduling/placement.py
@@ -15,10 +15,6 @@
 # A single value of an upstream can neither attract all work nor outweigh that an upstream is silent
 # or unknown.
 MAX_RELATIVE_SERVICE = 8.0
-# A running request is half done on average, so n requests at an upstream with one slot mean a
-# completion after n + 0.5 service times. An idle one is counted the same way, which leaves a slow
-# upstream some work while the others are loaded.
-OWN_SERVICE_TIMES = 0.5
 
 
 def median_service_ms(values: Iterable[float]) -> float:
@@ -59,10 +55,12 @@
 def completion_score(
     load: float, declared_slots: int, concurrency: float, relative: float
 ) -> float:
-    """Returns the expected completion time of a further request at an upstream.
+    """Returns the expected time until an upstream has done the work that it has.
 
-    The unit is the median service time of the service, and an idle upstream of median speed has
-    score 0. So an upstream of median speed has its load per slot as score.
+    The unit is the median service time of the service, so an upstream of median speed has its load
+    per slot as score. The time for the new request itself is left out: with it, upstreams at half
+    speed got work only when the others were loaded, and their share changed by up to 70% from one
+    second to the next at half load.
 
     Args:
         load: Requests at the upstream.
@@ -73,4 +71,4 @@
     slots: float = declared_slots
     if 0 < concurrency < slots:
         slots = max(1.0, concurrency)
-    return relative * (load / slots + OWN_SERVICE_TIMES) - OWN_SERVICE_TIMES
+    return relative * load / slots
