--- a/shallotshore/packets/view.py
+++ b/shallotshore/packets/view.py
@@ -45,8 +45,8 @@
         port: Port of the virtual address.
         shares: Services with their weights; one entry when the flows are not split.
         priority: Rank of the route's requests among those of other routes; 0 goes first.
-        target_ms: Target latency of the route's requests; 0 when none is declared.
-        limit_ms: Time limit of the route's requests; 0 when none is declared.
+        target_ms: Time in which callers want an answer, in ms; 0 when not declared.
+        limit_ms: Time after which callers give up, in ms; 0 when not declared.
     """
 
     name: str
