Add the shared decisions on waiting work and admission

Cause: both front ends order waiting work by their own rules, which know neither target latency nor time limit, so that late requests take slots from others.

Nothing uses it yet.

--- /dev/null
+++ b/shallotshore/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Scheduling decisions that both front ends share."""
