Order opening packets by what their callers need

Cause: balancers routed the newest opening packets first, and agents put the first copies before all later ones. Neither knew which requests could still be answered in time, a calm route lost its turns to a busy one of equal priority, and a lower priority got no turn in an overload. A last copy, which has no successor, was dropped after 150 ms although its client waits 800 ms.

Change: routes, offers and both queues carry the declared target and limit, and use WaitingQueue where a route declares them. A packet is held until 50 ms before the client's next copy, or before the end of the attempt; nothing is offered after that end. Agents use medians of the answer times that they see and of the time from an offer to its first request. Routes that declare no terms keep their order, hold time and messages.

--- a/shallotshore/packets/agent_state.py
+++ b/shallotshore/packets/agent_state.py
@@ -15,6 +15,7 @@
     FlowTable,
     SubscriberTable,
 )
+from shallotshore.packets.answer_times import AnswerTimes
 from shallotshore.packets.failures import FailureShare
 from shallotshore.packets.held_openings import HeldOpenings
 from shallotshore.packets.node_messages import OwnedFlow, UpstreamHealth
@@ -102,6 +103,7 @@
         in_flight: Number of flows with data of the client that is not answered yet.
         open_flows: Number of flows in the stage OPEN.
         peers: Hosts of the other upstreams of the service in this data centre.
+        answer_times: Times that requests take at the upstream.
         denials: Keys of flows, 8 bytes each, whose search this agent denies, by balancer.
         failures: Decaying counts of the upstream's answers and failures.
         recent_offer_times: When the latest opening packets were sent to the upstream, in ms.
@@ -113,6 +115,7 @@
     """
 
     __slots__ = (
+        "answer_times",
         "denials",
         "failures",
         "flows",
@@ -162,6 +165,7 @@
         self.peers: frozenset[int] = frozenset()
         self.denials: dict[int, bytes] = {}
         self.failures = FailureShare()
+        self.answer_times = AnswerTimes()
         self.recent_offer_times: list[int] = []
 
     def send_to_upstream(self, frame: bytes) -> None:
@@ -203,6 +207,7 @@
         """Stops counting all requests in flight, after a restart of the upstream."""
         for row in self.flows.rows():
             self.set_awaits_answer(row, False)
+        self.answer_times.forget()
 
     def record_end(self, row: int, ends: int) -> None:
         """Records that the client, the upstream or both have ended a flow.
--- a/shallotshore/packets/agent_tables.py
+++ b/shallotshore/packets/agent_tables.py
@@ -9,6 +9,7 @@
 
 from shallotshore.cursor import Cursor
 from shallotshore.packets.upstream_use import RECENT_USE_MS
+from shallotshore.scheduling.terms import RequestTerms
 from shallotshore.tables import MISSING, Table
 
 MAX_FLOW_ROWS = 20_000  # ten times the connections of one upstream
@@ -55,11 +56,16 @@
         candidates: Hosts that the opening packet can be passed to.
         is_searched: 1 when the last packet arrived in a Search.
         hops: How many agents have passed the opening packet on.
+        terms: Class of the request that the opening packet announced, or None.
+        asked_at: When the client sent its first opening packet, in ms.
+        offered_at: When the opening packet was first sent to the upstream, in ms; 0 after the
+            flow's first request.
     """
 
     __slots__ = (
         "_cursor",
         "answer_sequence",
+        "asked_at",
         "awaiting_since",
         "awaits_answer",
         "candidates",
@@ -70,9 +76,11 @@
         "is_confirmed",
         "is_searched",
         "last_packet_at",
+        "offered_at",
         "opening_sequence",
         "origin",
         "stage",
+        "terms",
     )
 
     COLUMNS = {
@@ -89,8 +97,10 @@
         "awaiting_since": "q",
         "origin": "Q",
         "hops": "B",
+        "asked_at": "q",
+        "offered_at": "q",
     }
-    OBJECT_COLUMNS = {"candidates": ()}
+    OBJECT_COLUMNS = {"candidates": (), "terms": None}
 
     stage: array[int]
     opening_sequence: array[int]
@@ -105,7 +115,10 @@
     awaiting_since: array[int]
     origin: array[int]
     hops: array[int]
+    asked_at: array[int]
+    offered_at: array[int]
     candidates: list[tuple[int, ...]]
+    terms: list[RequestTerms | None]
 
     def __init__(self) -> None:
         super().__init__(MAX_FLOW_ROWS)
--- a/shallotshore/packets/balancer_state.py
+++ b/shallotshore/packets/balancer_state.py
@@ -8,12 +8,14 @@
 from typing import TYPE_CHECKING
 
 from shallotshore.hashing import name_id
+from shallotshore.packets.attempts import AttemptTable
 from shallotshore.packets.flow_cache import FlowCache
 from shallotshore.packets.member_table import MemberTable
 from shallotshore.packets.node_state import NodeState
 from shallotshore.packets.search_queue import SearchQueue
 from shallotshore.packets.upstream_table import UpstreamTable
 from shallotshore.packets.view import Route
+from shallotshore.scheduling.terms import RequestTerms
 from shallotshore.tables import MISSING
 
 if TYPE_CHECKING:
@@ -58,14 +60,14 @@
         name: The operator's name for the route.
         services: Ids of the route's services, without repeats.
         weights: Weights of the services, in the same order.
-        priority: Rank of the route's requests; 0 goes first.
+        terms: Priority, target latency and time limit of the route's requests.
     """
 
-    __slots__ = ("name", "priority", "services", "weights")
+    __slots__ = ("name", "services", "terms", "weights")
 
     def __init__(self, route: Route) -> None:
         self.name = route.name
-        self.priority = route.priority
+        self.terms = RequestTerms(route.priority, route.target_ms, route.limit_ms)
         self.services = tuple(name_id("service", name) for name, _ in route.shares)
         self.weights = tuple(weight for _, weight in route.shares)
 
@@ -76,6 +78,7 @@
     Attributes:
         seeds: Hosts that may run balancers.
         members: Other balancers that are known.
+        attempts: Clients' attempts to open a flow, on routes that declare terms.
         routes: Routes by virtual address.
         cold_per_s: New flows per second declared for a cold upstream, by service.
         data_centres_out: Ids of data centres that the operator has taken out of service.
@@ -85,6 +88,7 @@
     """
 
     __slots__ = (
+        "attempts",
         "cold_per_s",
         "data_centres_out",
         "flows",
@@ -102,6 +106,7 @@
         self.seeds = settings.seeds
         self.members = MemberTable()
         self.flows = FlowCache()
+        self.attempts = AttemptTable()
         self.upstreams = UpstreamTable()
         self.routes: dict[Address, RouteView] = {}
         self.cold_per_s: dict[int, float] = {}
--- a/shallotshore/packets/client_packets.py
+++ b/shallotshore/packets/client_packets.py
@@ -190,6 +190,9 @@
         flows.client_next[row] = next_sequence
         if not flows.awaits_answer[row]:
             flows.awaiting_since[row] = now
+            if flows.offered_at[row]:
+                state.answer_times.record_request_delay(now - flows.offered_at[row])
+                flows.offered_at[row] = 0
             # The first data of a request, which the offer of some flow announced.
             if state.recent_offer_times:
                 state.recent_offer_times.pop(0)
--- a/shallotshore/packets/node_messages.py
+++ b/shallotshore/packets/node_messages.py
@@ -36,6 +36,7 @@
 from shallotshore.packets.field_types import Count, DurationMs, Hops, Host, Id, Port, Revision
 from shallotshore.packets.record_decoding import decode_entry
 from shallotshore.packets.view import Feed
+from shallotshore.scheduling.terms import RequestTerms
 
 
 class CarryKind(IntEnum):
@@ -68,6 +69,12 @@
         hops: Number of agents that have passed the packet on.
         origin: Host of the balancer.
         frame: The client's packet.
+        target_ms: Time from the client's first packet in which an answer is in time, in ms; 0 when
+            the route declares none.
+        limit_ms: Time after which the client no longer waits, in ms; 0 when the route declares
+            none.
+        age_ms: How long before this message was sent the client first sent its opening packet, in
+            ms; 0 when the route declares no terms.
     """
 
     kind: CarryKind
@@ -79,6 +86,14 @@
     hops: Hops
     origin: Host
     frame: bytes
+    target_ms: Count = 0  # senders of an earlier version leave it out
+    limit_ms: Count = 0  # senders of an earlier version leave it out
+    age_ms: Count = 0  # senders of an earlier version leave it out
+
+    @property
+    def terms(self) -> RequestTerms:
+        """Class of the request that an opening packet announces."""
+        return RequestTerms(self.priority, self.target_ms, self.limit_ms)
 
 
 class Missing(msgspec.Struct, array_like=True, tag=2, gc=False):
--- a/shallotshore/packets/openings.py
+++ b/shallotshore/packets/openings.py
@@ -8,18 +8,20 @@
 
 __all__ = ["HeldOpeningSystem", "handle_opening", "pass_to_next_candidate"]
 
+from msgspec.structs import replace
+
 from shallotshore.codes import Code
 from shallotshore.packets.agent_state import AgentState
 from shallotshore.packets.agent_tables import AgentFlowStage
+from shallotshore.packets.attempts import ATTEMPT_MS
 from shallotshore.packets.held_openings import HeldOpening
 from shallotshore.packets.hosts import host_text
-from shallotshore.packets.node_messages import Carry, CarryKind, Passed, UpstreamHealth
+from shallotshore.packets.node_messages import Carry, Passed, UpstreamHealth
 from shallotshore.packets.packet import SEQUENCE_MASK, Packet
 from shallotshore.tables import MISSING
 
 # One request queued at the upstream keeps the upstream busy while the next request is on its way.
 MAX_UPSTREAM_QUEUED_REQUESTS = 1
-MAX_HOLD_MS = 150  # the client first retransmits the packet after 200 ms
 MAX_HOPS = 3
 
 
@@ -39,18 +41,17 @@
         state = self._state
         held = state.held_openings
         if state.is_stopping:
-            while len(held):
-                opening = held.pop_best()
-                handle_opening(state, opening.carry, opening.packet, now)
-        if not len(held):
-            return
-        for opening in held.pop_held_before(now - MAX_HOLD_MS):
+            while (opening := held.pop_best(now)) is not None:
+                handle_opening(state, opening.carry_now(now), opening.packet, now)
+        for opening in held.pop_overdue(now):
             # The next retransmission will arrive soon and may be offered to another upstream.
             state.counters.add("openings.held_too_long")
             _log_held_too_long(state, opening, now)
         while len(held) and state.load(now) < state.slots + MAX_UPSTREAM_QUEUED_REQUESTS:
-            opening = held.pop_best()
-            handle_opening(state, opening.carry, opening.packet, now)
+            opening = held.pop_best(now, state.answer_times.expected_ms)
+            if opening is None:
+                break
+            handle_opening(state, opening.carry_now(now), opening.packet, now)
 
 
 def handle_opening(state: AgentState, carry: Carry, packet: Packet, now: int) -> None:
@@ -63,6 +64,9 @@
         now: Time in ms.
     """
     state.subscribers.record_use(carry.origin, now)
+    if _has_client_gone(carry):
+        state.counters.add("openings.client_gone")
+        return
     flows = state.flows
     row = flows.row(packet.key)
     if row != MISSING and flows.stage[row] in (AgentFlowStage.OFFERED, AgentFlowStage.ACCEPTED):
@@ -87,6 +91,14 @@
         pass_to_next_candidate(state, carry.candidates, carry, packet, Code.OVERLOADED, now)
 
 
+def _has_client_gone(carry: Carry) -> bool:
+    """Whether the client has ended its attempt, or no longer waits for an answer."""
+    terms = carry.terms
+    if not terms.is_declared:
+        return False
+    return carry.age_ms >= ATTEMPT_MS or not terms.is_within_limit(0, carry.age_ms)
+
+
 def _offer_to_upstream(state: AgentState, carry: Carry, packet: Packet, now: int) -> None:
     """Sends an opening packet to the upstream, unless a cold upstream's limit is reached."""
     if not state.feeds.operator.revision:
@@ -101,7 +113,9 @@
         pass_to_next_candidate(state, carry.candidates, carry, packet, Code.TABLE_FULL, now)
         return
     state.set_stage(row, AgentFlowStage.OFFERED)
-    flows.last_packet_at[row] = now
+    flows.last_packet_at[row] = flows.offered_at[row] = now
+    flows.terms[row] = carry.terms
+    flows.asked_at[row] = now - carry.age_ms
     flows.origin[row] = carry.origin
     flows.hops[row] = carry.hops
     flows.candidates[row] = carry.candidates
@@ -164,17 +178,7 @@
         )
     if not is_passed:
         return
-    forwarded = Carry(
-        CarryKind.OPEN,
-        carry.service,
-        carry.revision,
-        candidates[1:],
-        carry.cold_per_s,
-        carry.priority,
-        carry.hops + 1,
-        carry.origin,
-        carry.frame,
-    )
+    forwarded = replace(carry, candidates=candidates[1:], hops=carry.hops + 1)
     state.send(candidates[0], forwarded)
     state.send(carry.origin, Passed(packet.key, candidates[0]))
 
--- a/shallotshore/packets/pending_flows.py
+++ b/shallotshore/packets/pending_flows.py
@@ -126,6 +126,9 @@
         route = state.routes.get(packet.vip)
         if route is None:
             return
+        if route.terms.is_declared and state.attempts.has_ended(packet.key, now):
+            flows.pending_packet[row] = None
+            return
         flows.schedule_check(row)
         tried = flows.tried(row)
         service = choose_service(state, route)
--- a/shallotshore/packets/routing.py
+++ b/shallotshore/packets/routing.py
@@ -7,10 +7,12 @@
 from collections import deque
 
 from shallotshore.codes import Code
+from shallotshore.packets.attempts import ATTEMPT_MS
 from shallotshore.packets.balancer_state import BalancerState, RouteView
 from shallotshore.packets.flow_cache import MAX_TRIED_UPSTREAMS, CachedFlowStage
 from shallotshore.packets.hosts import host_text
 from shallotshore.packets.node_messages import Carry, CarryKind
+from shallotshore.packets.opening_queue import OpeningQueue
 from shallotshore.packets.packet import RESETS, Packet, ResetPacket
 from shallotshore.packets.search import (
     SEARCH_RETRY_MS,
@@ -37,9 +39,7 @@
     """Routes the packets of clients.
 
     After its start a balancer queues packets until it knows the routes, the upstreams and the flows
-    that agents name in their first reports. Opening packets wait in a bounded queue from which the
-    newest are taken first. Otherwise a balancer that falls behind would only serve clients that
-    have given up, and the retries of these clients would keep it behind.
+    that agents name in their first reports. Opening packets wait in a bounded queue.
     """
 
     __slots__ = ("_configured_at", "_queued_openings", "_queued_packets", "_state")
@@ -48,7 +48,7 @@
         self._state = state
         self._configured_at = 0
         self._queued_packets: deque[tuple[int, Packet]] = deque(maxlen=MAX_QUEUED_PACKETS)
-        self._queued_openings: dict[int, tuple[int, Packet]] = {}
+        self._queued_openings = OpeningQueue(MAX_QUEUED_PACKETS, MAX_QUEUED_MS)
 
     def run(self, now: int) -> None:
         """Runs the step at `now` (ms)."""
@@ -68,21 +68,25 @@
 
     def _queue_opening(self, packet: Packet, now: int) -> None:
         """Queues an opening packet; a retransmission replaces the flow's earlier packet."""
-        self._queued_openings.pop(packet.key, None)
-        self._queued_openings[packet.key] = (now, packet)
-        if len(self._queued_openings) > MAX_QUEUED_PACKETS:
-            del self._queued_openings[next(iter(self._queued_openings))]
-            self._state.counters.add("openings.shed")
+        state = self._state
+        route = state.routes.get(packet.vip)
+        if route is None or not route.terms.is_declared:
+            self._queued_openings.push(packet, now)
+        else:
+            asked_at = state.attempts.record_copy(packet, now)
+            self._queued_openings.push_declared(packet, route.terms, asked_at, now)
 
     def _route_openings(self, now: int) -> None:
+        state = self._state
+        state.attempts.expire(now)
         for _ in range(min(MAX_OPENINGS_PER_TICK, len(self._queued_openings))):
-            _, (received_at, packet) = self._queued_openings.popitem()
-            if now - received_at > MAX_QUEUED_MS:
-                # The newest packet is taken first, so every packet left in the queue is too old.
-                self._state.counters.add("openings.shed", len(self._queued_openings) + 1)
-                self._queued_openings.clear()
-                return
+            packet = self._queued_openings.pop_next(now)
+            if packet is None:
+                break
             self._route_packet(packet, now)
+        shed = self._queued_openings.take_shed(now)
+        if shed:
+            state.counters.add("openings.shed", shed)
 
     def _update_readiness(self, now: int) -> bool:
         """Returns whether packets can be routed; once true, the result stays true."""
@@ -187,6 +191,13 @@
         now: Time in ms.
     """
     flows = state.flows
+    terms = route.terms
+    age_ms = 0
+    if terms.is_declared:
+        age_ms = now - state.attempts.find_asked_at(packet, now)
+        if age_ms >= ATTEMPT_MS:
+            state.counters.add("openings.client_gone")
+            return
     tried = flows.tried(row) if row != MISSING else []
     service = choose_service(state, route)
     hosts = _find_candidates(state, service, tried, now)
@@ -217,10 +228,13 @@
             state.feeds.operator.revision,
             tuple(hosts[1 : 1 + MAX_CANDIDATES]),
             state.cold_per_s.get(service, 0.0),
-            route.priority,
+            terms.priority,
             0,
             state.host,
             packet.frame,
+            terms.target_ms,
+            terms.limit_ms,
+            age_ms,
         ),
     )
 
--- a/shallotshore/packets/upstream_packets.py
+++ b/shallotshore/packets/upstream_packets.py
@@ -10,6 +10,7 @@
 from shallotshore.packets.node_messages import Carry, CarryKind, Missing, OwnedFlow
 from shallotshore.packets.openings import pass_to_next_candidate
 from shallotshore.packets.packet import ENDS, OPENS, RESETS, RETURNED, Packet, PacketToClient
+from shallotshore.scheduling.terms import RequestTerms
 from shallotshore.tables import MISSING
 
 
@@ -54,6 +55,7 @@
         if packet.size and flows.awaits_answer[row]:
             waited_ms = now - flows.awaiting_since[row]
             state.latencies.record("first_answer", packet.route_name, waited_ms)
+            state.answer_times.record_answer(waited_ms)
             state.set_awaits_answer(row, False)
             state.failures.record_answer(now)
         if packet.flags & RESETS and flows.awaits_answer[row]:
@@ -119,16 +121,20 @@
 def _pass_returned_opening(state: AgentState, row: int, packet: Packet, now: int) -> None:
     """Passes an opening packet that the upstream has returned to the next candidate."""
     flows = state.flows
+    terms = flows.terms[row] or RequestTerms()
     carry = Carry(
         CarryKind.OPEN,
         state.service,
         0,
         flows.candidates[row],
         0.0,
-        0,
+        terms.priority if terms.is_declared else 0,
         flows.hops[row],
         flows.origin[row],
         packet.frame,
+        terms.target_ms,
+        terms.limit_ms,
+        now - flows.asked_at[row] if terms.is_declared else 0,
     )
     state.remove_flow(row)
     pass_to_next_candidate(state, carry.candidates, carry, packet, Code.OVERLOADED, now)
--- a/shallotshore/packets/view.py
+++ b/shallotshore/packets/view.py
@@ -44,6 +44,8 @@
         port: Port of the virtual address.
         shares: Services with their weights; one entry when the flows are not split.
         priority: Rank of the route's requests among those of other routes; 0 goes first.
+        target_ms: Time in which an answer is in time, in ms; 0 when not declared.
+        limit_ms: Time after which a client no longer waits, in ms; 0 when not declared.
     """
 
     name: str
@@ -51,6 +53,8 @@
     port: Port
     shares: tuple[tuple[str, Count], ...]
     priority: Count = 0
+    target_ms: Count = 0  # senders of an earlier version leave it out
+    limit_ms: Count = 0  # senders of an earlier version leave it out
 
 
 class ServiceLimits(msgspec.Struct, array_like=True, frozen=True, gc=False):
--- a/shallotshore/scheduling/waiting.py
+++ b/shallotshore/scheduling/waiting.py
@@ -234,6 +234,15 @@
             del level.lines[(line.account, terms.target_ms, terms.limit_ms)]
         return request
 
+    def remove_first_to_expire(self) -> WaitingRequest | None:
+        """Removes and returns the request that expires next; None when none expires."""
+        while self._expiries:
+            _, number, key = heappop(self._expiries)
+            found = self._places.get(key)
+            if found is not None and found[1][1] == number:
+                return self.remove(key)
+        return None
+
     def take_expired(self, now: int) -> list[WaitingRequest]:
         """Removes and returns the requests that have expired since the last call."""
         self._expire(now)
--- a/standins/packet_load.py
+++ b/standins/packet_load.py
@@ -27,6 +27,7 @@
             opens a flow.
         is_repeatable: Whether callers try again after any failure, and not only after one that
             shows that the request has not run.
+        vip: Virtual address that the requests are sent to.
     """
 
     per_s: float
@@ -34,6 +35,7 @@
     deadline_ms: int
     is_pooled: bool
     is_repeatable: bool
+    vip: Address = VIP
 
 
 @dataclass(slots=True)
@@ -74,7 +76,7 @@
         customers: Number of client accounts that the requests are spread over.
         records: One record for each request.
         factor: Factor on the arrival rate, for bursts.
-        vip: The virtual address.
+        factors: Further factors on the arrival rates of some kinds of request.
         shapes: Kinds of request that have been started.
         is_stopped: Whether no further requests are made.
     """
@@ -84,10 +86,10 @@
     customers: int = 4
     records: list[RequestRecord] = field(default_factory=list)
     factor: float = 1.0
-    vip: Address = VIP
+    factors: dict[LoadShape, float] = field(default_factory=dict)
     shapes: list[LoadShape] = field(default_factory=list)
     is_stopped: bool = False
-    _idle_flows: list[PacketClient] = field(default_factory=list)
+    _idle_flows: dict[Address, list[PacketClient]] = field(default_factory=dict)
     _ports: itertools.count = field(default_factory=lambda: itertools.count(FIRST_PORT))
 
     def start(self, shape: LoadShape) -> None:
@@ -96,7 +98,8 @@
         self._schedule_arrival(shape)
 
     def _schedule_arrival(self, shape: LoadShape) -> None:
-        delay_ms = self.rng.expovariate(shape.per_s * self.factor) * 1000
+        per_s = shape.per_s * self.factor * self.factors.get(shape, 1.0)
+        delay_ms = self.rng.expovariate(per_s) * 1000
         self.world.call_later(round(delay_ms), lambda: self._arrive(shape))
 
     def share_in_time(self, start: int, end: int) -> float:
@@ -126,17 +129,18 @@
         _Caller(self, record).start()
         self._schedule_arrival(shape)
 
-    def take_flow(self, is_pooled: bool) -> PacketClient:
+    def take_flow(self, shape: LoadShape) -> PacketClient:
         """Returns an idle open flow, or a new one."""
-        while is_pooled and self._idle_flows:
-            flow = self._idle_flows.pop(self.rng.randrange(len(self._idle_flows)))
+        idle = self._idle_flows.get(shape.vip, []) if shape.is_pooled else []
+        while idle:
+            flow = idle.pop(self.rng.randrange(len(idle)))
             if flow.reset_at is None:
                 return flow
-        return self.world.open_flow(next(self._ports), self.vip)
+        return self.world.open_flow(next(self._ports), shape.vip)
 
     def give_back(self, flow: PacketClient) -> None:
         """Keeps an open flow for further requests."""
-        self._idle_flows.append(flow)
+        self._idle_flows.setdefault(flow.vip, []).append(flow)
 
 
 class _Caller:
@@ -157,7 +161,7 @@
 
     def _try(self) -> None:
         self._tries += 1
-        flow = self._flow = self._load.take_flow(self._record.shape.is_pooled)
+        flow = self._flow = self._load.take_flow(self._record.shape)
         flow.on_packet = lambda: self._look(flow)
         flow.request(self._record.payload)
         if flow.opened_at is None:
--- a/standins/packet_world.py
+++ b/standins/packet_world.py
@@ -44,6 +44,7 @@
     Upstream,
 )
 from shallotshore.packets.vm_checks import CHECK_TIMEOUT_MS, CheckVm, VmChecked
+from shallotshore.scheduling.terms import RequestTerms
 from standins.packet_client import PacketClient
 from standins.packet_store import StoreStandin
 from standins.packet_upstream import PacketUpstream
@@ -99,6 +100,7 @@
         services: dict[Address, str] | None = None,
         cold_per_s: float = 0.0,
         version: int | None = None,
+        terms: dict[Address, RequestTerms] | None = None,
     ) -> None:
         """Publishes a configuration with one service for each virtual address.
 
@@ -106,10 +108,11 @@
             services: Names of services by virtual address.
             cold_per_s: Flows a second that a cold upstream of these services accepts; 0: no limit.
             version: Version of the configuration; by default 3 above the one before.
+            terms: Priority, target and limit by virtual address; none by default.
         """
         self.version = version if version is not None else self.version + 3
         routes = tuple(
-            Route(f"r-{vip[1]}", vip[0], vip[1], ((service, 1),))
+            self._make_route(vip, service, (terms or {}).get(vip, RequestTerms()))
             for vip, service in (services or {VIP: "spend"}).items()
         )
         names = sorted({share[0] for route in routes for share in route.shares})
@@ -120,6 +123,12 @@
             lambda revision: ConfigurationChange("op/config", revision, configuration),
         )
 
+    @staticmethod
+    def _make_route(vip: Address, service: str, terms: RequestTerms) -> Route:
+        shares = ((service, 1),)
+        numbers = (terms.priority, terms.target_ms, terms.limit_ms)
+        return Route(f"r-{vip[1]}", vip[0], vip[1], shares, *numbers)
+
     def add_balancer(self, host: str, place: str = "bud-a", seeds: tuple[str, ...] = ()) -> None:
         """Starts the balancer of a host, or restarts it without its state."""
         self.data_centre_by_host[host] = place
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -160,6 +160,21 @@
         self.assertEqual((8080, (("a", 1),)), (first.port, first.shares))
         self.assertEqual((8443, (("a", 90), ("b", 10))), (second.port, second.shares))
 
+    def test_reads_target_and_limit_of_a_route(self) -> None:
+        """Guards against terms that are not taken over, and routes that must name them."""
+        route = {"host": "198.18.0.1", "prefix": "/443/", "service": "spend"}
+        for fields, expected in (
+            ({"targetLatencyMs": 350, "timeoutMs": 2_940}, (350, 2_940)),
+            ({"timeoutMs": 2_500.0}, (0, 2_500)),
+            ({"targetLatencyMs": None}, (0, 0)),
+            ({}, (0, 0)),
+        ):
+            config = {"version": 1, "routes": [{**route, **fields}]}
+            change = decode_item(item("op/config", json.dumps(config).encode()))
+            self.assertIsInstance(change, ConfigurationChange)
+            (read,) = change.configuration.routes
+            self.assertEqual(expected, (read.target_ms, read.limit_ms))
+
     def test_reads_data_centres_that_are_out_and_in(self) -> None:
         """Guards against a data centre that stays out of service after its entry was removed."""
         evacuation = decode_item(item("op/evacuate/bud-a", b"{}"))
--- a/tests/test_packet_routing.py
+++ b/tests/test_packet_routing.py
@@ -7,6 +7,7 @@
 
 from shallotshore.hashing import name_id
 from shallotshore.messages import Address
+from shallotshore.packets.attempts import ATTEMPT_MS
 from shallotshore.packets.balancer import PacketBalancer
 from shallotshore.packets.balancer_state import BalancerSettings
 from shallotshore.packets.feed_content import ConfigurationChange, UpstreamChange
@@ -24,12 +25,17 @@
 PORT = 7720
 
 
-def make_balancer(places: dict[str, str]) -> PacketBalancer:
-    """Returns a balancer of data centre `a` that has a report of an upstream on each host."""
+def make_balancer(places: dict[str, str], terms: tuple[int, ...] = ()) -> PacketBalancer:
+    """Returns a balancer of data centre `a` that has a report of an upstream on each host.
+
+    Args:
+        places: Data centres of the upstreams by host.
+        terms: Priority, target and limit of the route.
+    """
     settings = BalancerSettings(host_number("10.9.0.1"), "a", PORT)
     core = PacketBalancer(settings, random.Random(1), decode_packet)
     core.tick(START)
-    configuration = Configuration(1, (Route("r", *VIP, (("s", 1),)),))
+    configuration = Configuration(1, (Route("r", *VIP, (("s", 1),), *terms),))
     changes = [ConfigurationChange("c", 1, configuration)]
     core.receive(STORE_ADDRESS, StoreSnapshot(Feed.OPERATOR, 1, list(changes)))
     records = [
@@ -114,6 +120,43 @@
         self.assertEqual(1, len(offers(self.core)))
 
 
+class DeclaredTermsTest(unittest.TestCase):
+    """Opening packets of a route that declares a target and a limit."""
+
+    def setUp(self) -> None:
+        self.core = make_balancer({"10.1.1.1": "a", "10.1.1.2": "a"}, (1, 350, 3_000))
+
+    def test_offers_tell_terms_and_age(self) -> None:
+        """Guards against agents that take the copy of an old request for a new one."""
+        self.core.receive(("100.64.0.1", 2_000), opening(2_000))
+        self.core.tick(START + 2)
+        self.core.receive(("100.64.0.1", 2_000), opening(2_000, 1))
+        self.core.tick(START + 212)
+        self.core.receive(("100.64.0.1", 3_000), opening(3_000, 2))
+        self.core.tick(START + 213)
+        told = [(carry.target_ms, carry.limit_ms, carry.age_ms) for _, carry in offers(self.core)]
+        self.assertEqual([(350, 3_000, 0), (350, 3_000, 210), (350, 3_000, 600)], told)
+
+    def test_requests_in_time_go_before_late_copies(self) -> None:
+        """Guards against a balancer behind its load that routes late copies first."""
+        for number in range(MAX_OPENINGS_PER_TICK):
+            self.core.receive(("100.64.0.1", 2_000 + number), opening(2_000 + number))
+        for number in range(MAX_OPENINGS_PER_TICK):
+            self.core.receive(("100.64.0.1", 3_000 + number), opening(3_000 + number, 2))
+        self.core.tick(START + 2)
+        self.assertEqual({0}, {carry.age_ms for _, carry in offers(self.core)})
+
+    def test_nothing_is_offered_after_the_end_of_the_attempt(self) -> None:
+        """Guards against upstreams that are occupied for clients that have gone."""
+        for number in range(2 * MAX_OPENINGS_PER_TICK):
+            self.core.receive(("100.64.0.1", 2_000 + number), opening(2_000 + number))
+        self.core.tick(START + 2)
+        offers(self.core)
+        self.core.tick(START + 2 + ATTEMPT_MS)
+        self.assertEqual([], offers(self.core))
+        self.assertEqual(MAX_OPENINGS_PER_TICK, self.core.counters["openings.shed"])
+
+
 class CandidateTest(unittest.TestCase):
     """Candidates of a service with many upstreams."""
 
