Route a single waiting opening packet without ordering it

Change: the queue keeps the packet that arrived last apart; mostly it is the only one and needs no order.

--- a/shallotshore/packets/opening_queue.py
+++ b/shallotshore/packets/opening_queue.py
@@ -24,6 +24,7 @@
         "_max_packets",
         "_max_wait_ms",
         "_shed",
+        "_single",
         "_undeclared",
     )
 
@@ -40,12 +41,15 @@
         self._declared = WaitingQueue(max_packets)
         self._is_undeclared_next = False
         self._shed = 0
+        # The packet that arrived last. Mostly it is the only one that waits, and needs no order.
+        self._single: tuple[Packet, RequestTerms, int] | None = None
 
     def __len__(self) -> int:
-        return len(self._undeclared) + len(self._declared)
+        return len(self._undeclared) + len(self._declared) + (self._single is not None)
 
     def push(self, packet: Packet, now: int) -> None:
         """Adds a packet of a route that declares no terms; a full queue drops the oldest one."""
+        self._flush(now)
         self._declared.remove(packet.key)
         self._undeclared.pop(packet.key, None)
         self._undeclared[packet.key] = (now, packet)
@@ -63,38 +67,52 @@
             now: Time in ms.
         """
         self._undeclared.pop(packet.key, None)
-        ends_at = asked_at + ATTEMPT_MS
-        request = WaitingRequest(packet.key, terms, packet.vip, asked_at, packet, ends_at)
-        if not self._declared.push(request, now):
-            self._declared.remove_first_to_expire()
-            self._shed += 1
-            self._declared.push(request, now)
+        self._flush(now)
+        self._single = (packet, terms, asked_at)
 
     def pop_next(self, now: int) -> Packet | None:
         """Removes and returns the packet whose turn it is; None when none waits."""
+        if self._single is not None and len(self) == 1:
+            packet, _, asked_at = self._single
+            self._single = None
+            if now - asked_at < ATTEMPT_MS:
+                return packet
+            self._shed += 1
+            return None
+        self._flush(now)
         is_undeclared = bool(self._undeclared) and (
             self._is_undeclared_next or not len(self._declared)
         )
         self._is_undeclared_next = not is_undeclared
-        packet = self._pop_undeclared(now) if is_undeclared else None
-        if packet is not None:
-            return packet
+        found = self._pop_undeclared(now) if is_undeclared else None
+        if found is not None:
+            return found
         # An agent beside the upstream knows how long a request takes; a balancer does not.
         request = self._declared.pop_next(now, service_ms=0.0)
+        self._shed += len(self._declared.take_expired(now))
         if request is not None:
             return request.item
         return self._pop_undeclared(now)
 
-    def take_shed(self, now: int) -> int:
-        """Drops packets whose clients have ended the attempt.
-
-        Returns:
-            The number of packets that were dropped since the last call.
-        """
-        shed = self._shed + len(self._declared.take_expired(now))
+    def take_shed(self) -> int:
+        """Returns the number of packets that were dropped since the last call."""
+        shed = self._shed
         self._shed = 0
         return shed
 
+    def _flush(self, now: int) -> None:
+        """Moves the packet that arrived last to those that wait for their turns."""
+        if self._single is None:
+            return
+        packet, terms, asked_at = self._single
+        self._single = None
+        ends_at = asked_at + ATTEMPT_MS
+        request = WaitingRequest(packet.key, terms, packet.vip, asked_at, packet, ends_at)
+        if not self._declared.push(request, now):
+            self._declared.remove_first_to_expire()
+            self._shed += 1
+            self._declared.push(request, now)
+
     def _pop_undeclared(self, now: int) -> Packet | None:
         if not self._undeclared:
             return None
--- a/shallotshore/packets/pending_flows.py
+++ b/shallotshore/packets/pending_flows.py
@@ -91,6 +91,7 @@
         self._last_run_at = now
         flows = self._state.flows
         flows.expire_flows(now)
+        self._state.attempts.expire(now)
         searching = []
         # After a power loss hundreds of flows wait for a free slot. The upstreams are ranked once
         # for all of them.
--- a/shallotshore/packets/routing.py
+++ b/shallotshore/packets/routing.py
@@ -78,13 +78,13 @@
 
     def _route_openings(self, now: int) -> None:
         state = self._state
-        state.attempts.expire(now)
-        for _ in range(min(MAX_OPENINGS_PER_TICK, len(self._queued_openings))):
-            packet = self._queued_openings.pop_next(now)
+        queue = self._queued_openings
+        for _ in range(min(MAX_OPENINGS_PER_TICK, len(queue))):
+            packet = queue.pop_next(now)
             if packet is None:
                 break
             self._route_packet(packet, now)
-        shed = self._queued_openings.take_shed(now)
+        shed = queue.take_shed()
         if shed:
             state.counters.add("openings.shed", shed)
 
