--- a/shallotshore/packets/pending_flows.py
+++ b/shallotshore/packets/pending_flows.py
@@ -92,6 +92,7 @@
         self._last_run_at = now
         flows = self._state.flows
         flows.expire_flows(now)
+        self._state.attempts.expire(now)
         searching = []
         # After a power loss hundreds of flows wait for a free slot. The upstreams are ranked once
         # for all of them.
@@ -127,6 +128,9 @@
         route = state.routes.get(packet.vip)
         if route is None:
             return
+        if route.terms.is_declared and state.attempts.has_ended(packet.key, now):
+            flows.pending_packet[row] = None
+            return
         flows.schedule_check(row)
         tried = flows.tried(row)
         service = choose_service(state, route)
