Compute medians without the module statistics

Cause: loading it takes 4 ms of CPU, 25 ms on the smallest balancers, before the first packet. The test of the fields that follow those of the last version covers the learned values too. Measured: python -X importtime, 4.2 ms for statistics with fractions and decimal.

--- a/shallotshore/packets/answer_times.py
+++ b/shallotshore/packets/answer_times.py
@@ -5,7 +5,8 @@
 __all__ = ["AnswerTimes"]
 
 from collections import deque
-from statistics import median
+
+from shallotshore.scheduling.median import median
 
 MAX_SAMPLES = 33  # about a second of an upstream's requests
 
--- a/shallotshore/scheduling/capacity.py
+++ b/shallotshore/scheduling/capacity.py
@@ -3,7 +3,8 @@
 __all__ = ["CapacityEstimator"]
 
 from collections import deque
-from statistics import median
+
+from shallotshore.scheduling.median import median
 
 MAX_LEVEL_REQUESTS = 16  # numbers of running requests above this share one set of samples
 # Half of these must be slow before the median is. With tails of 3% that happens once in 10^8 times.
@@ -209,7 +210,7 @@
             for level, samples in self._samples.items():
                 values = [value for at, _, value in samples if newest - at <= max_age_ms]
                 if len(values) >= MIN_SAMPLES:
-                    levels[level] = float(median(values))
+                    levels[level] = median(values)
             if levels:
                 return levels
         values = [value for samples in self._samples.values() for _, _, value in samples]
--- a/shallotshore/scheduling/placement.py
+++ b/shallotshore/scheduling/placement.py
@@ -9,7 +9,8 @@
 ]
 
 from collections.abc import Iterable
-from statistics import median
+
+from shallotshore.scheduling.median import median
 
 MIN_MEDIAN_MS = 1.0  # latencies are measured in whole ms
 # A single value of an upstream can neither attract all work nor outweigh that an upstream is silent
--- a/tests/test_node_messages.py
+++ b/tests/test_node_messages.py
@@ -10,6 +10,7 @@
     FeedRequest,
     FeedStatus,
     Hello,
+    LoadReport,
     Report,
     Subscribe,
     UpstreamHealth,
@@ -46,28 +47,30 @@
         fields = msgspec.msgpack.decode(encode(report))
         self.assertEqual(FIRST_REPORT, fields[: len(FIRST_REPORT)])
 
-    def test_eras_are_the_last_fields(self) -> None:
-        """Guards against an era that another version reads as another field, or does not read.
+    def test_fields_of_this_version_follow_those_of_the_last(self) -> None:
+        """Guards against an era or a learned value that another version reads as another field.
 
         The other version may be the last one, whose messages end before the eras.
         """
         report = Report(
-            1, 2, 3, 80, UpstreamHealth.ANSWERS, 0, 2, 5, 13, 14, b"", b"", True, 21, 22
+            1, 2, 3, 80, UpstreamHealth.ANSWERS, 0, 2, 5, 13, 14, b"", b"", True, 21, 22, 41.5, 1.5
         )
-        for message, eras in (
-            (Subscribe(11, 12, 13, 14, 15, False, 21, 22), 2),
-            (report, 2),
-            (Hello(11, True, False, 13, 14, (), (), 21, 22), 2),
-            (FeedStatus(13, 14, None, 5, 21, 22), 2),
-            (FeedRequest(Feed.OPERATOR, 13, 21), 1),
-            (FeedChanges(Feed.OPERATOR, 13, (), 21), 1),
+        for message, new_fields in (
+            (Subscribe(11, 12, 13, 14, 15, False, 21, 22), [21, 22]),
+            (report, [21, 22, 41.5, 1.5]),
+            (LoadReport(3, 7, b"", b"", 41.5, 1.5), [41.5, 1.5]),
+            (Hello(11, True, False, 13, 14, (), (), 21, 22), [21, 22]),
+            (FeedStatus(13, 14, None, 5, 21, 22), [21, 22]),
+            (FeedRequest(Feed.OPERATOR, 13, 21), [21]),
+            (FeedChanges(Feed.OPERATOR, 13, (), 21), [21]),
         ):
+            count = len(new_fields)
             fields = msgspec.msgpack.decode(encode(message))
-            self.assertEqual([21, 22][:eras], fields[-eras:])
+            self.assertEqual(new_fields, fields[-count:])
             self.assertEqual(message, decode(encode(message)).unwrap())
-            last = decode(msgspec.msgpack.encode(fields[:-eras])).unwrap()
-            self.assertEqual([0] * eras, msgspec.msgpack.decode(encode(last))[-eras:])
-            self.assertEqual(fields[:-eras], msgspec.msgpack.decode(encode(last))[:-eras])
+            last = decode(msgspec.msgpack.encode(fields[:-count])).unwrap()
+            self.assertEqual([0] * count, msgspec.msgpack.decode(encode(last))[-count:])
+            self.assertEqual(fields[:-count], msgspec.msgpack.decode(encode(last))[:-count])
 
     def test_deep_nesting_is_malformed(self) -> None:
         """Guards against an exception that the reader of the socket does not expect.
