Give all recent keys positions of each new phase

Change: a key of the last 8,192 revisions gets a position of every phase that is entered, also if its text and revision are equal.

Result: tests.test_eras passes.

--- a/shallotshore/restored_read.py
+++ b/shallotshore/restored_read.py
@@ -21,8 +21,8 @@
 from shallotshore.texts import decompress_text
 
 # The copy is at most this many revisions older than a read, so that keys written before that have
-# the same text in all eras. The others get new positions, also if their texts are equal: processes
-# that know different parts of an era then never hold different writes of a key at one position.
+# the same text in all eras. The others get positions of the new phase, also if their texts are
+# equal: otherwise an older write that another process reads in that phase would take precedence.
 MAX_COPY_AGE_REVISIONS = 8192
 RECORDS_PER_STEP = 100  # comparing a record takes up to 15 us; a step of work may take 2 ms
 _RELAYED_KIND = "members"  # made by the processes, so that the service never holds such keys
@@ -87,7 +87,7 @@
         self._received.add(key_id)
         known = _known_entry(self._store, key_id)
         if known is not None and known.text == entry.text:
-            if not self._is_current(known, entry):
+            if entry.revision > revision_of(self.position) - MAX_COPY_AGE_REVISIONS:
                 self._add_change(entry, self._rank(key_id, known, entry))
             return
         rank = self._rank(key_id, known, entry)
@@ -96,17 +96,6 @@
         else:
             self._add_change(entry, rank)
 
-    def _is_current(self, known: Entry, entry: Entry) -> bool:
-        """Whether an entry with the known text needs no new position."""
-        if entry.revision <= revision_of(self.position) - MAX_COPY_AGE_REVISIONS:
-            return True
-        unjudged, written = (
-            position_of_write(known.revision, entry.revision, rank)
-            for rank in (Rank.UNJUDGED, Rank.WRITTEN)
-        )
-        is_same_era = era_of(known.revision) == era_of(self.position)
-        return is_same_era and known.revision in (unjudged, written)
-
     def _rank(self, key_id: int, known: Entry | None, entry: Entry) -> Rank:
         """Returns the rank of the value that a key gets."""
         if not self._retains:
