--- a/shallotshore/era_reading.py
+++ b/shallotshore/era_reading.py
@@ -132,8 +132,8 @@
         if reply.code != Code.OK or reply.base > 0:
             self.request_full_read(source, now)
         elif position != refused_position and state.comparison is None:
-            store = self._peering.replicas[source].store
-            state.comparison = RestoredRead(store, position, reply.entries)
+            replica = self._peering.replicas[source]
+            state.comparison = RestoredRead(replica, position, reply.entries)
         return True
 
     def step_comparisons(self) -> Iterator[tuple[Source, RestoredRead]]:
--- a/shallotshore/platform_reader.py
+++ b/shallotshore/platform_reader.py
@@ -105,7 +105,7 @@
         for source, read in self._eras.step_comparisons():
             if not self._receiver.is_receiving(source):
                 self._peering.counters.add("platform.retained_keys", read.retained)
-                self._start_update(source, read.position, read.changes, now)
+                self._start_update(source, read.position, read.changes, read.equal, now)
         if self._peering.is_validated and self._is_active_reader(now):
             for source, state in self._states.items():
                 self._read(source, state, now)
@@ -220,14 +220,20 @@
             self._peering.counters.add("platform.gaps")
             self._states[reply.source].next_poll_at = now
         elif self._is_new(reply, position) and not self._receiver.is_receiving(reply.source):
-            self._start_update(reply.source, position, _to_positions(reply, held), now)
+            self._start_update(reply.source, position, _to_positions(reply, held), (), now)
 
     def _start_update(
-        self, source: Source, position: int, entries: Iterable[Entry], now: int
+        self,
+        source: Source,
+        position: int,
+        entries: Iterable[Entry],
+        equal: Iterable[Entry],
+        now: int,
     ) -> None:
         self._states[source].started_revision = position
         update = self._peering.replicas[source].start_update(position, relayed=False)
         update.feed(entries)
+        update.feed_equal(equal)
         update.mark_complete()
         self._receiver.start_transfer(source, update, self._peering.config.platform[source], now)
 
--- a/shallotshore/replica.py
+++ b/shallotshore/replica.py
@@ -208,6 +208,7 @@
 
     __slots__ = (
         "_conflict_candidates",
+        "_equal_entries",
         "_has_all_entries",
         "_is_commit_due",
         "_problems",
@@ -229,6 +230,7 @@
         self._is_commit_due = False
         self._steps_run = 0
         self._unprocessed: deque[Entry] = deque()
+        self._equal_entries: deque[Entry] = deque()
         self._conflict_candidates: list[tuple[Entry, object]] = []
         self._problems: list[Problem] = []
         self._received_ids: set[int] = set()
@@ -256,9 +258,17 @@
             key_id = id_of_key(entry.key)
             if self._removes_absent:
                 self._received_ids.add(key_id)
-            if not self._replica.store.is_known(key_id, entry.revision):
+            if self._replica.store.is_known(key_id, entry.revision):
+                continue
+            if self.relayed and self._is_equal(entry):
+                self._equal_entries.append(entry)
+            else:
                 self._unprocessed.append(entry)
 
+    def feed_equal(self, entries: Iterable[Entry]) -> None:
+        """Adds entries whose texts are in force, so that only their revisions are new."""
+        self._equal_entries.extend(entries)
+
     def mark_complete(self) -> None:
         """Tells the update that all entries have been added."""
         self._has_all_entries = True
@@ -296,10 +306,12 @@
         if not self.relayed:
             yield from self._check_refused_share()
         while self._unprocessed or not self._has_all_entries:
-            if self._unprocessed and not self._restamp_entries():
+            yield from self._restamp_equal_entries()
+            if self._unprocessed:
                 self._process_entry(self._unprocessed.popleft())
             yield
         if self.result is None:
+            yield from self._restamp_equal_entries()
             yield from self._process_remainder()
             yield from self._replica.prepare_commit(self)
             if self._steps_run > 1:
@@ -311,11 +323,11 @@
         refused = 0
         changed = 0
         for entry in list(self._unprocessed):
-            if not self._has_same_text(entry) and not self._was_refused(entry):
+            if not self._was_refused(entry):
                 changed += 1
                 if entry.text and isinstance(self._replica.read(entry.key, entry.text, False), Err):
                     refused += 1
-                yield
+            yield
         if refused >= MIN_REFUSED_RECORDS and refused * 2 > changed:
             detail = f"{refused} of {changed} changed records were refused"
             self._unprocessed.clear()
@@ -325,26 +337,22 @@
         problem = Problem(code, "", "", detail)
         self.result = UpdateResult(False, (problem,), frozenset(), frozenset())
 
-    def _restamp_entries(self) -> bool:
-        """Gives some of the next records new positions; returns whether there were any."""
-        count = 0
-        while count < RESTAMPS_PER_RECORD and self._unprocessed:
-            entry = self._unprocessed[0]
-            if not self._has_same_text(entry) or self._replica.depends_on_revision(entry.key):
-                break
-            self._unprocessed.popleft()
-            self._replica.store.restamp(id_of_key(entry.key), entry.revision)
-            count += 1
-        return count > 0
+    def _restamp_equal_entries(self) -> Iterator[None]:
+        while self._equal_entries:
+            for _ in range(min(RESTAMPS_PER_RECORD, len(self._equal_entries))):
+                entry = self._equal_entries.popleft()
+                self._replica.store.restamp(id_of_key(entry.key), entry.revision)
+            yield
 
-    def _has_same_text(self, entry: Entry) -> bool:
-        """Whether an entry of a restored store only gives a record in force a new position."""
-        store = self._replica.store
-        row = store.row(id_of_key(entry.key)) if era_of(entry.revision) else MISSING
-        if row == MISSING or not entry.text or store.record_key(row) != entry.key:
+    def _is_equal(self, entry: Entry) -> bool:
+        """Whether a relayed entry only gives a record in force a position of another era."""
+        if not era_of(entry.revision) or self._replica.depends_on_revision(entry.key):
             return False
-        held = store.text(row)
-        return held == entry.text if self.relayed else decompress_text(held) == entry.text
+        store = self._replica.store
+        row = store.row(id_of_key(entry.key))
+        return (
+            row != MISSING and store.record_key(row) == entry.key and store.text(row) == entry.text
+        )
 
     def _was_refused(self, entry: Entry) -> bool:
         """Whether an entry of a restored store was refused with the same text before."""
--- a/shallotshore/restored_read.py
+++ b/shallotshore/restored_read.py
@@ -17,6 +17,7 @@
     position_of_write,
     revision_of,
 )
+from shallotshore.replica import Replica
 from shallotshore.store import RecordStore, id_of_key, split_key
 from shallotshore.texts import decompress_text
 
@@ -38,6 +39,7 @@
 
     Attributes:
         changes: Entries to apply; complete once `step` has returned True.
+        equal: Entries with the text in force, of which only the positions are new.
         position: Position of the read.
         replaces: Position that the process held when the comparison started.
         retained: Number of keys that keep a value which the store does not hold.
@@ -47,16 +49,20 @@
         "_entries",
         "_history",
         "_received",
+        "_replica",
         "_retains",
         "_steps",
         "_store",
         "changes",
+        "equal",
         "position",
         "replaces",
         "retained",
     )
 
-    def __init__(self, store: RecordStore, position: int, entries: Iterable[Entry]) -> None:
+    def __init__(self, replica: Replica, position: int, entries: Iterable[Entry]) -> None:
+        store = replica.store
+        self._replica = replica
         self._store = store
         self._entries = entries
         self._received: set[int] = set()
@@ -64,6 +70,7 @@
         self._history = _History(store)
         self._steps = self._compare()
         self.changes: list[Entry] = []
+        self.equal: list[Entry] = []
         self.position = position
         self.replaces = store.revision
         self.retained = 0
@@ -88,7 +95,7 @@
         known = _known_entry(self._store, key_id)
         if known is not None and known.text == entry.text:
             if entry.revision > revision_of(self.position) - MAX_COPY_AGE_REVISIONS:
-                self._add_change(entry, self._rank(key_id, known, entry))
+                self._add_equal(entry, key_id, self._rank(key_id, known, entry))
             return
         rank = self._rank(key_id, known, entry)
         if known is not None and rank == Rank.RETAINED:
@@ -120,6 +127,14 @@
         position = position_of_write(self.position, entry.revision, rank)
         self.changes.append(entry._replace(revision=position))
 
+    def _add_equal(self, entry: Entry, key_id: int, rank: Rank) -> None:
+        is_in_force = key_id in self._store and key_id not in self._store.refused
+        if is_in_force and not self._replica.depends_on_revision(entry.key):
+            position = position_of_write(self.position, entry.revision, rank)
+            self.equal.append(Entry(entry.key, position, b""))
+        else:
+            self._add_change(entry, rank)
+
     def _retain(self, key_id: int, known: Entry, revision: int) -> None:
         self.retained += 1
         if key_id not in self._store.refused:
--- a/shallotshore/store.py
+++ b/shallotshore/store.py
@@ -165,9 +165,9 @@
         return row
 
     def restamp(self, key_id: int, revision: int) -> None:
-        """Sets the revision of a text in force, unless that is already higher."""
+        """Sets the revision of a text in force, unless there is none or its revision is higher."""
         row = self.row(key_id)
-        if revision > self.record_revision[row]:
+        if row != MISSING and revision > self.record_revision[row]:
             before = self.digest_input(key_id)
             self.record_revision[row] = revision
             self._remove_refused(key_id, revision)
--- a/tests/test_eras.py
+++ b/tests/test_eras.py
@@ -462,9 +462,10 @@
     """Guards the distinction between a copy's value and a write of the new era."""
 
     def compare(self, catalog: Catalog, phase: int, *entries: Entry) -> list[Entry]:
-        read = RestoredRead(catalog.store, make_position(1, phase, 6), entries)
+        read = RestoredRead(catalog, make_position(1, phase, 6), entries)
         while not read.step():
             pass
+        self.equal = read.equal
         return read.changes
 
     def setUp(self) -> None:
@@ -514,21 +515,25 @@
     def test_equal_texts_get_only_positions(self) -> None:
         entry = Entry("service/a", 3, self.texts[7])
         for phase in (RETAINING, CONFIRMED, VERIFIED):
-            changes = self.compare(self.catalog, phase, entry)
-            self.assertEqual([change.text for change in changes], [self.texts[7]])
-            result = self.catalog.apply_revision(make_position(1, phase, 6), changes)
+            self.assertEqual(self.compare(self.catalog, phase, entry), [])
+            update = self.catalog.start_update(make_position(1, phase, 6), relayed=False)
+            update.feed_equal(self.equal)
+            update.mark_complete()
+            update.step(100)
+            result = update.result
+            assert result is not None
             self.assertEqual((result.accepted, result.changed_services), (True, frozenset()))
             position = self.catalog.store.accepted_revision(name_id("service", "a"))
             self.assertEqual((phase_of(position), revision_of(position)), (phase, 3))
 
     def test_keys_older_than_any_copy_keep_their_positions(self) -> None:
         read = RestoredRead(
-            self.catalog.store,
+            self.catalog,
             make_position(1, RETAINING, 9 + MAX_COPY_AGE_REVISIONS),
             (Entry("service/a", 8, self.texts[7]),),
         )
         self.assertTrue(read.step())
-        self.assertEqual(read.changes, [])
+        self.assertEqual((read.changes, read.equal), ([], []))
 
     def test_records_refused_before_do_not_refuse_the_new_era(self) -> None:
         bad = [Entry(f"service/bad-{n}", 9, b"{}") for n in range(12)]
