Take no list of upstreams for complete at the start of an era

Change: a copy counts as current only after the time of retention, which a process that starts shortens when another one knows the era for longer.

--- a/shallotshore/packets/feed_copies.py
+++ b/shallotshore/packets/feed_copies.py
@@ -143,9 +143,14 @@
         answered within CONFIRMATION_VALID_MS. A newer revision that another process offers makes
         the copy outdated only after MAX_WATCH_LAG_MS, since one process's watch can lag behind the
         watch of another by that time. A newer era makes it outdated at once.
+
+        At the start of an era the store lacks entries that it has lost, also of upstreams that this
+        process never knew, so that the copy counts only after the time of retention.
         """
         if not self.is_complete or self.failing_since != NEVER or self.offered_era > self.era:
             return False
+        if now < self.retained.until:
+            return False
         is_behind = self.best_offered > self.position and now - self.behind_since > MAX_WATCH_LAG_MS
         return now - self.confirmed_at < CONFIRMATION_VALID_MS and not is_behind
 
--- a/shallotshore/packets/feeds.py
+++ b/shallotshore/packets/feeds.py
@@ -190,7 +190,8 @@
         if copy.revision == 0 or copy.is_fetch_urgent:
             return 0
         if not self._reads_store:
-            return COPIER_OFFER_WAIT_MS[copy.feed]
+            # A write of an entry that is retained must arrive before the retention ends.
+            return COPIER_OFFER_WAIT_MS[Feed.OPERATOR if copy.retained else copy.feed]
         return READER_OFFER_WAIT_MS if self._feeds.is_reading else 0
 
     def _answer_request(self, source: Address, request: FeedRequest) -> None:
@@ -333,11 +334,19 @@
             for entry in fetched.refused:
                 apply_change(entry, effective)
             self._adopt_peer_copy(copy, state, effective, now)
-        elif state.era == copy.era and state.held:
+        elif state.era == copy.era and state.era:
+            self._adopt_retained(copy, state, now)
+
+    def _adopt_retained(self, copy: FeedCopy, state: FeedState, now: int) -> None:
+        """Adopts what another process of the same era retains, and how old the era is."""
+        if state.held:
             effective = FeedContent.from_state(state)
             copy.retained.adopt(read_held(state, now), effective, copy.content, now)
             self._feeds.changed.add(copy.feed)
             self._updates.log_adopted(copy, "peer", now)
+        for other in (self._feeds.operator, self._feeds.upstreams):
+            if other.era == state.era:
+                other.retained.until = min(other.retained.until, now + state.held_ms)
 
     def _adopt_peer_copy(
         self, copy: FeedCopy, state: FeedState, effective: FeedContent, now: int
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -223,6 +223,8 @@
         self.world.run(EVACUATION_MS)
         lost = self.restore(LOST_REVISIONS)
         self.assertEqual(0, self.openings_at(AGENTS[0], WRITTEN_AGAIN_MS))
+        for host, copy in self.copies(Feed.OPERATOR).items():
+            self.assertEqual({"bud-a"}, copy.content.data_centres_out, host)
         self.world.store.write_again(lost)
         self.assertEqual(0, self.openings_at(AGENTS[0], 4_000))
 
@@ -327,6 +329,32 @@
         for host, copy in self.copies(Feed.OPERATOR).items():
             self.assertEqual(set(), copy.content.data_centres_out, host)
 
+    def test_process_that_starts_during_the_drill_resets_no_flow(self) -> None:
+        """Guards against the reset of a flow whose upstream's entry the store has lost.
+
+        A balancer that started during the drill took the restored list for complete, and all
+        agents in it denied the flow. Found by seeds 17 and 21 of the process soak with drills.
+        """
+        host = "10.1.1.9"
+        self.world.add_agent(host, place=place_of(host))
+        self.world.publish(host)
+        self.world.run(2_000)
+        clients = [self.world.open_flow(9_000 + number) for number in range(40)]
+        self.world.run(1_000)
+        self.assertTrue(all(client.opened_at for client in clients))
+        self.assertGreater(self.world.upstreams[host].flows, 3)
+        self.world.store.restore(1)
+        for balancer in BALANCERS:
+            self.start_balancer(balancer)
+        self.world.run(100)
+        for client in clients:
+            client.request(b"late")
+        self.world.run(WRITTEN_AGAIN_MS)
+        self.world.publish(host)
+        self.world.run(2_500)
+        self.assertEqual([], [client.address for client in clients if client.reset_at])
+        self.assertTrue(all(client.answers for client in clients))
+
     # Paths by which a process learns of the new era.
 
     def test_watch_that_succeeds_in_the_new_era(self) -> None:
