--- a/tests/test_node_messages.py
+++ b/tests/test_node_messages.py
@@ -22,6 +22,7 @@
 # Fields as version 0.1.0 of the packet front end first sent them.
 FIRST_SUBSCRIBE = [4, 11, 12, 13, 14]
 FIRST_REPORT = [5, 1, 2, 3, 80, 1, 0, 2, 5, 13, 14, b"opened01", b""]
+FIRST_LOAD_REPORT = [8, 2, 5, b"opened01", b""]
 
 
 class RollingUpgradeTest(unittest.TestCase):
@@ -36,6 +37,9 @@
             1, 2, 3, 80, UpstreamHealth.ANSWERS, 0, 2, 5, 13, 14, b"opened01", b"", False
         )
         self.assertEqual(expected, report)
+        self.assertEqual((0.0, 0.0), (report.service_ms, report.concurrency))
+        load = decode(msgspec.msgpack.encode(FIRST_LOAD_REPORT)).unwrap()
+        self.assertEqual(LoadReport(2, 5, b"opened01", b"", 0.0, 0.0), load)
 
     def test_new_fields_come_last(self) -> None:
         """Guards against a moved field, which the first version would read as another one."""
@@ -46,6 +50,8 @@
         )
         fields = msgspec.msgpack.decode(encode(report))
         self.assertEqual(FIRST_REPORT, fields[: len(FIRST_REPORT)])
+        fields = msgspec.msgpack.decode(encode(LoadReport(2, 5, b"opened01", b"", 30.0, 1.5)))
+        self.assertEqual(FIRST_LOAD_REPORT, fields[: len(FIRST_LOAD_REPORT)])
 
     def test_fields_of_this_version_follow_those_of_the_last(self) -> None:
         """Guards against an era or a learned value that another version reads as another field.
