Reset flows at once that no upstream can serve within their limit

Cause: an agent that dropped an opening packet told nobody, so that the client waited 1,400 ms for the end of its attempt, also when the wait at each upstream exceeded the time limit of its route.

Change: agents send Refused (tag 15) for a dropped packet of which their upstream has got no copy, and Passed says the same of a packet that is passed on; a process younger than one attempt says neither. A balancer resets the client only after it has received every copy sent by then, after each agent that got one has refused, while no upstream that may take the flow is free or has no recent report, and when the wait at the least loaded one exceeds the limit.

--- a/shallotshore/packets/attempts.py
+++ b/shallotshore/packets/attempts.py
@@ -8,11 +8,13 @@
 __all__ = [
     "ATTEMPT_MS",
     "AttemptTable",
+    "OfferState",
     "find_asked_at",
     "find_release_deadline",
 ]
 
 from array import array
+from enum import IntEnum
 
 from shallotshore.packets.packet import Packet
 from shallotshore.tables import MISSING, Table
@@ -23,6 +25,8 @@
 # balancer may offer to another upstream, or when the attempt is about to end.
 HANDOVER_MS = 50
 EXPIRY_MS = 2 * ATTEMPT_MS  # late messages of agents still find the attempt
+COPY_MARGIN_MS = 30  # a copy may arrive later or earlier than the first one by this time
+MAX_OFFERS = 16  # agents of one attempt
 MAX_ATTEMPT_ROWS = 10_000  # twice as many as a balancer can route before they expire
 
 
@@ -51,20 +55,33 @@
     return asked_at + ends_after_ms - HANDOVER_MS
 
 
+class OfferState(IntEnum):
+    """What a balancer knows of an agent that got a copy of the opening packet."""
+
+    OFFERED = 1
+    REFUSED = 2  # the agent has said that its upstream got no copy
+    UNCERTAIN = 3  # the agent got several copies, or its messages arrived in another order
+
+
 class AttemptTable(Table):
     """Attempts by the key of the flow.
 
     Columns:
         asked_at: When the client sent the first copy, in ms.
         copies_seen: Bit n is set when this balancer has received copy n.
+        is_refused: 1 when the client was told that the request has not run.
+        offers: An OfferState for each agent that got a copy, by host, or None.
     """
 
-    __slots__ = ("asked_at", "copies_seen")
+    __slots__ = ("asked_at", "copies_seen", "is_refused", "offers")
 
-    COLUMNS = {"asked_at": "q", "copies_seen": "B"}
+    COLUMNS = {"asked_at": "q", "copies_seen": "B", "is_refused": "B"}
+    OBJECT_COLUMNS = {"offers": None}
 
     asked_at: array[int]
     copies_seen: array[int]
+    is_refused: array[int]
+    offers: list[dict[int, int] | None]
 
     def __init__(self) -> None:
         super().__init__(MAX_ATTEMPT_ROWS)
@@ -80,8 +97,8 @@
             When the client sent the first copy, in ms.
         """
         row = self.row(packet.key)
-        if row != MISSING and now - self.asked_at[row] >= ATTEMPT_MS:
-            self.remove(packet.key)  # the client has begun anew from the same port
+        if row != MISSING and self._is_new_attempt(row, packet, now):
+            self.remove(packet.key)
             row = MISSING
         if row == MISSING:
             row = self.add(packet.key)
@@ -91,6 +108,13 @@
         self.copies_seen[row] |= 1 << _copy_number(packet)
         return self.asked_at[row]
 
+    def _is_new_attempt(self, row: int, packet: Packet, now: int) -> bool:
+        """Whether a client has begun anew from the same port."""
+        is_first_copy = _copy_number(packet) == 0
+        return now - self.asked_at[row] >= ATTEMPT_MS or bool(
+            is_first_copy and self.is_refused[row]
+        )
+
     def find_asked_at(self, packet: Packet, now: int) -> int:
         """Returns when the client sent the first copy of an opening packet, in ms."""
         row = self.row(packet.key)
@@ -101,6 +125,63 @@
         row = self.row(key)
         return row == MISSING or now - self.asked_at[row] >= ATTEMPT_MS
 
+    def was_refused(self, key: int) -> bool:
+        """Whether the client of this attempt was told that its request has not run."""
+        row = self.row(key)
+        return row != MISSING and bool(self.is_refused[row])
+
+    def record_offer(self, key: int, host: int) -> None:
+        """Records that the agent on a host has been sent a copy of an opening packet."""
+        row = self.row(key)
+        if row == MISSING:
+            return
+        offers = self.offers[row]
+        if offers is None:
+            offers = self.offers[row] = {}
+        if host in offers or len(offers) >= MAX_OFFERS:
+            # A refusal does not tell which copy it is about.
+            offers[next(iter(offers))] = OfferState.UNCERTAIN
+        else:
+            offers[host] = OfferState.OFFERED
+
+    def record_passed(self, key: int, source: int, host: int, is_unoffered: bool) -> None:
+        """Records that an agent has passed an opening packet to another one.
+
+        Args:
+            key: Key of the flow.
+            source: Host of the agent.
+            host: Host of the other agent.
+            is_unoffered: Whether the agent has said that its upstream got no copy.
+        """
+        row = self.row(key)
+        if row == MISSING:
+            return
+        offers = self.offers[row] or {}
+        if is_unoffered and offers.get(source) == OfferState.OFFERED:
+            offers[source] = OfferState.REFUSED
+        elif source in offers:
+            offers[source] = OfferState.UNCERTAIN
+        self.record_offer(key, host)
+
+    def record_refused(self, row: int, host: int) -> None:
+        """Records that an agent has dropped an opening packet of which its upstream got no copy."""
+        offers = self.offers[row] or {}
+        if offers.get(host) == OfferState.OFFERED:
+            offers[host] = OfferState.REFUSED
+
+    def is_known_not_offered(self, row: int, now: int) -> bool:
+        """Whether no upstream can have got a copy of an opening packet.
+
+        This balancer must have received each copy that the client has sent by now, since another
+        balancer may have offered any other one.
+        """
+        sent_ms = now - self.asked_at[row] + COPY_MARGIN_MS
+        for number, sent_after_ms in enumerate(COPY_SENT_AFTER_MS):
+            if sent_after_ms <= sent_ms and not self.copies_seen[row] >> number & 1:
+                return False
+        offers = self.offers[row] or {}
+        return bool(offers) and all(one == OfferState.REFUSED for one in offers.values())
+
     def expire(self, now: int) -> None:
         """Removes attempts that ended some time ago, the first recorded ones first."""
         while self._rows:
--- a/shallotshore/packets/balancer.py
+++ b/shallotshore/packets/balancer.py
@@ -14,6 +14,7 @@
 from shallotshore.packets.packet import DecodePacket, Packet
 from shallotshore.packets.packet_core import PacketCore
 from shallotshore.packets.pending_flows import PendingFlowSystem
+from shallotshore.packets.refusals import RefusalSystem
 from shallotshore.packets.routing import RoutingSystem
 from shallotshore.packets.subscriptions import SubscriptionSystem
 from shallotshore.packets.vm_checks import VmCheckSystem
@@ -58,6 +59,7 @@
             self._members,
             FollowSystem(state),
             OwnershipSystem(state, decode),
+            RefusalSystem(state),
             VmCheckSystem(state),
             SubscriptionSystem(state),
             RoutingSystem(state),
--- a/shallotshore/packets/held_openings.py
+++ b/shallotshore/packets/held_openings.py
@@ -94,6 +94,10 @@
         request = WaitingRequest(key, terms, account, asked_at, opening, held_until)
         return self._declared.push(request, opening.held_at)
 
+    def remove_declared(self, key: int) -> None:
+        """Removes the packet of a flow whose route declares terms."""
+        self._declared.remove(key)
+
     def pop_best(self, now: int = 0, service_ms: float = 0.0) -> HeldOpening | None:
         """Removes and returns the packet that goes first.
 
--- a/shallotshore/packets/node_messages.py
+++ b/shallotshore/packets/node_messages.py
@@ -18,6 +18,7 @@
     "NodeMessage",
     "OwnedFlow",
     "Passed",
+    "Refused",
     "Report",
     "Search",
     "Subscribe",
@@ -117,10 +118,27 @@
     Attributes:
         key: Key of the flow.
         host: Host of the other agent.
+        is_unoffered: Whether the agent knows that its upstream has got no copy of the packet. An
+            agent also passes on packets that its upstream has returned.
     """
 
     key: Id
     host: Host
+    is_unoffered: bool = False  # senders of an earlier version leave it out
+
+
+class Refused(msgspec.Struct, array_like=True, tag=15, gc=False):
+    """An agent's notice that it has dropped an opening packet, of which its upstream has no copy.
+
+    Attributes:
+        key: Key of the flow.
+        code: Why the upstream does not get the flow, a number of `Code`.
+        wait_ms: Expected wait for the upstream, in ms; 0 when not known.
+    """
+
+    key: Id
+    code: Count
+    wait_ms: DurationMs
 
 
 class OwnedFlow(msgspec.Struct, array_like=True, tag=3, gc=False):
@@ -316,6 +334,7 @@
     | FeedChanges
     | Search
     | Denied
+    | Refused
 )
 
 
--- a/shallotshore/packets/openings.py
+++ b/shallotshore/packets/openings.py
@@ -16,13 +16,15 @@
 from shallotshore.packets.attempts import ATTEMPT_MS
 from shallotshore.packets.held_openings import HeldOpening
 from shallotshore.packets.hosts import host_text
-from shallotshore.packets.node_messages import Carry, Passed, UpstreamHealth
+from shallotshore.packets.node_messages import Carry, Passed, Refused, UpstreamHealth
 from shallotshore.packets.packet import SEQUENCE_MASK, Packet
+from shallotshore.scheduling.admission import expected_wait_ms
 from shallotshore.tables import MISSING
 
 # One request queued at the upstream keeps the upstream busy while the next request is on its way.
 MAX_UPSTREAM_QUEUED_REQUESTS = 1
 MAX_HOPS = 3
+_UPSTREAM_MAY_HOLD = (AgentFlowStage.OFFERED, AgentFlowStage.ACCEPTED, AgentFlowStage.OPEN)
 
 
 class HeldOpeningSystem:
@@ -46,6 +48,7 @@
         for opening in held.pop_overdue(now):
             # The next retransmission will arrive soon and may be offered to another upstream.
             state.counters.add("openings.held_too_long")
+            send_refused(state, opening.carry, opening.packet, Code.OVERLOADED, now)
             _log_held_too_long(state, opening, now)
         while len(held) and state.load(now) < state.slots + MAX_UPSTREAM_QUEUED_REQUESTS:
             opening = held.pop_best(now, state.answer_times.expected_ms)
@@ -67,6 +70,8 @@
     if _has_client_gone(carry):
         state.counters.add("openings.client_gone")
         return
+    # What is decided on this copy holds for the earlier one too.
+    state.held_openings.remove_declared(packet.key)
     flows = state.flows
     row = flows.row(packet.key)
     if row != MISSING and flows.stage[row] in (AgentFlowStage.OFFERED, AgentFlowStage.ACCEPTED):
@@ -150,6 +155,7 @@
     packet: Packet,
     refusal: Code,
     now: int,
+    was_offered: bool = False,
 ) -> None:
     """Passes an opening packet to the next candidate, and tells the balancer.
 
@@ -163,6 +169,7 @@
         packet: The decoded packet.
         refusal: Why the agent's own upstream does not get the flow.
         now: Time in ms.
+        was_offered: Whether the agent's own upstream has got and returned the packet.
     """
     state.counters.add(f"openings.refused.{refusal.name.lower()}")
     is_passed = bool(candidates) and carry.hops < MAX_HOPS
@@ -177,10 +184,44 @@
             passed_to=host_text(candidates[0]) if is_passed else None,
         )
     if not is_passed:
+        if not was_offered:
+            send_refused(state, carry, packet, refusal, now)
         return
     forwarded = replace(carry, candidates=candidates[1:], hops=carry.hops + 1)
     state.send(candidates[0], forwarded)
-    state.send(carry.origin, Passed(packet.key, candidates[0]))
+    is_unoffered = not was_offered and _can_refuse(state, carry, packet.key, now)
+    state.send(carry.origin, Passed(packet.key, candidates[0], is_unoffered))
+
+
+def send_refused(state: AgentState, carry: Carry, packet: Packet, code: Code, now: int) -> None:
+    """Tells the balancer that an opening packet was dropped, of which the upstream has no copy.
+
+    Args:
+        state: The agent's state.
+        carry: The message in which the packet arrived.
+        packet: The decoded packet.
+        code: Why the upstream does not get the flow.
+        now: Time in ms.
+    """
+    if not _can_refuse(state, carry, packet.key, now):
+        return
+    wait_ms = expected_wait_ms(
+        len(state.held_openings), state.load(now), state.slots, state.answer_times.answer_ms
+    )
+    state.counters.add("refusals.sent")
+    state.send(carry.origin, Refused(packet.key, int(code), round(wait_ms)))
+
+
+def _can_refuse(state: AgentState, carry: Carry, key: int, now: int) -> bool:
+    """Whether this process knows that its upstream has got no copy of an opening packet.
+
+    The process before it may have offered an earlier copy of the same attempt.
+    """
+    row = state.flows.row(key)
+    if row != MISSING and state.flows.stage[row] in _UPSTREAM_MAY_HOLD:
+        return False
+    is_old = now - state.started_at >= ATTEMPT_MS
+    return carry.terms.is_declared and (is_old or state.settings.is_first_start)
 
 
 def _log_held_too_long(state: AgentState, opening: HeldOpening, now: int) -> None:
--- a/shallotshore/packets/ownership.py
+++ b/shallotshore/packets/ownership.py
@@ -55,7 +55,9 @@
         for source, owned in state.inbox.take(OwnedFlow):
             self._record_heard(source, now)
             self._handle_owned_flow(source, owned.key, now)
-        for _, passed in state.inbox.take(Passed):
+        for source, passed in state.inbox.take(Passed):
+            sender = host_number(source[0])
+            state.attempts.record_passed(passed.key, sender, passed.host, passed.is_unoffered)
             row = state.flows.row(passed.key)
             if row != MISSING:
                 state.flows.record_tried(row, passed.host)
--- a/shallotshore/packets/routing.py
+++ b/shallotshore/packets/routing.py
@@ -157,6 +157,10 @@
 
 def _route_opening(state: BalancerState, packet: Packet, route: RouteView, now: int) -> None:
     """Offers the flow of an opening packet to an upstream, and schedules a check of the offer."""
+    if route.terms.is_declared and state.attempts.was_refused(packet.key):
+        # The copy was on its way when the flow was refused, or the reset was lost.
+        send_reset(state, packet, Code.OVERLOADED, now)
+        return
     flows = state.flows
     row = flows.row(packet.key)
     if row == MISSING:
@@ -218,6 +222,8 @@
         flows.record_tried(row, host)
         flows.last_sent_at[row] = now
         flows.offer_count[row] += 1
+    if terms.is_declared:
+        state.attempts.record_offer(packet.key, host)
     count_recent_offer(state, host, now)
     _log_offer(state, packet, route, host, len(tried), now)
     state.send(
--- a/shallotshore/packets/upstream_packets.py
+++ b/shallotshore/packets/upstream_packets.py
@@ -137,7 +137,7 @@
         now - flows.asked_at[row] if terms.is_declared else 0,
     )
     state.remove_flow(row)
-    pass_to_next_candidate(state, carry.candidates, carry, packet, Code.OVERLOADED, now)
+    pass_to_next_candidate(state, carry.candidates, carry, packet, Code.OVERLOADED, now, True)
 
 
 def _log_lost_flow(state: AgentState, packet: Packet, now: int) -> None:
