Use the shared expected wait in the request front end

Cause: the agent's admission had its own formula of the expected wait.

Change: it calls expected_wait_ms of the shared package, which gives the same values; decisions and messages stay as they are.

Result: tests.test_agent, test_requests, test_fair_queue and test_dispatch pass.

--- a/shallotshore/admission.py
+++ b/shallotshore/admission.py
@@ -13,6 +13,7 @@
 from shallotshore.codes import Code
 from shallotshore.fair_queue import is_over_share
 from shallotshore.messages import HealthState
+from shallotshore.scheduling.admission import expected_wait_ms
 from shallotshore.upstream_link import restart_ramp
 
 # An agent that restarts beside a running upstream does not know which requests its predecessor
@@ -109,10 +110,8 @@
 
 def _expected_wait_ms(state: AgentState) -> float:
     """Returns how long (ms) a request accepted now is expected to wait for a slot."""
-    if state.limit == 0:
-        return 0.0
-    ahead = state.work.accepted - state.limit + 1
-    return ahead * state.ramp.median_service_time() / state.limit
+    service_ms = state.ramp.median_service_time()
+    return expected_wait_ms(0, state.work.accepted, state.limit, service_ms)
 
 
 def find_flow_refusal(state: AgentState, now: int) -> Code | None:
