--- a/shallotshore/packets/refusals.py
+++ b/shallotshore/packets/refusals.py
@@ -8,6 +8,8 @@
 
 __all__ = ["RefusalSystem"]
 
+import math
+
 from shallotshore.codes import Code
 from shallotshore.packets.balancer_state import BalancerState, RouteView
 from shallotshore.packets.flow_cache import CachedFlowStage
@@ -64,7 +66,7 @@
             now: Time in ms.
         """
         load = self._find_load(host, now)
-        if not load:
+        if not load or load == math.inf:
             return True
         least = load
         for service in route.services:
@@ -87,13 +89,13 @@
         upstreams = self._state.upstreams
         row = upstreams.row(host)
         if row == MISSING or not upstreams.accepts_new_flows(row, now):
-            return float("inf")
+            return math.inf
         if upstreams.data_centre[row] in self._state.data_centres_out:
-            return float("inf")
+            return math.inf
         if not upstreams.has_fresh_report(row, now):
             return None
         if upstreams.health[row] != UpstreamHealth.ANSWERS:
-            return float("inf")
+            return math.inf
         return upstreams.in_flight[row] / max(1, upstreams.slots[row])
 
     def _refuse(self, packet: Packet, row: int, flow_row: int, now: int) -> None:
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -89,6 +89,14 @@
         self.core.receive((other, PORT), LoadReport(2, 0, b"", b""))
         self.assertEqual([], self.refuse(host))
 
+    def test_no_refusal_by_an_upstream_that_takes_no_flows(self) -> None:
+        """Guards against a wait that is scaled by the load of upstreams that are out of use."""
+        host = self.send_copy()
+        upstreams = self.core.state.upstreams
+        for row in upstreams.rows():
+            upstreams.leaving[row] = True
+        self.assertEqual([], self.refuse(host))
+
     def test_no_refusal_without_the_first_copy(self) -> None:
         """Guards against resets of flows that another balancer has offered."""
         self.assertEqual([], self.refuse(self.send_copy(1)))
--- a/tests/test_waiting_loads.py
+++ b/tests/test_waiting_loads.py
@@ -115,7 +115,7 @@
         turns = [
             one.kind
             for one in players["by terms"].requests
-            for run_at in one.run_at
+            for run_at in one.run_at.values()
             if BURST[0] <= run_at < BURST[1]
         ]
         self.assertGreaterEqual(turns.count(REFRESH), MIN_SHARE_OF_TURNS * len(turns))
--- a/tests/waiting_loads.py
+++ b/tests/waiting_loads.py
@@ -47,7 +47,7 @@
     started_at: int
     work_ms: float
     number: int
-    run_at: list[int] = field(default_factory=list)  # when each run began, in ms
+    run_at: dict[int, int] = field(default_factory=dict)  # when a run began (ms), by attempt
     tries: int = 0
     answered_at: int | None = None
     refused_at: list[int] = field(default_factory=list)  # ms after the try began
@@ -217,15 +217,15 @@
         for number, after_ms in enumerate(COPY_SENT_AFTER_MS):
             copy = Copy(request, attempt, number, asked_at)
             self.call_at(asked_at + after_ms, lambda one=copy, n=tries: self._send(one, n))
-        self.call_at(asked_at + ATTEMPT_MS, lambda: self._end_attempt(request, tries))
+        self.call_at(asked_at + ATTEMPT_MS, lambda: self._end_attempt(request, attempt, tries))
 
-    def _end_attempt(self, request: PlayedRequest, tries: int) -> None:
-        if request.tries == tries and not request.runs:
+    def _end_attempt(self, request: PlayedRequest, attempt: int, tries: int) -> None:
+        if request.tries == tries and attempt not in request.run_at:
             self._try(request)
 
     def _send(self, copy: Copy, tries: int) -> None:
         request = copy.request
-        if request.tries != tries or request.runs >= tries or request.has_ended(self.now):
+        if request.tries != tries or copy.attempt in request.run_at or request.has_ended(self.now):
             return
         if self._policy.is_round_robin:
             server = next(self._turn)
@@ -240,11 +240,11 @@
     def _start(self, server: Server, copy: Copy) -> None:
         request = copy.request
         server.running += 1
-        is_ghost = request.runs >= request.tries or request.has_ended(self.now)
+        is_ghost = copy.attempt in request.run_at or request.has_ended(self.now)
         if is_ghost or self.now - copy.asked_at >= ATTEMPT_MS:
             self.call_at(self.now + GHOST_MS, lambda: self._free(server))
             return
-        request.run_at.append(self.now)
+        request.run_at[copy.attempt] = self.now
         duration_ms = round(request.work_ms / server.speed)
         if self._rng.random() < server.fail_share:
             self.call_at(self.now + duration_ms // 2, lambda: self._fail(server, request))
@@ -277,7 +277,7 @@
     def _decide(self, server: Server, copy: Copy) -> None:
         """Refuses a dropped request that no server can serve within its limit."""
         request = copy.request
-        if request.runs or request.has_ended(self.now):
+        if copy.attempt in request.run_at or request.has_ended(self.now):
             return
         ahead = len(server.queue)
         service_ms = self.service_ms / server.speed
@@ -352,7 +352,7 @@
                 best = max(self._waiting, key=lambda one: self._rank(one, server))
                 self._waiting.remove(best)
                 if not best.has_ended(self.now):
-                    self._start(server, Copy(best, 0, 0, self.now))
+                    self._start(server, Copy(best, next(self._attempts), 0, self.now))
 
     def _rank(self, request: PlayedRequest, server: Server) -> tuple[bool, float, int]:
         duration_ms = request.work_ms / server.speed
