Draw what callers get in a burst, and test messages of the last release

Cause: make report showed nothing of the packet front end's waiting work, and no test read offers, passed packets and routes as the last release sends them.

Change: the deployment with two competing routes moves from a test to standins/competing_routes.py; bench/report.py draws served, late, refused, given up and waiting requests over time, with and without declared terms.

--- a/bench/report.py
+++ b/bench/report.py
@@ -1,7 +1,8 @@
 """Draws plots of service and load: `make report` writes build/report/*.png.
 
 The plots show the outcomes of requests while a data centre is taken out and put back, and the load
-across upstreams, for both users on the virtual clock.
+across upstreams, for both users on the virtual clock. Further plots show what callers of the packet
+front end get in a burst of one route beside another one, with and without declared terms.
 """
 
 __all__ = ["main"]
@@ -17,6 +18,13 @@
 from matplotlib import pyplot
 
 from shallotshore.codes import Outcome
+from standins.competing_routes import (
+    BURST_MS,
+    PRIORITIES,
+    SECOND_MS,
+    TERMS,
+    CompetingRoutes,
+)
 from standins.deployments import KOLTSEGTER, VATULELE
 from standins.measures import slot_utilisation
 from standins.scenario import Scenario
@@ -24,6 +32,7 @@
 
 REPORT_FOLDER = Path("build/report")
 REMOVED_AT_S, RESTORED_AT_S, END_S = 20, 28, 38
+BURST_STEP_MS = 100
 MEASURED_FROM_S = 12  # upstreams have warmed up by then
 _SCENARIO_TEXT = f"""
 0 deployment {KOLTSEGTER} {VATULELE}
@@ -65,6 +74,47 @@
     _save(figure, f"load_{user}.png")
 
 
+def _draw_burst(routes: CompetingRoutes, title: str, name: str) -> None:
+    """Draws requests that are served, late, refused or given up, and waiting, over time."""
+    records = routes.load.records
+    start, end = routes.started_at - SECOND_MS, routes.started_at + 2 * BURST_MS
+    times = range(start, end, BURST_STEP_MS)
+    served = Counter(_step(one.answered_at) for one in records if one.is_in_time)
+    late = Counter(
+        _step(one.answered_at)
+        for one in records
+        if one.answered_at is not None and not one.is_in_time
+    )
+    failed = Counter(
+        _step(one.ended_at)
+        for one in records
+        if one.ended_at is not None and one.answered_at is None
+    )
+    refused = Counter(_step(at) for at in routes.refused_at)
+    waiting = [
+        sum(one.started_at <= at and (one.ended_at is None or one.ended_at > at) for one in records)
+        for at in times
+    ]
+    figure, axes = pyplot.subplots(figsize=(8, 3))
+    seconds = [(at - routes.started_at) / SECOND_MS for at in times]
+    for counts, label in (
+        (served, "served in time"),
+        (late, "served late"),
+        (refused, "refused"),
+        (failed, "given up"),
+    ):
+        axes.plot(seconds, [counts[_step(at)] for at in times], label=label)
+    axes.plot(seconds, waiting, label="waiting", linestyle="dotted")
+    axes.axvspan(0, BURST_MS / SECOND_MS, alpha=0.2, label="burst")
+    axes.set(xlabel="time (s)", ylabel=f"requests in {BURST_STEP_MS} ms", title=title)
+    axes.legend(loc="upper right")
+    _save(figure, name)
+
+
+def _step(at: int | None) -> int:
+    return (at or 0) // BURST_STEP_MS
+
+
 def _save(figure: "pyplot.Figure", name: str) -> None:
     figure.tight_layout()
     figure.savefig(REPORT_FOLDER / name)
@@ -80,6 +130,13 @@
         world = scenario.run(user).world
         _draw_service(world, user)
         _draw_load(world, user)
+    for terms, title, name in (
+        (PRIORITIES, "burst, without terms", "burst_without_terms.png"),
+        (TERMS, "burst, with declared terms", "burst_with_terms.png"),
+    ):
+        routes = CompetingRoutes(terms)
+        routes.play_burst()
+        _draw_burst(routes, title, name)
     return 0
 
 
--- a/standins/packet_client.py
+++ b/standins/packet_client.py
@@ -25,6 +25,7 @@
         vip: Virtual address that the flow is opened to.
         opened_at: Time in ms at which the flow opened; None before.
         reset_at: Time in ms at which the first reset was received; None without a reset.
+        was_reset_opening: Whether a reset was received before the flow opened.
         answers: Payloads of the answers received, in order.
         on_packet: Called after each packet that the client has received.
         damaged_packets: Number of packets that differ from what their sender wrote. Resets are not
@@ -45,6 +46,7 @@
         self._call_later = call_later
         self.opened_at: int | None = None
         self.reset_at: int | None = None
+        self.was_reset_opening = False
         self.answers: list[bytes] = []
         self.on_packet: Callable[[], None] = lambda: None
         self.damaged_packets = 0
@@ -95,6 +97,7 @@
     def _handle_packet(self, frame: bytes, now: int) -> None:
         packet = decode_packet(frame, is_from_upstream=True).unwrap()
         if packet.flags & RESETS:
+            self.was_reset_opening |= self.opened_at is None and self.reset_at is None
             self.reset_at = self.reset_at or now
             return
         if not is_intact(frame):
--- a/tests/test_node_messages.py
+++ b/tests/test_node_messages.py
@@ -5,11 +5,25 @@
 import msgspec
 
 from shallotshore.codes import Code
-from shallotshore.packets.node_messages import Report, Subscribe, UpstreamHealth, decode, encode
+from shallotshore.packets.node_messages import (
+    Carry,
+    CarryKind,
+    Passed,
+    Report,
+    Subscribe,
+    UpstreamHealth,
+    decode,
+    encode,
+)
+from shallotshore.packets.view import Route
 
 # Fields as version 0.1.0 of the packet front end first sent them.
 FIRST_SUBSCRIBE = [4, 11, 12, 13, 14]
 FIRST_REPORT = [5, 1, 2, 3, 80, 1, 0, 2, 5, 13, 14, b"opened01", b""]
+# Fields as the release before declared targets and limits sent them.
+EARLIER_CARRY = [1, 1, 11, 12, [7, 8], 0.5, 2, 1, 9, b"packet"]
+EARLIER_PASSED = [7, 11, 12]
+EARLIER_ROUTE = ["r", "198.18.0.1", 443, [["s", 1]], 2]
 
 
 class RollingUpgradeTest(unittest.TestCase):
@@ -35,6 +49,27 @@
         fields = msgspec.msgpack.decode(encode(report))
         self.assertEqual(FIRST_REPORT, fields[: len(FIRST_REPORT)])
 
+    def test_an_offer_without_terms_declares_none(self) -> None:
+        """Guards against offers of the last release that are held or refused by unknown terms."""
+        carry = decode(msgspec.msgpack.encode(EARLIER_CARRY)).unwrap()
+        self.assertEqual(
+            Carry(CarryKind.OPEN, 11, 12, (7, 8), 0.5, 2, 1, 9, b"packet", 0, 0, 0), carry
+        )
+        self.assertFalse(carry.terms.is_declared)
+        sent = Carry(CarryKind.OPEN, 11, 12, (7, 8), 0.5, 2, 1, 9, b"packet", 350, 3_000, 200)
+        fields = msgspec.msgpack.decode(encode(sent))
+        self.assertEqual(EARLIER_CARRY, fields[: len(EARLIER_CARRY)])
+        route = msgspec.convert(EARLIER_ROUTE, Route)
+        self.assertEqual((0, 0), (route.target_ms, route.limit_ms))
+
+    def test_a_passed_packet_of_the_last_release_may_have_been_offered(self) -> None:
+        """Guards against resets of flows that an agent of the last release has offered."""
+        self.assertEqual(
+            Passed(11, 12, False), decode(msgspec.msgpack.encode(EARLIER_PASSED)).unwrap()
+        )
+        fields = msgspec.msgpack.decode(encode(Passed(11, 12, True)))
+        self.assertEqual(EARLIER_PASSED, fields[: len(EARLIER_PASSED)])
+
     def test_deep_nesting_is_malformed(self) -> None:
         """Guards against an exception that the reader of the socket does not expect.
 
--- a/tests/test_packet_waiting.py
+++ b/tests/test_packet_waiting.py
@@ -1,125 +1,39 @@
 """What callers of two routes of one service get in an overload, with and without declared terms."""
 
-import random
 import unittest
-from collections import Counter
 
 from shallotshore.scheduling.terms import RequestTerms
-from standins.packet_load import LoadShape, PacketLoad, RequestRecord
-from standins.packet_world import PacketWorld
+from standins.competing_routes import (
+    BURST_FACTOR,
+    BURST_MS,
+    CLAIM,
+    PRIORITIES,
+    REFRESH,
+    SECOND_MS,
+    TERMS,
+    UPSTREAMS,
+    CompetingRoutes,
+)
 
-SECOND_MS = 1_000
-CALM_MS = 2_000
-BURST_MS = 4_000
-BURST_FACTOR = 2.6
-DOWN_MS = 1_400
 MIN_CLAIMS_IN_TIME = 0.99
 MIN_SHARE_OF_EARLIER_VALUE = 0.95  # of the policy without terms, with other random arrivals
-REQUEST_MS = 43
-SLOTS = 2
-UPSTREAMS = tuple(f"10.1.0.{number}" for number in range(1, 8))
-BALANCERS = ("10.1.9.1", "10.1.9.2")
-CLAIM_VIP, REFRESH_VIP = ("198.18.0.1", 443), ("198.18.0.2", 443)
-TERMS = {CLAIM_VIP: RequestTerms(1, 352, 3_516), REFRESH_VIP: RequestTerms(2, 353, 2_940)}
-PRIORITIES = {vip: RequestTerms(terms.priority) for vip, terms in TERMS.items()}
-CLAIM = LoadShape(43, 352, 3_516, False, False, CLAIM_VIP)
-REFRESH = LoadShape(150, 353, 2_940, False, True, REFRESH_VIP)
-CLAIM_VALUES, REFRESH_VALUES = (2.0, 0.2), (1.0, 0.1)  # in time, late
-
-
-class League:
-    """A fifth of the first customer's load, on servers that a burst of refreshes overloads."""
-
-    __slots__ = ("load", "started_at", "world")
-
-    def __init__(self, terms: dict[tuple[str, int], RequestTerms], seed: int = 1) -> None:
-        self.world = PacketWorld(seed)
-        self.world.configure({CLAIM_VIP: "spend", REFRESH_VIP: "spend"}, terms=terms)
-        for host in UPSTREAMS:
-            self.start_agent(host, is_first_start=True)
-            self.world.publish(host)
-            self.world.upstreams[host].request_duration_ms = REQUEST_MS
-        for host in BALANCERS:
-            self.world.add_balancer(host, seeds=BALANCERS)
-        self.world.run(3 * SECOND_MS)
-        self.load = PacketLoad(self.world, random.Random(seed))
-        self.load.start(CLAIM)
-        self.load.start(REFRESH)
-        self.world.run(CALM_MS)
-        self.started_at = self.world.now
-
-    def start_agent(self, host: str, is_first_start: bool = False) -> None:
-        """Starts the agent of a host."""
-        self.world.add_agent(host, slots=SLOTS, is_first_start=is_first_start)
-
-    def lose_power(self) -> None:
-        """Ends all processes and flows at once; they are back after `DOWN_MS`."""
-        world = self.world
-        world.balancers.clear()
-        world.agents.clear()
-        for upstream in world.upstreams.values():
-            upstream.restart()
-            upstream.is_silent = True
-        world.call_later(DOWN_MS, self._return)
-
-    def _return(self) -> None:
-        for host in UPSTREAMS:
-            self.world.upstreams[host].is_silent = False
-            self.start_agent(host)
-        for host in BALANCERS:
-            self.world.add_balancer(host, seeds=BALANCERS)
-
-    def play_burst(self) -> None:
-        """Plays a burst of refreshes, and the time until all its requests have ended."""
-        self.load.factors[REFRESH] = BURST_FACTOR
-        self.world.run(BURST_MS)
-        self.load.factors[REFRESH] = 1.0
-        self.world.run(REFRESH.deadline_ms + SECOND_MS)
-
-    def made(self, shape: LoadShape, first: int, last: int) -> list[RequestRecord]:
-        """Returns the requests of a kind that were made from one second of the burst to another."""
-        start, end = (self.started_at + second * SECOND_MS for second in (first, last))
-        return [one for one in self.load.made_between(start, end) if one.shape is shape]
-
-    def share_in_time(self, shape: LoadShape, first: int, last: int) -> float:
-        """Returns the share of these requests that were answered in time."""
-        made = self.made(shape, first, last)
-        return sum(record.is_in_time for record in made) / len(made)
-
-    def value(self, first: int, last: int) -> float:
-        """Returns what the answers were worth to callers, as a share of the best."""
-        earned = best = 0.0
-        for shape, values in ((CLAIM, CLAIM_VALUES), (REFRESH, REFRESH_VALUES)):
-            for record in self.made(shape, first, last):
-                best += values[0]
-                if record.answered_at is not None:
-                    earned += values[0] if record.is_in_time else values[1]
-        return earned / best
-
-    def max_runs(self) -> int:
-        """Returns how often a request was run that must not be repeated, at most."""
-        runs: Counter[bytes] = Counter()
-        for upstream in self.world.upstreams.values():
-            runs.update(upstream.executed_requests)
-        claims = (one for one in self.load.records if not one.shape.is_repeatable)
-        return max(runs[record.payload] for record in claims)
 
 
 class WaitingTest(unittest.TestCase):
     """Loads that exceed the upstreams, and failures meanwhile."""
 
-    def check_claims(self, league: League, first: int, last: int) -> None:
+    def check_claims(self, routes: CompetingRoutes, first: int, last: int) -> None:
         """Checks that claims, whose own demand fits, are in time in each second."""
         for second in range(first, last):
-            share = league.share_in_time(CLAIM, second, second + 1)
+            share = routes.share_in_time(CLAIM, second, second + 1)
             self.assertGreaterEqual(share, MIN_CLAIMS_IN_TIME, f"second {second}")
 
     def test_burst_of_refreshes(self) -> None:
         """Guards against claims that wait behind refreshes, and work on requests that are late."""
-        declared, undeclared = League(TERMS), League(PRIORITIES)
-        for league in (declared, undeclared):
-            league.play_burst()
-            self.assertLessEqual(league.max_runs(), 1)
+        declared, undeclared = CompetingRoutes(TERMS), CompetingRoutes(PRIORITIES)
+        for routes in (declared, undeclared):
+            routes.play_burst()
+            self.assertLessEqual(routes.max_runs(), 1)
         self.check_claims(declared, 0, BURST_MS // SECOND_MS)
         before, after = (one.value(0, BURST_MS // SECOND_MS) for one in (undeclared, declared))
         self.assertGreaterEqual(after, MIN_SHARE_OF_EARLIER_VALUE * before)
@@ -130,40 +44,40 @@
         Newest first without accounts, the calm route's requests lost as many turns as the others'.
         """
         equal = {vip: RequestTerms(1, 353, 3_000) for vip in TERMS}
-        league = League(equal)
-        league.play_burst()
-        self.check_claims(league, 0, BURST_MS // SECOND_MS)
+        routes = CompetingRoutes(equal)
+        routes.play_burst()
+        self.check_claims(routes, 0, BURST_MS // SECOND_MS)
 
     def test_overload_of_claims_leaves_a_floor_for_refreshes(self) -> None:
         """Guards against a route of lower priority that gets no turn in an overload."""
-        league = League(TERMS)
-        league.load.factors[CLAIM] = 12.0
-        league.world.run(BURST_MS)
-        in_time = league.share_in_time(REFRESH, 1, BURST_MS // SECOND_MS)
+        routes = CompetingRoutes(TERMS)
+        routes.load.factors[CLAIM] = 12.0
+        routes.world.run(BURST_MS)
+        in_time = routes.share_in_time(REFRESH, 1, BURST_MS // SECOND_MS)
         # A tenth of the turns is 32 requests a second, of 150.
         self.assertGreaterEqual(in_time, 0.1)
 
     def test_power_loss_with_its_backlog(self) -> None:
         """Guards against claims that wait behind the backlog, and against runs of lost flows."""
-        league = League(TERMS)
-        league.lose_power()
-        league.world.run(8 * SECOND_MS)
-        self.assertLessEqual(league.max_runs(), 1)
-        self.check_claims(league, 3, 5)
+        routes = CompetingRoutes(TERMS)
+        routes.lose_power()
+        routes.world.run(8 * SECOND_MS)
+        self.assertLessEqual(routes.max_runs(), 1)
+        self.check_claims(routes, 3, 5)
 
     def test_agent_killed_while_it_holds(self) -> None:
         """Guards against held opening packets that are lost with their agent."""
-        league = League(TERMS)
-        league.load.factors[REFRESH] = BURST_FACTOR
-        league.world.run(SECOND_MS)
-        self.assertGreater(len(league.world.agents[UPSTREAMS[0]].state.held_openings), 0)
-        del league.world.agents[UPSTREAMS[0]]
-        league.world.call_later(250, lambda: league.start_agent(UPSTREAMS[0]))
-        league.world.run(2 * SECOND_MS)
-        league.load.factors[REFRESH] = 1.0
-        league.world.run(REFRESH.deadline_ms + SECOND_MS)
-        self.assertLessEqual(league.max_runs(), 1)
-        claims = league.made(CLAIM, 0, 3)
+        routes = CompetingRoutes(TERMS)
+        routes.load.factors[REFRESH] = BURST_FACTOR
+        routes.world.run(SECOND_MS)
+        self.assertGreater(len(routes.world.agents[UPSTREAMS[0]].state.held_openings), 0)
+        del routes.world.agents[UPSTREAMS[0]]
+        routes.world.call_later(250, lambda: routes.start_agent(UPSTREAMS[0]))
+        routes.world.run(2 * SECOND_MS)
+        routes.load.factors[REFRESH] = 1.0
+        routes.world.run(REFRESH.deadline_ms + SECOND_MS)
+        self.assertLessEqual(routes.max_runs(), 1)
+        claims = routes.made(CLAIM, 0, 3)
         answered = sum(record.answered_at is not None for record in claims)
         self.assertGreaterEqual(answered, 0.99 * len(claims))
 
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -15,10 +15,10 @@
     UpstreamHealth,
 )
 from shallotshore.packets.packet import OPENS, Packet, ResetPacket
+from standins.competing_routes import CLAIM, SECOND_MS, TERMS, UPSTREAMS, CompetingRoutes
 from standins.packet_wire import RST, SYN, write_packet
 from standins.packet_world import NODE_PORT, VIP, PacketWorld
 from tests.test_packet_routing import PORT, START, make_balancer, offers, opening
-from tests.test_packet_waiting import CLAIM, SECOND_MS, TERMS, UPSTREAMS, League
 
 FIRST, SECOND = "10.1.1.1", "10.1.1.2"
 LIMIT_MS = 3_000
@@ -190,27 +190,27 @@
 
     def test_no_flow_is_reset_that_its_upstream_holds(self) -> None:
         """Guards against refused requests that have run."""
-        league = League(TERMS)
+        routes = CompetingRoutes(TERMS)
         for host in UPSTREAMS:
-            league.world.upstreams[host].request_duration_ms *= 8
+            routes.world.upstreams[host].request_duration_ms *= 8
         held: list[int] = []
-        send = league.world._send_to_client
+        send = routes.world._send_to_client
 
         def check_and_send(address: Address, frame: bytes) -> None:
             if frame[FLAGS_OFFSET] & RST:
-                vip = league.world.clients[address].vip
+                vip = routes.world.clients[address].vip
                 key = Packet(address, vip, OPENS, 0, 0, 0, b"").key
-                for upstream in league.world.upstreams.values():
+                for upstream in routes.world.upstreams.values():
                     if key in upstream._flows or key in upstream._half_open_flows:
                         held.append(key)
             send(address, frame)
 
-        league.world._send_to_client = check_and_send  # type: ignore[method-assign]
-        league.world.run(5 * SECOND_MS)
-        refused = sum(one.counters["flows.refused"] for one in league.world.balancers.values())
+        routes.world._send_to_client = check_and_send  # type: ignore[method-assign]
+        routes.world.run(5 * SECOND_MS)
+        refused = sum(one.counters["flows.refused"] for one in routes.world.balancers.values())
         self.assertGreater(refused, 0)
         self.assertEqual([], held)
-        self.assertLessEqual(league.max_runs(), 1)
+        self.assertLessEqual(routes.max_runs(), 1)
 
 
 if __name__ == "__main__":
