Let new opening packets wait for their turn behind held ones

Cause: an agent offered a new opening packet at once when a slot had been given back, also while packets of higher priority were held.

Change: where the route declares terms, a new packet joins those that are held; the next one gets its turn in the same tick.

--- a/shallotshore/packets/openings.py
+++ b/shallotshore/packets/openings.py
@@ -54,10 +54,13 @@
             opening = held.pop_best(now, state.answer_times.expected_ms)
             if opening is None:
                 break
-            handle_opening(state, opening.carry_now(now), opening.packet, now)
+            carry = opening.carry_now(now)
+            handle_opening(state, carry, opening.packet, now, is_released=True)
 
 
-def handle_opening(state: AgentState, carry: Carry, packet: Packet, now: int) -> None:
+def handle_opening(
+    state: AgentState, carry: Carry, packet: Packet, now: int, is_released: bool = False
+) -> None:
     """Offers a client's opening packet to the upstream, holds it or passes it to another agent.
 
     Args:
@@ -65,6 +68,7 @@
         carry: The message in which the packet arrived.
         packet: The decoded packet.
         now: Time in ms.
+        is_released: Whether the packet was held and has its turn.
     """
     state.subscribers.record_use(carry.origin, now)
     if _has_client_gone(carry):
@@ -88,7 +92,10 @@
     if refusal is not None:
         pass_to_next_candidate(state, carry.candidates, carry, packet, refusal, now)
         return
-    if state.load(now) < state.slots + MAX_UPSTREAM_QUEUED_REQUESTS:
+    # Where terms are declared, a new packet waits for its turn if others wait. Held packets get
+    # their turns in the same tick.
+    must_wait = carry.terms.is_declared and not is_released and len(state.held_openings) > 0
+    if state.load(now) < state.slots + MAX_UPSTREAM_QUEUED_REQUESTS and not must_wait:
         _offer_to_upstream(state, carry, packet, now)
     elif state.held_openings.try_hold(HeldOpening(carry, packet, now)):
         state.counters.add("openings.held")
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -14,7 +14,7 @@
     Refused,
     UpstreamHealth,
 )
-from shallotshore.packets.packet import OPENS, Packet, ResetPacket
+from shallotshore.packets.packet import OPENS, Packet, PacketToUpstream, ResetPacket
 from standins.competing_routes import CLAIM, SECOND_MS, TERMS, UPSTREAMS, CompetingRoutes
 from standins.packet_wire import RST, SYN, write_packet
 from standins.packet_world import NODE_PORT, VIP, PacketWorld
@@ -185,6 +185,31 @@
         self.assertEqual([], [one for one in self.send(world, 1) if isinstance(one, Refused)])
 
 
+class TurnTest(unittest.TestCase):
+    """New packets that arrive while others are held."""
+
+    def test_a_new_packet_does_not_pass_a_held_one_of_higher_priority(self) -> None:
+        """Guards against turns that new packets take when a reserved slot is given back."""
+        world = PacketWorld()
+        world.configure({VIP: "spend"}, terms={VIP: TERMS[CLAIM.vip]})
+        world.add_agent(FIRST, slots=1)
+        world.publish(FIRST)
+        world.run(400)
+        agent = world.agents[FIRST]
+        service, origin = name_id("service", "spend"), host_number("10.9.0.1")
+        agent.state.slots, agent.state.in_flight = 1, 2
+        for port, priority in ((2_000, 1), (2_001, 2)):
+            frame = write_packet(("100.64.0.1", port), VIP, SYN, 77, 0)
+            terms = (352, 3_516, 0)
+            carry = Carry(CarryKind.OPEN, service, 0, (), 0.0, priority, 0, origin, frame, *terms)
+            agent.receive(("10.9.0.1", NODE_PORT), carry)
+            agent.tick(world.now)
+            agent.state.in_flight = 1  # from the second packet on there is room for one
+        offered = [one for _, one in agent.outbox.drain() if isinstance(one, PacketToUpstream)]
+        first = write_packet(("100.64.0.1", 2_000), VIP, SYN, 77, 0)
+        self.assertEqual([first], [one.frame for one in offered])
+
+
 class RefusalLoadTest(unittest.TestCase):
     """Upstreams that are eight times slower than the load needs."""
 
