--- a/shallotshore/packets/balancer.py
+++ b/shallotshore/packets/balancer.py
@@ -15,6 +15,7 @@
 from shallotshore.packets.packet import DecodePacket, Packet
 from shallotshore.packets.packet_core import PacketCore
 from shallotshore.packets.pending_flows import PendingFlowSystem
+from shallotshore.packets.refusals import RefusalSystem
 from shallotshore.packets.routing import RoutingSystem
 from shallotshore.packets.subscriptions import SubscriptionSystem
 from shallotshore.packets.vm_checks import VmCheckSystem
@@ -60,6 +61,7 @@
             FollowSystem(state),
             OwnershipSystem(state, decode),
             LearnedCapacitySystem(state),
+            RefusalSystem(state),
             VmCheckSystem(state),
             SubscriptionSystem(state),
             RoutingSystem(state),
--- a/standins/packet_deployments.py
+++ b/standins/packet_deployments.py
@@ -6,8 +6,9 @@
 from dataclasses import dataclass
 from functools import partial
 
+from shallotshore.scheduling.terms import RequestTerms
 from standins.packet_load import LoadShape, PacketLoad
-from standins.packet_world import PacketWorld
+from standins.packet_world import VIP, PacketWorld
 
 COLD_MS = 2_000  # an upstream is slow for this time after its start
 COLD_FACTOR = 1.6  # on the duration of a request meanwhile
@@ -95,7 +96,7 @@
         self._size = size
         places = size.data_centres
         self.world = PacketWorld(seed, places)
-        self.world.configure(target_ms=target_ms)
+        self.world.configure(terms={VIP: RequestTerms(target_ms=target_ms)})
         self.upstreams = [
             f"10.{i % len(places) + 1}.0.{i // len(places) + 1}" for i in range(size.upstreams)
         ]
--- a/tests/test_hostile_messages.py
+++ b/tests/test_hostile_messages.py
@@ -30,6 +30,7 @@
     NodeMessage,
     OwnedFlow,
     Passed,
+    Refused,
     Report,
     Search,
     Subscribe,
@@ -54,6 +55,9 @@
     Carry(CarryKind.SEARCH, SERVICE, 3, (), 0.0, 0, 0, 1, ACK_FRAME),
     Missing(11, False, ACK_FRAME),
     Passed(11, 7),
+    Passed(11, 7, True),
+    Refused(11, 200, 40),
+    Carry(CarryKind.OPEN, SERVICE, 3, (7, 8), 0.0, 1, 0, 1, SYN_FRAME, 350, 3_000, 200),
     OwnedFlow(11),
     Subscribe(5, 1, 2, 3, 4),
     Report(
--- a/tests/test_learned_capacity.py
+++ b/tests/test_learned_capacity.py
@@ -7,9 +7,10 @@
 from shallotshore.packets.feed_content import UpstreamChange
 from shallotshore.packets.selection import rank_upstreams
 from shallotshore.packets.view import Feed, Upstream
+from shallotshore.scheduling.terms import RequestTerms
 from standins.packet_deployments import DeploymentSize, LoadedDeployment
 from standins.packet_load import LoadShape
-from standins.packet_world import PacketWorld
+from standins.packet_world import VIP, PacketWorld
 
 TARGET_MS = 300
 WORK_MS = 26
@@ -62,7 +63,7 @@
     def start(self, target_ms: int = TARGET_MS) -> PacketWorld:
         """Returns a deployment of three upstreams, the last of which is five times slower."""
         world = PacketWorld()
-        world.configure(target_ms=target_ms)
+        world.configure(terms={VIP: RequestTerms(target_ms=target_ms)})
         world.add_balancer("10.1.9.1")
         for host in HOSTS:
             world.add_agent(host)
