Bound the refresh of medians in one tick, and test the decoding of targets

Cause: one refresh of all services would hold up the packets of a tick in a fleet of 150,000 upstreams; a value without a fresh report still counted as an upstream's speed in the log.

Change: a tick refreshes services until it has seen 500 rows. Values without a fresh report count as not known. The adapter's test covers targetLatencyMs and timeoutMs.

--- a/shallotshore/packets/learned_capacity.py
+++ b/shallotshore/packets/learned_capacity.py
@@ -14,7 +14,8 @@
 from shallotshore.tables import MISSING
 
 REFRESH_INTERVAL_MS = 200  # agents notice a change of speed within some hundreds of ms
-ROWS_PER_REFRESH_INTERVAL = 2_000  # larger tables are refreshed less often; a row costs 1 us
+# A row costs up to 2 us, and packets wait during a tick. Further services follow in later ticks.
+ROWS_PER_TICK = 500
 OUTLIER_FACTOR = 2.0  # from the median, in either direction
 # An idle upstream is tried about once a second and has no value in between, so that it counts as
 # back only after it has been within the factor for longer.
@@ -34,11 +35,12 @@
 class LearnedCapacitySystem:
     """Refreshes the medians of services whose routes declare a target latency."""
 
-    __slots__ = ("_next_run_at", "_outlier_at", "_services", "_state")
+    __slots__ = ("_next_run_at", "_outlier_at", "_services", "_state", "_waiting")
 
     def __init__(self, state: BalancerState) -> None:
         self._state = state
         self._services: set[int] = set()
+        self._waiting: list[int] = []  # services that this round has not refreshed yet
         self._outlier_at: dict[int, int] = {}  # when an upstream was last an outlier, by host
         self._next_run_at = 0
 
@@ -49,26 +51,33 @@
             for service in self._services - services:
                 self._clear(service)
             self._services = services
-        if now < self._next_run_at or not services:
-            return
-        intervals = 1 + len(self._state.upstreams) // ROWS_PER_REFRESH_INTERVAL
-        self._next_run_at = now + intervals * REFRESH_INTERVAL_MS
-        for service in services:
+            self._waiting.clear()
+        if not self._waiting:
+            if now < self._next_run_at:
+                return
+            self._next_run_at = now + REFRESH_INTERVAL_MS
+            self._waiting.extend(services)
+            self._forget_outliers(now)
+        refreshed_rows = 0
+        while self._waiting and refreshed_rows < ROWS_PER_TICK:
+            service = self._waiting.pop()
+            refreshed_rows += len(self._state.upstreams.hosts_of_service(service))
             self._refresh(service, now)
-        self._forget_outliers(now)
 
     def _refresh(self, service: int, now: int) -> None:
         """Computes the median of a service and compares its upstreams with it."""
         state, upstreams = self._state, self._state.upstreams
         rows = [upstreams.row(host) for host in upstreams.hosts_of_service(service)]
-        values = [upstreams.service_ms[row] for row in rows if upstreams.has_fresh_report(row, now)]
+        values = [
+            upstreams.service_ms[row] if upstreams.has_fresh_report(row, now) else 0.0
+            for row in rows
+        ]
         median_ms = median_service_ms(values)
         if not median_ms:
             self._clear(service)
             return
         state.median_service_ms[service] = median_ms
-        for row in rows:
-            service_ms = upstreams.service_ms[row]
+        for row, service_ms in zip(rows, values, strict=True):
             upstreams.load_weight[row] = load_weight(service_ms, median_ms)
             relative = relative_service(service_ms, median_ms)
             if not 1 / OUTLIER_FACTOR <= relative <= OUTLIER_FACTOR:
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -160,6 +160,17 @@
         self.assertEqual((8080, (("a", 1),)), (first.port, first.shares))
         self.assertEqual((8443, (("a", 90), ("b", 10))), (second.port, second.shares))
 
+    def test_reads_declared_times_of_routes(self) -> None:
+        """Guards against a target latency that is lost, or assumed where none is declared."""
+        route = {"host": "198.18.0.1", "prefix": "/8080/", "service": "a"}
+        times = {"targetLatencyMs": 303.4, "timeoutMs": 3634}
+        config = {"version": 9, "routes": [{**route, **times}, route]}
+        change = decode_item(item("op/config", json.dumps(config).encode()))
+        assert isinstance(change, ConfigurationChange)
+        first, second = change.configuration.routes
+        self.assertEqual((303, 3634), (first.target_ms, first.limit_ms))
+        self.assertEqual((0, 0), (second.target_ms, second.limit_ms))
+
     def test_reads_data_centres_that_are_out_and_in(self) -> None:
         """Guards against a data centre that stays out of service after its entry was removed."""
         evacuation = decode_item(item("op/evacuate/bud-a", b"{}"))
--- a/tests/test_learned_capacity.py
+++ b/tests/test_learned_capacity.py
@@ -125,7 +125,7 @@
         world = self.start()
         self.send_requests(world, 2_000)
         agent = world.agents[HOSTS[2]].state
-        self.assertEqual(100.0, agent.capacity.service_ms(agent.capacity._last_answer_at))
+        self.assertEqual(100.0, agent.learned_values(world.now)[0])
         host = HOSTS[2]
         world.store.append_change(
             Feed.UPSTREAMS, lambda rev: UpstreamChange(f"i-{host}", rev, None)
