Compute once whether a route declares terms

Cause: each opening packet asked several times, by a property, and looked for its key among packets of both kinds.

Change: an attribute, and no look-up in an empty queue.

--- a/shallotshore/packets/opening_queue.py
+++ b/shallotshore/packets/opening_queue.py
@@ -49,10 +49,13 @@
 
     def push(self, packet: Packet, now: int) -> None:
         """Adds a packet of a route that declares no terms; a full queue drops the oldest one."""
-        self._flush(now)
-        self._declared.remove(packet.key)
-        self._undeclared.pop(packet.key, None)
-        self._undeclared[packet.key] = (now, packet)
+        key = packet.key
+        if self._single is not None:
+            self._flush(now)
+        if len(self._declared):
+            self._declared.remove(key)
+        self._undeclared.pop(key, None)
+        self._undeclared[key] = (now, packet)
         if len(self._undeclared) > self._max_packets:
             del self._undeclared[next(iter(self._undeclared))]
             self._shed += 1
@@ -67,7 +70,8 @@
             now: Time in ms.
         """
         self._undeclared.pop(packet.key, None)
-        self._flush(now)
+        if self._single is not None:
+            self._flush(now)
         self._single = (packet, terms, asked_at)
 
     def pop_next(self, now: int) -> Packet | None:
--- a/shallotshore/scheduling/terms.py
+++ b/shallotshore/scheduling/terms.py
@@ -14,19 +14,16 @@
             declared.
         limit_ms: Time from the client's first request after which the client no longer waits; 0
             when not declared.
+        is_declared: Whether the route declares a target latency or a time limit.
     """
 
-    __slots__ = ("limit_ms", "priority", "target_ms")
+    __slots__ = ("is_declared", "limit_ms", "priority", "target_ms")
 
     def __init__(self, priority: int = 0, target_ms: int = 0, limit_ms: int = 0) -> None:
         self.priority = priority
         self.target_ms = target_ms
         self.limit_ms = limit_ms
-
-    @property
-    def is_declared(self) -> bool:
-        """Whether the route declares a target latency or a time limit."""
-        return bool(self.target_ms or self.limit_ms)
+        self.is_declared = bool(target_ms or limit_ms)
 
     def is_in_time(self, asked_at: int, finish_at: float) -> bool:
         """Whether an answer at `finish_at` (ms) is in time; without a target every answer is."""
