--- a/bench/era_soak.py
+++ b/bench/era_soak.py
@@ -1,4 +1,4 @@
-"""Runs random restorations of the configuration service: `python -m bench.era_soak --seeds N`.
+"""Restores the configuration service at random: `python -m bench.era_soak --drill_seeds N`.
 
 Each run mixes drills with bursts of writes, pauses of processes and outages of the service. After
 each step an operator takes a data centre out or in, which must be in force everywhere in time.
@@ -17,8 +17,8 @@
 from shallotshore.records import DataCentre, Service
 from standins.configuration_service import Mode
 
-_SEED_COUNT = flags.DEFINE_integer("seeds", 100, "Number of runs.")
-_FIRST_SEED = flags.DEFINE_integer("first", 0, "Seed of the first run.")
+_SEED_COUNT = flags.DEFINE_integer("drill_seeds", 100, "Number of runs.")
+_FIRST_SEED = flags.DEFINE_integer("first_drill_seed", 0, "Seed of the first run.")
 
 ENFORCEMENT_LIMIT_MS = 3000  # the stated bound from an acknowledgement to enforcement everywhere
 GIVE_UP_MS = 6000
