Test waiting work with links cut in one direction and without the store

Cause: the failures that the specification names were tried only with a killed agent, and the balancer's queue only with few packets.

Change: PacketWorld can cut a link in one direction; tests of a burst with the messages from, or to, one agent lost, and with the store out of reach; tests of a full queue and of packets with and without terms in one queue.

--- a/standins/packet_world.py
+++ b/standins/packet_world.py
@@ -67,6 +67,7 @@
         upstreams: Stand-ins of upstreams by host.
         clients: Stand-ins of clients by address.
         disconnected_hosts: Hosts that neither send nor receive.
+        cut_links: Pairs of hosts of which the first one's messages do not reach the second one.
         hosts_without_store: Hosts that are cut off from the store.
         agent_settings: Settings of agents by host.
         data_centre_by_host: Data centres of balancers and agents.
@@ -83,6 +84,7 @@
         self.upstreams: dict[str, PacketUpstream] = {}
         self.clients: dict[Address, PacketClient] = {}
         self.disconnected_hosts: set[str] = set()
+        self.cut_links: set[tuple[str, str]] = set()
         self.hosts_without_store: set[str] = set()
         self.agent_settings: dict[str, AgentSettings] = {}
         self.data_centre_by_host: dict[str, str] = {}
@@ -293,7 +295,8 @@
         message = node_messages.decode(frame).unwrap()
         if source in self.balancers:
             self.sent_by_balancers[type(message).__name__] += 1
-        if {source, destination} & self.disconnected_hosts:
+        is_cut = (source, destination) in self.cut_links
+        if is_cut or {source, destination} & self.disconnected_hosts:
             return
         core = self.balancers.get(destination) or self.agents.get(destination)
         self.call_later(
--- a/tests/test_packet_routing.py
+++ b/tests/test_packet_routing.py
@@ -14,10 +14,12 @@
 from shallotshore.packets.feeds import STORE_ADDRESS
 from shallotshore.packets.hosts import host_number, host_text
 from shallotshore.packets.node_messages import Carry, CarryKind, Report, UpstreamHealth
+from shallotshore.packets.opening_queue import OpeningQueue
 from shallotshore.packets.packet import Packet
 from shallotshore.packets.routing import MAX_OPENINGS_PER_TICK, MAX_QUEUED_MS
 from shallotshore.packets.store_messages import StoreChanges, StoreSnapshot
 from shallotshore.packets.view import Configuration, Feed, Route, Upstream
+from shallotshore.scheduling.terms import RequestTerms
 from standins.packet_wire import SYN, write_packet
 
 VIP = ("198.18.0.1", 443)
@@ -156,6 +158,29 @@
         self.assertEqual([], offers(self.core))
         self.assertEqual(MAX_OPENINGS_PER_TICK, self.core.counters["openings.shed"])
 
+    def test_a_full_queue_drops_the_client_that_ends_its_attempt_next(self) -> None:
+        """Guards against a flood that keeps new clients out, or fills the memory."""
+        queue = OpeningQueue(2, MAX_QUEUED_MS)
+        terms = RequestTerms(1, 350, 3_000)
+        for number in range(4):
+            queue.push_declared(opening(2_000 + number), terms, START + number, START + number)
+        ports = []
+        while (packet := queue.pop_next(START + 4)) is not None:
+            ports.append(packet.client[1])
+        self.assertEqual([2_003, 2_002], ports)
+        self.assertEqual(2, queue.take_shed())
+
+    def test_packets_with_and_without_terms_take_turns(self) -> None:
+        """Guards against routes of one kind that are not served beside the other kind."""
+        queue = OpeningQueue(10, MAX_QUEUED_MS)
+        for number in range(3):
+            queue.push_declared(opening(2_000 + number), RequestTerms(1, 350, 3_000), START, START)
+            queue.push(opening(3_000 + number), START)
+        kinds = [queue.pop_next(START).client[1] // 1_000 for _ in range(6)]
+        self.assertEqual(3, kinds.count(2))
+        self.assertNotEqual(kinds[0], kinds[1])
+        self.assertNotEqual(kinds[2], kinds[3])
+
 
 class CandidateTest(unittest.TestCase):
     """Candidates of a service with many upstreams."""
--- a/tests/test_packet_waiting.py
+++ b/tests/test_packet_waiting.py
@@ -81,6 +81,33 @@
         answered = sum(record.answered_at is not None for record in claims)
         self.assertGreaterEqual(answered, 0.99 * len(claims))
 
+    def check_burst(self, routes: CompetingRoutes) -> None:
+        """Plays a burst, and checks that claims are answered and none runs twice."""
+        routes.play_burst()
+        self.assertLessEqual(routes.max_runs(), 1)
+        claims = routes.made(CLAIM, 0, BURST_MS // SECOND_MS)
+        answered = sum(record.answered_at is not None for record in claims)
+        self.assertGreaterEqual(answered, 0.99 * len(claims))
+
+    def test_link_cut_in_one_direction(self) -> None:
+        """Guards against resets of flows whose agent cannot tell that it has offered them."""
+        for direction in (1, -1):
+            with self.subTest(direction=direction):
+                routes = CompetingRoutes(TERMS)
+                routes.world.cut_links = {
+                    (UPSTREAMS[0], balancer)[::direction] for balancer in routes.world.balancers
+                }
+                self.check_burst(routes)
+
+    def test_store_unavailable(self) -> None:
+        """Guards against terms that are lost with the connection to the store."""
+        routes = CompetingRoutes(TERMS)
+        routes.world.hosts_without_store = {*routes.world.balancers, *routes.world.agents}
+        routes.world.run(3 * SECOND_MS)
+        routes.started_at = routes.world.now
+        self.check_burst(routes)
+        self.check_claims(routes, 0, BURST_MS // SECOND_MS)
+
 
 if __name__ == "__main__":
     unittest.main()
