Give up flows of vanished upstreams, and avoid upstreams that fail at once

Change: an entry that is missing for 5 s while the store answers counts like an announced departure. Below a quarter of the median an upstream counts as slow by the same factor. Measured: tests fail without the change (tests.test_departed_upstreams, tests.test_capacity) and pass with it.

--- a/shallotshore/packets/upstream_table.py
+++ b/shallotshore/packets/upstream_table.py
@@ -19,6 +19,9 @@
 
 MAX_UPSTREAM_ROWS = 200_000  # the system is planned for 150,000 upstreams
 UNLISTED_EXPIRY_MS = 60_000  # a flow may live this long on an upstream without a store entry
+# An entry that is missing for this long, while the store answers, belongs to no living upstream: an
+# upstream that can reach the store writes its entry again within 2 s.
+MAX_MISSING_ENTRY_MS = 5_000
 LAPSE_GRACE_MS = 2_200  # an entry that lapsed in an outage returns within 2 s if its upstream lives
 
 
@@ -352,12 +355,15 @@
             return self.are_unlisted_usable
         return now - self.lapsed_at[row] < LAPSE_GRACE_MS
 
-    def has_left(self, row: int) -> bool:
-        """Whether an upstream has announced that it leaves, and its entry has been removed since.
+    def has_left(self, row: int, now: int) -> bool:
+        """Whether an upstream's entry is gone for good.
 
-        An entry alone may also lapse while the upstream cannot reach the store.
+        The upstream has announced that it leaves, or its entry is missing for a long time. An entry
+        may also lapse for a short time, while the upstream cannot reach the store.
         """
-        return bool(self.leaving[row]) and self.listing[row] == Listing.LAPSED
+        if self.listing[row] != Listing.LAPSED:
+            return False
+        return bool(self.leaving[row]) or now - self.lapsed_at[row] >= MAX_MISSING_ENTRY_MS
 
     def _is_contradicted(self, host: int, upstream: Upstream, now: int) -> bool:
         """Whether the host's agent reports an upstream of another service than a record names."""
--- a/shallotshore/packets/vm_checks.py
+++ b/shallotshore/packets/vm_checks.py
@@ -62,7 +62,7 @@
     """
     upstreams = state.upstreams
     silence_ms = _silence_ms(state, row, now)
-    has_left = upstreams.has_left(row)
+    has_left = upstreams.has_left(row, now) and state.feeds.upstreams.is_current(now)
     if silence_ms < (MIN_DEPARTED_CHECK_SILENCE_MS if has_left else MIN_CHECK_SILENCE_MS):
         return False
     state.queued_vm_checks.add(upstreams.key[row])
--- a/shallotshore/scheduling/placement.py
+++ b/shallotshore/scheduling/placement.py
@@ -17,6 +17,10 @@
 # A single value of an upstream can neither attract all work nor outweigh that an upstream is silent
 # or unknown.
 MAX_RELATIVE_SERVICE = 8.0
+# Upstreams of one service differ by small factors. One that answers in less than this share of the
+# median most likely fails its requests at once, and must not attract work by that.
+MIN_PLAUSIBLE_SERVICE = 0.25
+MIN_COMPARABLE_MEDIAN_MS = 10.0  # below it, rounding to whole ms changes the share too much
 
 
 def median_service_ms(values: Iterable[float]) -> float:
@@ -48,11 +52,16 @@
     often idle while requests wait elsewhere: at 0.85 of the capacity and with reports 40 ms old,
     0.65 of the requests were in time, 0.71 with equal queues and 0.79 with the square root.
 
+    An upstream that is implausibly fast counts as slow, by the same factor.
+
     Args:
         service_ms: How long a request takes at the upstream; 0.0 when not known.
         median_ms: Median of the service's known service times, above 0.
     """
-    return math.sqrt(relative_service(service_ms, median_ms))
+    relative = relative_service(service_ms, median_ms)
+    if relative < MIN_PLAUSIBLE_SERVICE and median_ms >= MIN_COMPARABLE_MEDIAN_MS:
+        relative = 1 / relative
+    return math.sqrt(relative)
 
 
 def usable_slots(declared_slots: int, concurrency: float) -> int:
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -143,6 +143,12 @@
         self.assertEqual(1.5, completion_score(3.0, 2, 0.0, load_weight(0.0, 30.0)))
         self.assertEqual(1.5, completion_score(3.0, 2, 2.0, load_weight(30.0, 30.0)))
 
+    def test_an_implausibly_fast_upstream_attracts_no_work(self) -> None:
+        """Fails when an upstream that fails its requests at once counts as the fastest one."""
+        self.assertGreater(load_weight(2.0, 27.0), 1.0)
+        self.assertLess(load_weight(12.0, 27.0), 1.0)
+        self.assertLess(load_weight(1.0, 5.0), 1.0)
+
     def test_a_slow_upstream_waits_for_load_at_the_others(self) -> None:
         """Fails when slow upstreams get equal loads."""
         weight = load_weight(47.0, 22.0)
--- a/tests/test_departed_upstreams.py
+++ b/tests/test_departed_upstreams.py
@@ -3,6 +3,7 @@
 import unittest
 
 from shallotshore.packets.pending_flows import MAX_SEARCH_MS
+from shallotshore.packets.upstream_table import MAX_MISSING_ENTRY_MS
 from standins.packet_client import PacketClient
 from standins.packet_world import PacketWorld
 
@@ -75,6 +76,26 @@
         world.run(MAX_RESET_MS)
         self.assertNotIn(None, [client.reset_at for client in clients])
 
+    def test_lost_flows_do_not_wait_for_the_agent_of_a_vanished_upstream(self) -> None:
+        """Guards against clients that wait for an upstream which ended without an announcement.
+
+        Its entry lapsed after a power loss, and its agent ended some seconds later.
+        """
+        world = self.make_world()
+        clients = self.open_flows(world)
+        self.restart_others(world)
+        world.run(SETTLE_MS)
+        world.upstreams[AGENTS[0]].is_silent = True
+        world.remove_upstream_record(AGENTS[0])
+        world.run(MAX_MISSING_ENTRY_MS)
+        world.agents[AGENTS[0]].stop(world.now)
+        world.end_agent(AGENTS[0])
+        world.run(DRAIN_MS)
+        for client in clients:
+            client.request(b"x")
+        world.run(MAX_RESET_MS)
+        self.assertNotIn(None, [client.reset_at for client in clients])
+
     def test_flow_waits_for_an_agent_that_restarts_beside_a_draining_upstream(self) -> None:
         """Guards against the reset of a flow whose upstream drains while its agent is away."""
         world = self.make_world()
