Wait longer for the agent of an upstream whose entry is missing

Cause: an entry may lapse because its upstream is cut off from the store, or the store turns it away, while the upstream keeps its flows. A restart of its agent in that time would have reset them. Change: without an announcement the agent must have been away for 3 s.

--- a/shallotshore/packets/upstream_table.py
+++ b/shallotshore/packets/upstream_table.py
@@ -355,15 +355,17 @@
             return self.are_unlisted_usable
         return now - self.lapsed_at[row] < LAPSE_GRACE_MS
 
-    def has_left(self, row: int, now: int) -> bool:
-        """Whether an upstream's entry is gone for good.
+    def has_left(self, row: int) -> bool:
+        """Whether an upstream has announced that it leaves, and its entry has been removed since.
 
-        The upstream has announced that it leaves, or its entry is missing for a long time. An entry
-        may also lapse for a short time, while the upstream cannot reach the store.
+        An entry alone may also lapse while the upstream cannot reach the store.
         """
-        if self.listing[row] != Listing.LAPSED:
-            return False
-        return bool(self.leaving[row]) or now - self.lapsed_at[row] >= MAX_MISSING_ENTRY_MS
+        return bool(self.leaving[row]) and self.listing[row] == Listing.LAPSED
+
+    def is_missing(self, row: int, now: int) -> bool:
+        """Whether an upstream's entry has been missing for MAX_MISSING_ENTRY_MS."""
+        is_lapsed = self.listing[row] == Listing.LAPSED
+        return is_lapsed and now - self.lapsed_at[row] >= MAX_MISSING_ENTRY_MS
 
     def _is_contradicted(self, host: int, upstream: Upstream, now: int) -> bool:
         """Whether the host's agent reports an upstream of another service than a record names."""
--- a/shallotshore/packets/vm_checks.py
+++ b/shallotshore/packets/vm_checks.py
@@ -19,6 +19,8 @@
 CHECK_INTERVAL_MS = 500
 RUN_INTERVAL_MS = 50
 MAX_STATE_AGE_MS = 1_500  # a VM may answer again some time after a check that failed
+# An agent that does not run for this long does not merely restart.
+MIN_ABSENT_SILENCE_MS = 3_000
 # The agent of an upstream that has left answers a query within 30 ms while it runs.
 MIN_DEPARTED_CHECK_SILENCE_MS = 300
 # When an agent has been silent for this long and its VM does not answer either, clients should not
@@ -62,14 +64,15 @@
     """
     upstreams = state.upstreams
     silence_ms = _silence_ms(state, row, now)
-    has_left = upstreams.has_left(row, now) and state.feeds.upstreams.is_current(now)
+    has_left = upstreams.has_left(row)
     if silence_ms < (MIN_DEPARTED_CHECK_SILENCE_MS if has_left else MIN_CHECK_SILENCE_MS):
         return False
     state.queued_vm_checks.add(upstreams.key[row])
     if now - upstreams.vm_state_at[row] > MAX_STATE_AGE_MS:
         return False
     if upstreams.vm_state[row] == VmState.REFUSES:
-        return has_left
+        is_absent = silence_ms >= MIN_ABSENT_SILENCE_MS and upstreams.is_missing(row, now)
+        return has_left or (is_absent and state.feeds.upstreams.is_current(now))
     return upstreams.vm_state[row] == VmState.SILENT and silence_ms >= MIN_GONE_SILENCE_MS
 
 
