Give up flows of announced departures only after the grace of lapsed entries

Cause: while a store is down the entry of a draining upstream may lapse, and comes back within two seconds of the store's return. A restart of its agent in that time, as planned work makes, would have reset its flows.

--- a/shallotshore/packets/upstream_table.py
+++ b/shallotshore/packets/upstream_table.py
@@ -355,12 +355,14 @@
             return self.are_unlisted_usable
         return now - self.lapsed_at[row] < LAPSE_GRACE_MS
 
-    def has_left(self, row: int) -> bool:
-        """Whether an upstream has announced that it leaves, and its entry has been removed since.
+    def has_left(self, row: int, now: int) -> bool:
+        """Whether an upstream has announced that it leaves, and its entry is gone for good.
 
-        An entry alone may also lapse while the upstream cannot reach the store.
+        An entry may also lapse while the store, or the way to it, is down. A living upstream then
+        writes its entry again within LAPSE_GRACE_MS.
         """
-        return bool(self.leaving[row]) and self.listing[row] == Listing.LAPSED
+        is_lapsed = self.listing[row] == Listing.LAPSED
+        return bool(self.leaving[row]) and is_lapsed and now - self.lapsed_at[row] >= LAPSE_GRACE_MS
 
     def is_missing(self, row: int, now: int) -> bool:
         """Whether an upstream's entry has been missing for MAX_MISSING_ENTRY_MS."""
--- a/shallotshore/packets/vm_checks.py
+++ b/shallotshore/packets/vm_checks.py
@@ -64,7 +64,7 @@
     """
     upstreams = state.upstreams
     silence_ms = _silence_ms(state, row, now)
-    has_left = upstreams.has_left(row)
+    has_left = upstreams.has_left(row, now)
     if silence_ms < (MIN_DEPARTED_CHECK_SILENCE_MS if has_left else MIN_CHECK_SILENCE_MS):
         return False
     state.queued_vm_checks.add(upstreams.key[row])
@@ -72,7 +72,7 @@
         return False
     if upstreams.vm_state[row] == VmState.REFUSES:
         is_absent = silence_ms >= MIN_ABSENT_SILENCE_MS and upstreams.is_missing(row, now)
-        return has_left or (is_absent and state.feeds.upstreams.is_current(now))
+        return (has_left or is_absent) and state.feeds.upstreams.is_current(now)
     return upstreams.vm_state[row] == VmState.SILENT and silence_ms >= MIN_GONE_SILENCE_MS
 
 
--- a/tests/test_departed_upstreams.py
+++ b/tests/test_departed_upstreams.py
@@ -3,7 +3,7 @@
 import unittest
 
 from shallotshore.packets.pending_flows import MAX_SEARCH_MS
-from shallotshore.packets.upstream_table import MAX_MISSING_ENTRY_MS
+from shallotshore.packets.upstream_table import LAPSE_GRACE_MS, MAX_MISSING_ENTRY_MS
 from shallotshore.packets.vm_checks import MIN_ABSENT_SILENCE_MS
 from standins.packet_client import PacketClient
 from standins.packet_world import PacketWorld
@@ -56,7 +56,7 @@
         world.remove_upstream_record(host)
         world.agents[host].stop(world.now)
         world.end_agent(host)
-        world.run(DRAIN_MS)
+        world.run(LAPSE_GRACE_MS)
 
     def restart_others(self, world: PacketWorld) -> None:
         """Restarts all processes and upstreams, as after a power loss."""
@@ -122,6 +122,30 @@
         world.run(3_000)
         self.assertEqual([None] * len(clients), [client.reset_at for client in clients])
 
+    def test_flow_waits_for_an_agent_whose_draining_upstream_lost_its_entry_for_a_moment(
+        self,
+    ) -> None:
+        """Guards against the reset of a flow whose upstream drains when the store has an outage.
+
+        The store comes back without the entry, which its upstream writes again within two seconds.
+        Its agent restarts meanwhile.
+        """
+        world = self.make_world()
+        clients = self.open_flows(world)
+        world.publish(AGENTS[0], is_leaving=True)
+        world.run(DRAIN_MS)
+        del world.agents[AGENTS[0]]
+        world.remove_upstream_record(AGENTS[0])
+        world.run(100)
+        self.forget_owners(world)
+        for client in clients:
+            client.request(b"x")
+        world.run(1_700)
+        world.publish(AGENTS[0], is_leaving=True)
+        world.add_agent(AGENTS[0], is_first_start=False)
+        world.run(3_000)
+        self.assertEqual([None] * len(clients), [client.reset_at for client in clients])
+
     def test_flow_waits_for_an_agent_whose_upstream_lost_only_its_entry(self) -> None:
         """Guards against the reset of a flow whose upstream cannot reach the store.
 
