--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,20 +1,24 @@
 """FAILBACK: servers that start again cold get more flows than cold servers bear."""
 
 import asyncio
-import itertools
 import sys
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
 sys.path[:0] = [str(FOLDER.parent), str(FOLDER.parent.parent)]
 
-from fleet_2 import HEARTBEAT_MS, SERVICE, VIP, Fleet, Server, run_case  # noqa: E402
-
-from standins.packet_client import PacketClient  # noqa: E402
+from fleet_2 import (  # noqa: E402
+    HEARTBEAT_MS,
+    SERVICE,
+    VIP,
+    Fleet,
+    count_worst_second,
+    make_requests,
+    run_case,
+)
 
 COLD_PER_S = 2.0
 COLD_MS = 3_000
-WINDOW_MS = 1_000
 REQUESTS_PER_S = 60
 SERVERS = 3
 DOWN_S = 2.0  # `cold_return` of the site files takes up to 4.5 s
@@ -49,7 +53,7 @@
         return None
     await asyncio.sleep(6)
     fleet.record(f"clients begin to open {REQUESTS_PER_S} flows a second, one request each")
-    fleet.spawn(make_requests(fleet))
+    fleet.spawn(make_requests(fleet, REQUESTS_PER_S))
     await asyncio.sleep(4)
     if is_trouble:
         fleet.record("all servers crash")
@@ -69,41 +73,5 @@
     return max(count_worst_second(fleet, server, limit) for server in servers) > limit
 
 
-def count_worst_second(fleet: Fleet, server: Server, limit: float) -> int:
-    """Returns the most flows in one second that were sent and arrived while the server was cold."""
-    worst, worst_at = 0, 0
-    for begin, end in server.cold_spans:
-        flows = [(fleet.sent_at[key], at) for key, at in server.taken if begin <= at < end]
-        for start in (sent_at for sent_at, _ in flows if sent_at >= begin):
-            inside = sum(start <= sent and at < start + WINDOW_MS for sent, at in flows)
-            if inside > worst:
-                worst, worst_at = inside, start - begin
-    fleet.record(
-        f"{server.name}: {worst} flows in the second that begins {worst_at} ms after its cold"
-        f" start; a cold server gets {limit:g} at most"
-    )
-    return worst
-
-
-async def make_requests(fleet: Fleet) -> None:
-    """Opens flows at a steady rate, with one request on each."""
-    for port in itertools.count(20_000):
-        client = fleet.open_flow(port)
-        client.request(b"GET %d" % port)
-        end_when_answered(client)
-        await asyncio.sleep(1 / REQUESTS_PER_S)
-
-
-def end_when_answered(client: PacketClient) -> None:
-    """Lets a client close its flow after the answer."""
-
-    def on_packet() -> None:
-        if client.answers:
-            client.on_packet = lambda: None
-            client.end_flow()
-
-    client.on_packet = on_packet
-
-
 if __name__ == "__main__":
     sys.exit(run_case(play, FOLDER))
--- a/review/fleet_2.py
+++ b/review/fleet_2.py
@@ -6,10 +6,20 @@
 
 from __future__ import annotations
 
-__all__ = ["SERVICE", "VIP", "Fleet", "Server", "Store", "run_case"]
+__all__ = [
+    "SERVICE",
+    "VIP",
+    "Fleet",
+    "Server",
+    "Store",
+    "count_worst_second",
+    "make_requests",
+    "run_case",
+]
 
 import asyncio
 import base64
+import itertools
 import json
 import os
 import signal
@@ -38,6 +48,8 @@
 MAX_MISSES = 2
 RESTART_DELAY_S = 0.3  # "restarted after a short delay" (DEPLOY.md, Ends)
 STORE_DELAY_S = 0.004  # "4 ms an answer" (SYSTEM.md)
+WINDOW_MS = 1_000  # "in one second" (RULES.md, FAILBACK)
+FIRST_PORT = 20_000  # of the clients
 PORT_NAMES = ("node", "client", "app", "outbound", "ready", "store", "control")
 
 
@@ -155,8 +167,11 @@
         cold_spans: Spans in ms in which the server was cold.
     """
 
-    def __init__(self, fleet: Fleet, host: str, name: str, service: str, slots: int) -> None:
+    def __init__(
+        self, fleet: Fleet, host: str, name: str, service: str, slots: int, zone: str
+    ) -> None:
         self.fleet, self.host, self.name, self.service = fleet, host, name, service
+        self.zone = zone
         self.taken: list[tuple[int, int]] = []
         self.cold_spans: list[tuple[int, int]] = []
         self._seq = 0
@@ -208,7 +223,7 @@
         entry: dict[str, object] = {
             "service": self.service,
             "address": f"{self.host}:{self.fleet.ports['app']}",
-            "zone": ZONE,
+            "zone": self.zone,
             "version": "v1",
             "slots": self.upstream.slots,
             "state": "ready",
@@ -258,6 +273,7 @@
         self.sent_at: dict[int, int] = {}
         self.exits: list[tuple[str, int]] = []
         self.balancers: list[str] = []
+        self._zones: dict[str, str] = {}
         self.rotation: list[str] = []
         self.log_lines: list[dict[str, Any]] = []
         self.bounds = {"cold_over": 1.5, "cold_slack": 5, "flow_life_s": 60}
@@ -316,19 +332,20 @@
         self._folder.cleanup()
 
     async def add_server(
-        self, number: int, service: str = SERVICE, slots: int = 3, is_first_start: bool = True
+        self, number: int, service: str = SERVICE, slots: int = 3, zone: str = ZONE
     ) -> Server:
-        """Starts a server and the agent beside it."""
+        """Starts a server and the agent beside it, with the whole system."""
         host = f"{self.prefix}.2.{number}"
-        server = self.servers[host] = Server(self, host, f"i-{number}", service, slots)
+        server = self.servers[host] = Server(self, host, f"i-{number}", service, slots, zone)
         await server.open()
-        await self.start_process("agent", host, is_first_start)
+        await self.start_process("agent", host, True)
         return server
 
-    async def add_balancer(self, number: int) -> str:
+    async def add_balancer(self, number: int, zone: str = ZONE) -> str:
         """Starts a balancer; the routers use it as soon as it is ready."""
         host = f"{self.prefix}.1.{number}"
         self.balancers.append(host)
+        self._zones[host] = zone
         await self.start_process("balancer", host, True)
         return host
 
@@ -338,7 +355,7 @@
         is_agent = role == "agent"
         settings = {
             "name": f"{role}-{host}",
-            "data_centre": ZONE,
+            "data_centre": self.servers[host].zone if is_agent else self._zones[host],
             "host": host,
             "client_address": f"{host}:{ports['client']}",
             "upstream_address": f"{host}:{ports['app']}" if is_agent else "",
@@ -386,6 +403,13 @@
         if self._processes[host].returncode is None:
             self._processes[host].send_signal(number)
 
+    async def kill(self, host: str) -> None:
+        """Ends a process by SIGKILL, as a loss of power does, without a new start."""
+        process = self._processes[host]
+        self._told.add(process.pid)
+        process.kill()
+        await process.wait()
+
     async def restart(self, host: str, role: str) -> None:
         """Stops a process by SIGTERM, and starts it again as the platform does."""
         process = self._processes[host]
@@ -453,6 +477,40 @@
             client.receive_packet(data, now_ms())
 
 
+async def make_requests(fleet: Fleet, per_s: float) -> None:
+    """Opens flows at a steady rate, with one request on each, and ends them after the answer."""
+    for port in itertools.count(FIRST_PORT):
+        client = fleet.open_flow(port)
+        client.request(b"GET %d" % port)
+        _end_when_answered(client)
+        await asyncio.sleep(1 / per_s)
+
+
+def _end_when_answered(client: PacketClient) -> None:
+    def on_packet() -> None:
+        if client.answers:
+            client.on_packet = lambda: None
+            client.end_flow()
+
+    client.on_packet = on_packet
+
+
+def count_worst_second(fleet: Fleet, server: Server, limit: float) -> int:
+    """Returns the most flows in one second that were sent and arrived while the server was cold."""
+    worst, worst_at = 0, 0
+    for begin, end in server.cold_spans:
+        flows = [(fleet.sent_at[key], at) for key, at in server.taken if begin <= at < end]
+        for start in (sent_at for sent_at, _ in flows if sent_at >= begin):
+            inside = sum(start <= sent and at < start + WINDOW_MS for sent, at in flows)
+            if inside > worst:
+                worst, worst_at = inside, start - begin
+    fleet.record(
+        f"{server.name}: {worst} flows in the second that begins {worst_at} ms after its cold"
+        f" start; a cold server gets {limit:g} at most"
+    )
+    return worst
+
+
 def run_case(case: Callable[[Fleet, bool], Awaitable[bool | None]], folder: Path) -> int:
     """Runs a case and writes its record.
 
