--- a/review/fleet_2.py
+++ b/review/fleet_2.py
@@ -28,7 +28,7 @@
 import tempfile
 import time
 import tomllib
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from pathlib import Path
 from typing import Any
 from urllib.parse import parse_qsl
@@ -186,6 +186,10 @@
         self._to_agent = await self.fleet.bind((self.host, self.fleet.ports["app"]), self._receive)
         self.fleet.spawn(self._beat())
 
+    def holds(self, key: int) -> bool:
+        """Whether the server holds an open flow."""
+        return key in self.upstream._flows
+
     def crash(self) -> None:
         """Drops everything and falls silent."""
         self.upstream.restart()
@@ -274,6 +278,7 @@
         self.exits: list[tuple[str, int]] = []
         self.balancers: list[str] = []
         self._zones: dict[str, str] = {}
+        self._seeds: dict[str, list[str]] = {}
         self.rotation: list[str] = []
         self.log_lines: list[dict[str, Any]] = []
         self.bounds = {"cold_over": 1.5, "cold_slack": 5, "flow_life_s": 60}
@@ -332,26 +337,46 @@
         self._folder.cleanup()
 
     async def add_server(
-        self, number: int, service: str = SERVICE, slots: int = 3, zone: str = ZONE
+        self,
+        number: int,
+        service: str = SERVICE,
+        slots: int = 3,
+        zone: str = ZONE,
+        is_first_start: bool = True,
     ) -> Server:
-        """Starts a server and the agent beside it, with the whole system."""
+        """Starts a server and the agent beside it, by default with the whole system.
+
+        A server that is added later registers once its agent has started.
+        """
         host = f"{self.prefix}.2.{number}"
         server = self.servers[host] = Server(self, host, f"i-{number}", service, slots, zone)
-        await server.open()
-        await self.start_process("agent", host, True)
+        if is_first_start:
+            await server.open()
+        await self.start_process("agent", host, is_first_start)
         return server
 
-    async def add_balancer(self, number: int, zone: str = ZONE) -> str:
-        """Starts a balancer; the routers use it as soon as it is ready."""
+    async def add_balancer(
+        self, number: int, zone: str = ZONE, seeds: Sequence[str] | None = None
+    ) -> str:
+        """Starts a balancer; the routers use it as soon as it is ready.
+
+        Args:
+            number: Number of the machine.
+            zone: Its zone.
+            seeds: Hosts that its settings name as seeds; the first three balancers by default.
+        """
         host = f"{self.prefix}.1.{number}"
         self.balancers.append(host)
         self._zones[host] = zone
-        await self.start_process("balancer", host, True)
+        if seeds is not None:
+            self._seeds[host] = list(seeds)
+        await self.start_process("balancer", host, seeds is None)
         return host
 
     async def start_process(self, role: str, host: str, is_first_start: bool = False) -> None:
         """Starts the process of a machine by the command of the deploy file."""
         ports = self.ports
+        seeds = self._seeds.get(host) or [f"{self.prefix}.1.{number}" for number in (1, 2, 3)]
         is_agent = role == "agent"
         settings = {
             "name": f"{role}-{host}",
@@ -363,7 +388,7 @@
             "service": self.servers[host].service if is_agent else "",
             "ready_address": f"{host}:{ports['ready']}",
             "node_port": ports["node"],
-            "seeds": [f"{self.prefix}.1.{number}:{ports['control']}" for number in (1, 2, 3)],
+            "seeds": [f"{seed}:{ports['control']}" for seed in seeds],
             "store_address": f"{self.store_host}:{ports['store']}",
             "first_start": is_first_start,
             "link_mbps": "1000.0",
@@ -426,7 +451,10 @@
             for host in list(self.balancers):
                 is_ready = await self._is_ready(host)
                 misses[host] = 0 if is_ready else misses.get(host, MAX_MISSES) + 1
-            self.rotation = [host for host in self.balancers if misses.get(host, 9) < MAX_MISSES]
+            rotation = [host for host in self.balancers if misses.get(host, 9) < MAX_MISSES]
+            if rotation != self.rotation:
+                self.rotation = rotation
+                self.record(f"{len(rotation)} balancers are in rotation")
             await asyncio.sleep(PROBE_INTERVAL_S)
 
     async def _is_ready(self, host: str) -> bool:
