Review: check the cases against the issue

The address of the route is a loopback address, clients end their attempts as the pages say, a server that has just started is slow, and record.txt lists what was sent, answered and run.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -111,11 +111,11 @@
         if client.opened_at is None or client.reset_at is not None or now_ms() > end_at:
             break
         sent += 1
-        client.request(b"GET %d-%d" % (port, sent))
+        fleet.request(client, b"GET %d-%d" % (port, sent))
         await fleet.wait_until(lambda sent=sent: len(client.answers) >= sent or client.reset_at, 3)
         await asyncio.sleep(REQUEST_GAP_S)
     is_closing = True
-    client.end_flow()
+    fleet.end_flow(client)
 
 
 if __name__ == "__main__":
--- a/review/fleet_2.py
+++ b/review/fleet_2.py
@@ -36,11 +36,15 @@
 ROOT = Path(__file__).resolve().parent.parent
 sys.path[:0] = [str(ROOT / "platform")]
 
+from shallotshore.hashing import flow_key  # noqa: E402
 from standins.packet_client import PacketClient  # noqa: E402  its import needs the path
 from standins.packet_upstream import PacketUpstream  # noqa: E402
 from standins.packet_world import decode_packet  # noqa: E402
 
-VIP = ("198.18.0.1", 443)  # only a value in packets; nothing is sent to it
+VIP = ("127.251.0.1", 443)  # only a value in packets; nothing is sent to it
+ATTEMPT_MS = 1_400  # "If no SYN+ACK has arrived after 1.4 s" (PROTOCOL.md, Flows)
+MAX_CASE_S = 110
+COLD_FACTOR = 1.6
 SERVICE = "docvault"
 ZONE = "suva-a"
 HEARTBEAT_MS = 770  # `heartbeatMs` of the settings in DEPLOY.md
@@ -204,6 +208,13 @@
         self._cold_until = now_ms() + cold_ms
         self.cold_spans.append((now_ms(), self._cold_until))
         self.upstream.is_silent = False
+        # "A server that has just started is slow for some seconds" (PROTOCOL.md, Servers); the site
+        # files have `cold_x` 1.6.
+        usual_ms = self.upstream.request_duration_ms
+        self.upstream.request_duration_ms = round(usual_ms * COLD_FACTOR)
+        self.fleet.call_later(
+            cold_ms, lambda: setattr(self.upstream, "request_duration_ms", usual_ms)
+        )
 
     async def _beat(self) -> None:
         """Writes the entry; the store removes it after three heartbeats without a write."""
@@ -275,6 +286,7 @@
         self.servers: dict[str, Server] = {}
         self.clients: dict[int, PacketClient] = {}
         self.sent_at: dict[int, int] = {}
+        self.requests: dict[int, list[bytes]] = {}
         self.exits: list[tuple[str, int]] = []
         self.balancers: list[str] = []
         self._zones: dict[str, str] = {}
@@ -286,6 +298,7 @@
         self._transports: list[asyncio.DatagramTransport] = []
         self._tasks: set[asyncio.Task[None]] = set()
         self._told: set[int] = set()
+        self._is_closing = False
         self._folder = tempfile.TemporaryDirectory()
         self._started_at = now_ms()
 
@@ -325,6 +338,7 @@
 
     async def close(self) -> None:
         """Kills the child processes, each by its own id, and closes all sockets."""
+        self._is_closing = True
         for task in list(self._tasks):
             task.cancel()
         for process in self._processes.values():
@@ -401,6 +415,8 @@
         kept = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
         environment = {**kept, "PYTHONPATH": str(ROOT / "target" / "deps")}
         environment["SHALLOTSHORE_NODE_FILE"] = str(path)
+        if self._is_closing:
+            return
         process = await asyncio.create_subprocess_exec(
             *words, cwd=ROOT, env=environment, stdout=asyncio.subprocess.PIPE
         )
@@ -501,24 +517,65 @@
     def _deliver_to_client(self, data: bytes) -> None:
         packet = decode_packet(data, is_from_upstream=True).unwrap()
         client = self.clients.get(packet.client[1])
-        if client is not None:
+        if client is not None and not self._has_given_up(client, packet.key):
             client.receive_packet(data, now_ms())
 
+    def _has_given_up(self, client: PacketClient, key: int) -> bool:
+        """Whether a client has ended its attempt, after a reset or because none was accepted."""
+        is_late = now_ms() - self.sent_at.get(key, 0) >= ATTEMPT_MS
+        return client.opened_at is None and (client.reset_at is not None or is_late)
+
+    def end_flow(self, client: PacketClient) -> None:
+        """Lets a client close its flow, if the flow is open."""
+        if client.opened_at is not None and client.reset_at is None:
+            client.end_flow()
+
+    def record_flows(self) -> None:
+        """Records what each client sent and was answered, and which server ran it."""
+        runs: dict[bytes, list[str]] = {}
+        for server in self.servers.values():
+            for data in server.upstream.executed_requests:
+                runs.setdefault(data, []).append(server.host)
+        taken = {key: server.host for server in self.servers.values() for key, _ in server.taken}
+
+        def text(at: int | None) -> str:
+            return "never" if at is None else f"{(at - self._started_at) / 1000:.3f} s"
+
+        for port, client in self.clients.items():
+            key = flow_key(client.address, client.vip, 0)
+            ran = [
+                f"{data.decode()} at {','.join(runs[data])}"
+                for data in self.requests.get(port, [])
+                if data in runs
+            ]
+            sent, answered = len(self.requests.get(port, [])), len(client.answers)
+            self.record_lines.append(
+                f"flow {port} to {client.vip[0]}:{client.vip[1]}: sent"
+                f" {text(self.sent_at.get(key))}, opened {text(client.opened_at)}, server"
+                f" {taken.get(key)}, reset {text(client.reset_at)}; requests sent {sent},"
+                f" answered {answered}; run: {'; '.join(ran) or 'none'}"
+            )
+
+    def request(self, client: PacketClient, data: bytes) -> None:
+        """Lets a client send a request on its flow."""
+        self.requests.setdefault(client.address[1], []).append(data)
+        client.request(data)
+
 
 async def make_requests(fleet: Fleet, per_s: float) -> None:
     """Opens flows at a steady rate, with one request on each, and ends them after the answer."""
     for port in itertools.count(FIRST_PORT):
         client = fleet.open_flow(port)
-        client.request(b"GET %d" % port)
-        _end_when_answered(client)
+        fleet.request(client, b"GET %d" % port)
+        _end_when_answered(fleet, client)
         await asyncio.sleep(1 / per_s)
 
 
-def _end_when_answered(client: PacketClient) -> None:
+def _end_when_answered(fleet: Fleet, client: PacketClient) -> None:
     def on_packet() -> None:
         if client.answers:
             client.on_packet = lambda: None
-            client.end_flow()
+            fleet.end_flow(client)
 
     client.on_packet = on_packet
 
@@ -555,10 +612,12 @@
 
     async def run() -> bool | None:
         fleet = Fleet(record)
-        await fleet.start()
         try:
-            return await case(fleet, is_trouble)
+            await fleet.start()
+            async with asyncio.timeout(MAX_CASE_S):
+                return await case(fleet, is_trouble)
         finally:
+            fleet.record_flows()
             await fleet.close()
 
     try:
