Request front end: withhold resets of flows that old records miss

With old records it also reset flows of a service without upstreams, and flows whose data centre was back in service.

A data centre that is out of service ends flows only while no newer revision is known. An opening to an unknown VIP is not refused by a balancer that knows it is behind.

--- a/shallotshore/balancer.py
+++ b/shallotshore/balancer.py
@@ -132,6 +132,8 @@
         if propagation is not None:
             guard = WakeupGuard(self, propagation.query_peers, propagation.confirmed_since)
             state.record_peer_revision = propagation.record_peer_revision
+            state.knowledge = propagation.knowledge
+            state.query_peers = propagation.query_peers
         systems: list[System] = [guard]
         systems += [] if propagation is None else [propagation]
         self._systems = [
--- a/shallotshore/balancer_state.py
+++ b/shallotshore/balancer_state.py
@@ -13,6 +13,7 @@
 from shallotshore.messages import Address, Message
 from shallotshore.placement import Placement
 from shallotshore.systems import Counters, Inbox, Outbox
+from shallotshore.unknown_flows import ALWAYS, Knowledge
 
 _SILENT_FLOWS_WEIGHT = 3.0  # of silence on open flows; enough to suspect an upstream at once
 
@@ -110,6 +111,15 @@
         """Whether the VM list says that the VM at an address is leaving."""
 
 
+def _know_all(is_withdrawn: bool = False) -> Knowledge:
+    """Returns that the records are complete: no other process changes them."""
+    return Knowledge(True, ALWAYS, is_withdrawn)
+
+
+def _query_nobody(now: int) -> None:
+    """Does nothing: there is no other process with records."""
+
+
 def _ignore_revision(source: Address, revision: int, now: int) -> None:
     """Does nothing: this balancer takes no part in propagation."""
 
@@ -125,6 +135,9 @@
             catalog may be out of date.
         record_peer_revision: Called with sender, revision and time for each message that carries
             a revision.
+        knowledge: Returns what the records say of a flow that they do not lead to an upstream, or
+            whose owner they have out of service.
+        query_peers: Called with the time in ms to ask other balancers for their revisions.
         last_packet_at: Time in ms of the last packet from the fabric.
     """
 
@@ -140,12 +153,14 @@
         "hints",
         "inbox",
         "is_suspended",
+        "knowledge",
         "last_packet_at",
         "loads",
         "record_peer_revision",
         "outbox",
         "peers",
         "placement",
+        "query_peers",
         "rng",
     )
 
@@ -177,6 +192,8 @@
         self.is_suspended = True
         self.last_packet_at = 0
         self.record_peer_revision: Callable[[Address, int, int], None] = _ignore_revision
+        self.knowledge: Callable[[bool], Knowledge] = _know_all
+        self.query_peers: Callable[[int], None] = _query_nobody
 
     def answer(self, caller: Address, vip: Address, payload: Message) -> None:
         """Sends a message to a caller through the fabric."""
--- a/shallotshore/forwarding.py
+++ b/shallotshore/forwarding.py
@@ -18,6 +18,8 @@
 from shallotshore.ingress import CallerPacket, Ingress
 from shallotshore.messages import Address, Message, PacketKind
 from shallotshore.token_bucket import TokenBucket
+from shallotshore.unknown_flows import Verdict, judge_open_flow
+from shallotshore.withheld_resets import WithheldResets
 
 _RECENT_SLOT_BITS = 11  # 2,048 packets: the traffic of a few round trips between data centres
 _RECENT_SLOT_MASK = (1 << _RECENT_SLOT_BITS) - 1
@@ -49,7 +51,9 @@
         "_recent_forwards",
         "_search_budget",
         "_search_steps",
+        "_searched_since",
         "_state",
+        "_withheld_resets",
     )
 
     def __init__(self, state: BalancerState, ingress: Ingress, candidates: Candidates) -> None:
@@ -63,6 +67,8 @@
         self._exhausted_at = array("q", bytes(8 << _RECENT_SLOT_BITS))
         self._data_centre_out_keys = array("Q", bytes(8 << _RECENT_SLOT_BITS))
         self._search_steps = array("B", bytes(1 << _RECENT_SLOT_BITS))
+        self._searched_since = array("q", bytes(8 << _RECENT_SLOT_BITS))
+        self._withheld_resets = WithheldResets()
         self._search_budget = TokenBucket(_SEARCHES_PER_MS, _SEARCH_BURST)
         self._hint_budget = TokenBucket(_HINTS_PER_MS, _HINT_BURST)
         # The method is bound once: a singledispatchmethod builds a new function at each access.
@@ -80,6 +86,10 @@
         for source, reset in inbox.take(FlowReset):
             self._state.record_peer_revision(source, reset.revision, now)
             self._handle_flow_reset(reset, now)
+        if self._withheld_resets:
+            knowledge = self._state.knowledge(False)
+            for reset in self._withheld_resets.take_decided(knowledge, now):
+                self._answer_reset(reset)
 
     @singledispatchmethod
     def _handle_caller_packet(self, message: Message, packet: CallerPacket, now: int) -> None:
@@ -136,7 +146,8 @@
             return _put_owner_first(owner, candidates)
         if not candidates:
             self._state.counters.add("flows.no_upstream")
-            self._reset_caller(packet, flow, Code.NO_SUCH_FLOW)
+            reset = FlowReset(key, flow, packet.caller, packet.vip, 0, Code.NO_SUCH_FLOW, 0)
+            self._reset_unknown_flow(reset, now, now)
         return candidates
 
     def _find_hinted_owner(self, key: int, packet: CallerPacket, now: int) -> int | None:
@@ -155,6 +166,9 @@
             state.hints.remove(key)
             return 0
         if not state.catalog.is_data_centre_in_service(view.data_centre):
+            if judge_open_flow(state.knowledge(True), now) is Verdict.WAIT:
+                # Newer records may have the data centre back in service. The agents know.
+                return 0
             state.hints.remove(key)
             if isinstance(packet.message, CallerOpen):
                 return 0
@@ -204,6 +218,7 @@
         if kind is not PacketKind.OPEN:
             self._recent_forwards[key & _RECENT_SLOT_MASK] = forward
             self._search_steps[key & _RECENT_SLOT_MASK] = 0
+            self._searched_since[key & _RECENT_SLOT_MASK] = now
         state.outbox.send(view.address, forward)
 
     def _reset_caller(self, packet: CallerPacket, flow: int, code: Code) -> None:
@@ -240,6 +255,7 @@
             state.counters.add("flows.reply_mismatched")
             return
         state.record_agent_message(reply.upstream, now)
+        self._withheld_resets.remove(reply.key)
         state.loads.record_load_report(reply.upstream, reply.load, now)
         state.hints.renew(reply.key, reply.upstream, now + HINT_LEASE_MS)
         state.answer(reply.caller, reply.vip, CallerData(reply.flow, reply.payload))
@@ -255,6 +271,31 @@
             return
         if reset.code not in _FINAL_CODES and self._remove_contradicting_hint(reset, now):
             return
+        if reset.code == Code.NO_SUCH_FLOW:
+            self._reset_unknown_flow(reset, self._find_search_start(reset.key, now), now)
+        else:
+            self._answer_reset(reset)
+
+    def _find_search_start(self, key: int, now: int) -> int:
+        slot = key & _RECENT_SLOT_MASK
+        forward = self._recent_forwards[slot]
+        is_kept = forward is not None and forward.key == key
+        return self._searched_since[slot] if is_kept else now
+
+    def _reset_unknown_flow(self, reset: FlowReset, searched_since: int, now: int) -> None:
+        """Resets a flow that no known upstream owns, once the records are known to be complete."""
+        state = self._state
+        if judge_open_flow(state.knowledge(False), searched_since) is Verdict.REFUSE:
+            self._answer_reset(reset)
+            return
+        if not self._withheld_resets:
+            state.query_peers(now)
+        state.counters.add("flows.resets_withheld")
+        self._withheld_resets.add(reset, searched_since, now)
+
+    def _answer_reset(self, reset: FlowReset) -> None:
+        """Removes the hint of a flow, and tells the caller that the flow has ended."""
+        state = self._state
         state.hints.remove(reset.key)
         state.counters.add("flows.reset")
         code = reset.code
--- a/shallotshore/ingress.py
+++ b/shallotshore/ingress.py
@@ -18,6 +18,7 @@
 )
 from shallotshore.codes import Code, Outcome
 from shallotshore.messages import Address, Message
+from shallotshore.unknown_flows import Verdict, judge_opening
 
 
 @dataclass(slots=True)
@@ -83,6 +84,8 @@
 
     @_refuse_packet.register
     def _refuse_open(self, message: CallerOpen, packet: FabricPacket) -> None:
+        if judge_opening(self._state.knowledge(False), self._state.last_packet_at) is Verdict.WAIT:
+            return  # the caller sends the packet again
         reset = CallerReset(message.flow, Code.UNKNOWN_ADDRESS)
         self._state.answer(packet.caller, packet.vip, reset)
 
--- a/shallotshore/propagation.py
+++ b/shallotshore/propagation.py
@@ -16,6 +16,8 @@
 from shallotshore.relay import Relay
 from shallotshore.replica import UpdateResult
 from shallotshore.systems import Core
+from shallotshore.unknown_flows import NEVER as FLOWS_NEVER
+from shallotshore.unknown_flows import Knowledge
 
 START_ALONE_AFTER_MS = 2000  # a new process serves alone if no peer shows a revision for this time
 STARTUP_QUERY_INTERVAL_MS = 250  # between requests of a process that has just started
@@ -106,6 +108,16 @@
         """Whether a balancer has answered after `time` (ms) and this process is not behind."""
         return self._peering.last_answer_at > time and not self._receiver.is_behind
 
+    def knowledge(self, is_withdrawn: bool = False) -> Knowledge:
+        """Returns what the records say of a flow that they do not lead to an upstream.
+
+        Args:
+            is_withdrawn: Whether the records say that the flow's owner is out of service.
+        """
+        is_behind = self._receiver.is_behind
+        as_of = FLOWS_NEVER if is_behind else self._peering.last_answer_at
+        return Knowledge(not is_behind, as_of, is_withdrawn)
+
     def run(self, now: int) -> None:
         """Handles messages, applies a step of the updates and sends what is due.
 
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from shallotshore.agent_messages import FlowHint, FlowReset, Forward
+from shallotshore.agent_messages import FlowHint, FlowReply, FlowReset, Forward
 from shallotshore.caller_messages import (
     CallerClose,
     CallerData,
@@ -14,9 +14,12 @@
 from shallotshore.hashing import flow_key
 from shallotshore.hints import HintTable
 from shallotshore.messages import Load, PacketKind
+from shallotshore.unknown_flows import NEVER, Knowledge
+from shallotshore.withheld_resets import MAX_WITHHELD_MS
 from tests.balancer_fakes import (
     CALLER,
     CUSTOMER,
+    IDLE,
     OTHER_CUSTOMER,
     PEER,
     SERVICE,
@@ -192,6 +195,80 @@
         self.assertEqual(only(sent, CallerReset), [])
 
 
+class OldRecordsTest(unittest.TestCase):
+    """Flows that rest on a change of the records which this balancer may not have heard of."""
+
+    def setUp(self) -> None:
+        self.bench = Bench()
+        self.order = self.bench.core.state.placement.order(SERVICE, KEY, 7)
+        self.as_of = NEVER
+        self.is_kept_current = True
+        self.queries = 0
+        self.bench.core.state.knowledge = self.knowledge
+        self.bench.core.state.query_peers = self.count_query
+
+    def knowledge(self, is_withdrawn: bool = False) -> Knowledge:
+        return Knowledge(self.is_kept_current, self.as_of, is_withdrawn)
+
+    def count_query(self, now: int) -> None:
+        self.queries += 1
+
+    def search(self) -> list[CallerReset]:
+        """Lets every known upstream deny a flow, and returns the resets for its caller."""
+        sent = self.bench.call(CallerData(5, b"tick"))
+        while forwards := only(sent, Forward):
+            sent = self.bench.run(reset(forwards[0].candidates[-1]))
+        return only(sent, CallerReset)
+
+    def test_flow_that_all_deny_is_not_reset_by_records_that_may_be_old(self) -> None:
+        """Guards against the reset of a flow at an upstream that was added a moment ago."""
+        self.assertEqual([], self.search())
+        self.assertEqual(1, self.queries)
+        self.assertEqual([], only(self.bench.run(wait=200), CallerReset))
+        self.as_of = self.bench.now
+        codes = [message.code for message in only(self.bench.run(wait=20), CallerReset)]
+        self.assertEqual([Code.NO_SUCH_FLOW], codes)
+
+    def test_flow_that_all_deny_is_reset_although_no_balancer_answers(self) -> None:
+        """Guards against callers that wait for good while a balancer is cut off."""
+        self.assertEqual([], self.search())
+        resets = only(self.bench.run(wait=MAX_WITHHELD_MS + 20), CallerReset)
+        self.assertEqual([Code.NO_SUCH_FLOW], [message.code for message in resets])
+
+    def test_flow_whose_owner_answers_is_not_reset_later(self) -> None:
+        """Guards against a withheld reset that ends a flow whose owner was found meanwhile."""
+        self.assertEqual([], self.search())
+        answer = FlowReply(KEY, SERVICE, CUSTOMER, 5, CALLER, VIP, self.order[3], IDLE, b"tock")
+        self.assertEqual(1, len(only(self.bench.run(answer), CallerData)))
+        self.as_of = self.bench.now
+        self.assertEqual([], only(self.bench.run(wait=MAX_WITHHELD_MS), CallerReset))
+
+    def test_service_without_upstreams_in_old_records_resets_no_flow(self) -> None:
+        """Guards against the reset of flows at the first upstream of a service."""
+        self.bench.catalog.upstreams.clear()
+        self.bench.catalog.change_table()
+        self.assertEqual([], only(self.bench.call(CallerData(5, b"tick")), CallerReset))
+
+    def test_data_centre_that_is_out_by_old_records_resets_no_flow(self) -> None:
+        """Guards against the reset of flows in a data centre that is back in service."""
+        self.bench.run(FlowHint(KEY, self.order[6], 30_000))
+        self.bench.catalog.upstreams[self.order[6]].data_centre = 2
+        self.bench.catalog.out = {2}
+        self.bench.catalog.change_table()
+        self.is_kept_current = False
+        sent = self.bench.call(CallerData(5, b"tick"))
+        self.assertEqual([], only(sent, CallerReset))
+        self.assertEqual(1, len(only(sent, Forward)))
+
+    def test_opening_to_an_address_that_old_records_lack_is_not_refused(self) -> None:
+        """Guards against refusals of a new address by a balancer that knows it is behind."""
+        vip = ("10.0.0.9", 80)
+        self.is_kept_current = False
+        self.assertEqual([], only(self.bench.call(CallerOpen(5, b""), vip), CallerReset))
+        self.is_kept_current = True
+        self.assertEqual(1, len(only(self.bench.call(CallerOpen(5, b""), vip), CallerReset)))
+
+
 class HintTableTest(unittest.TestCase):
     """Guards against a collision in the cache that gives a flow the owner of another one."""
 
