Treat an upstream as cold after a power loss, whatever its old entry says

Only services with a declared limit are concerned.

Cause: the first record that a started agent copies may be that of the upstream's last process, which was warm. It ended the default cold time at once.

Change: where a limit is declared, the default cold time goes on until the record is written again, or until a packet of a flow that is older than the agent shows that the upstream has run since before.

--- a/shallotshore/packets/openings_limit.py
+++ b/shallotshore/packets/openings_limit.py
@@ -20,6 +20,7 @@
 
     __slots__ = (
         "_admitted_at",
+        "_assumed_cold_until",
         "_cold_factor",
         "_cold_until",
         "_per_s",
@@ -39,6 +40,7 @@
         self._slack_flows = slack
         self._per_s = 0.0
         self._cold_until = 1 << 62
+        self._assumed_cold_until = 0
         self._started_at = 0
         self._admitted_at: list[int] = []
 
@@ -64,13 +66,25 @@
         """Sets until when the upstream is cold, in ms."""
         self._cold_until = until
 
+    def assume_cold_until(self, until: int) -> None:
+        """Treats the upstream as cold, whatever its record says, until a time in ms.
+
+        The record may still be that of the upstream's last process. Without a declared limit this
+        has no effect.
+        """
+        self._assumed_cold_until = max(self._assumed_cold_until, until)
+
+    def end_assumption(self) -> None:
+        """Lets the record count again, since it is known to be that of the present process."""
+        self._assumed_cold_until = 0
+
     def set_rate(self, per_s: float) -> None:
         """Sets the flows per second declared for a cold upstream; 0 when no limit is declared."""
         self._per_s = per_s
 
     def cold_ms(self, now: int) -> int:
         """Returns how much longer the limit is in force, in ms."""
-        return max(0, self._cold_until - now)
+        return max(0, self._find_cold_until() - now)
 
     def try_admit(self, now: int) -> bool:
         """Counts one flow, if the upstream may get one at `now` (ms).
@@ -78,7 +92,7 @@
         Returns:
             Whether the flow is within the limit.
         """
-        if self._cold_until > now and not self.is_unlimited:
+        if self._find_cold_until() > now and not self.is_unlimited:
             self._admitted_at = [at for at in self._admitted_at if now - at <= LIMIT_WINDOW_MS]
             if (
                 len(self._admitted_at) >= self.max_flows_per_s
@@ -89,3 +103,8 @@
             self._admitted_at = [at for at in self._admitted_at if now - at <= LIMIT_WINDOW_MS]
         self._admitted_at.append(now)
         return True
+
+    def _find_cold_until(self) -> int:
+        if self.is_unlimited:
+            return self._cold_until
+        return max(self._cold_until, self._assumed_cold_until)
--- a/shallotshore/packets/own_upstream.py
+++ b/shallotshore/packets/own_upstream.py
@@ -46,6 +46,10 @@
             state.started_at = now
             self._cold_until = now + DEFAULT_COLD_MS
             state.openings_limit.start(now)
+            if not state.settings.is_first_start:
+                # The upstream may have started with its agent, and its entry may be the last one
+                # of the process before.
+                state.openings_limit.assume_cold_until(now + DEFAULT_COLD_MS)
             self._set_limit()
         if state.feeds.changed:
             self._apply_feeds(now)
@@ -60,8 +64,10 @@
                 state.capacity.restart(now)
             if self._record is None:
                 self._cold_until = now + record.cold_ms
-            elif record.cold_ms:
-                self._cold_until = max(self._cold_until, now + record.cold_ms)
+            else:
+                state.openings_limit.end_assumption()
+                if record.cold_ms:
+                    self._cold_until = max(self._cold_until, now + record.cold_ms)
             if state.is_leaving != record.is_leaving or self._record is None:
                 state.log.write(
                     now,
--- a/shallotshore/packets/upstream_packets.py
+++ b/shallotshore/packets/upstream_packets.py
@@ -13,6 +13,8 @@
 from shallotshore.scheduling.terms import RequestTerms
 from shallotshore.tables import MISSING
 
+_UNSEEN_STAGES = (AgentFlowStage.PROBED, AgentFlowStage.NOT_HELD)
+
 
 class UpstreamPacketSystem:
     """Handles the upstream's own packets, and clients' packets that it returns."""
@@ -37,6 +39,10 @@
 def _handle_upstream_packet(state: AgentState, packet: Packet, now: int) -> None:
     flows = state.flows
     row = flows.row(packet.key)
+    is_known = row != MISSING and flows.stage[row] not in _UNSEEN_STAGES
+    if not is_known and not packet.flags & OPENS:
+        # The upstream holds a flow of the time before this agent's start, and has run since then.
+        state.openings_limit.end_assumption()
     if row == MISSING:
         row = _add_unknown_flow(state, packet)
     if row != MISSING:
@@ -47,7 +53,7 @@
             flows.answer_sequence[row] = packet.sequence
         else:
             flows.is_confirmed[row] = True
-            if flows.stage[row] in (AgentFlowStage.PROBED, AgentFlowStage.NOT_HELD):
+            if flows.stage[row] in _UNSEEN_STAGES:
                 state.record_open(row)
                 # The balancer that searches for the owner may not have subscribed to this process
                 # yet, and would then get no report.
--- a/tests/test_packet_flows.py
+++ b/tests/test_packet_flows.py
@@ -399,6 +399,49 @@
                 len([one for one in opening_times_ms if at <= one < at + 1_000]), 8
             )
 
+    def test_agent_that_starts_with_its_upstream_does_not_trust_the_entry_of_before(self) -> None:
+        """Guards against overloading an upstream by the entry of its last process.
+
+        Review case 9: after a power loss the agent's first copy of the entry says that the upstream
+        is warm; the new entry follows within a heartbeat.
+        """
+        world = make_world(cold_per_s=2.0, agents=AGENTS[:1])
+        world.upstreams[AGENTS[0]].restart()
+        world.add_agent(AGENTS[0], is_first_start=False)
+        world.call_later(700, lambda: world.publish(AGENTS[0], cold_ms=3_000))
+        for number in range(80):
+            world.open_flow(4000 + number)
+            world.run(25)
+        self.check_rate(world)
+
+    def test_agent_that_starts_beside_a_running_upstream_trusts_the_entry(self) -> None:
+        """Guards against a limit on a warm upstream after each restart of its agent.
+
+        A flow of before shows that the upstream has run since then.
+        """
+        world = make_world(cold_per_s=2.0, agents=AGENTS[:1])
+        world.run(IN_FORCE_MS)  # until the first start no longer counts as cold
+        client = world.open_flow(4000)
+        world.run(300)
+        world.add_agent(AGENTS[0], is_first_start=False)
+        world.run(100)
+        client.request(b"x")
+        world.run(300)
+        self.assertEqual([b"200 x"], client.answers)
+        clients = []
+        for number in range(20):
+            clients.append(world.open_flow(5000 + number))
+            world.run(25)
+        world.run(300)
+        self.assertNotIn(None, [one.opened_at for one in clients])
+
+    def check_rate(self, world: PacketWorld) -> None:
+        """Checks the limit of two flows a second times 1.5, and five on top, in any second."""
+        times_ms = world.upstreams[AGENTS[0]].opening_times_ms
+        self.assertGreater(len(times_ms), 0)
+        for at in times_ms:
+            self.assertLessEqual(len([one for one in times_ms if at <= one < at + 1_000]), 8)
+
     def test_cold_upstream_without_a_declared_limit_takes_flows(self) -> None:
         """Guards against limiting a cold upstream when no limit is declared for its service.
 
