Treat an upstream that has restarted as cold before its entry says so

Only services with a declared limit are concerned.

Cause: the end of the cold time came from the record alone, which follows a start by up to a heartbeat. Copies of opening packets offered before the crash went to the upstream uncounted.

Change: where a limit is declared, an agent notices a restart by returned packets of flows in use, or by an accepted flow as the first packet after a silence. The upstream then counts as cold for 4 s or until the record is written again, and copies of earlier opening packets count as new flows.

--- a/shallotshore/packets/agent_state.py
+++ b/shallotshore/packets/agent_state.py
@@ -35,6 +35,9 @@
 # An offered flow counts as a request in flight for this time, since the client's request follows
 # the acceptance of its flow within one round trip.
 EXPECTED_REQUEST_MS = 40
+# An upstream without a record, or whose record may be that of its last process, is treated as cold
+# for this long.
+DEFAULT_COLD_MS = 4_000
 
 
 class AgentSettings:
@@ -101,6 +104,8 @@
         is_out: Whether the operator has taken the data centre out of service.
         is_stopping: Whether the agent is about to end.
         health: Health of the upstream as its packets show it.
+        is_upstream_silent: Whether the upstream fell silent and has sent no packet since.
+        upstream_restarted_at: When a restart of the upstream was noticed, in ms; MISSING before.
         last_upstream_packet_at: When the upstream last sent a packet, in ms.
         in_flight: Number of flows with data of the client that is not answered yet.
         open_flows: Number of flows in the stage OPEN.
@@ -133,6 +138,7 @@
         "is_leaving",
         "is_out",
         "is_stopping",
+        "is_upstream_silent",
         "last_upstream_packet_at",
         "open_flows",
         "openings_limit",
@@ -146,6 +152,7 @@
         "subscribers",
         "unanswered_data_at",
         "unanswered_opening_at",
+        "upstream_restarted_at",
     )
 
     def __init__(self, core: Core, settings: AgentSettings, rng: random.Random) -> None:
@@ -166,6 +173,8 @@
         self.is_out = False
         self.is_stopping = False
         self.health = UpstreamHealth.ANSWERS
+        self.is_upstream_silent = False
+        self.upstream_restarted_at = MISSING
         self.last_upstream_packet_at = 0
         self.unanswered_opening_at = 0
         self.unanswered_data_at = 0
@@ -232,6 +241,16 @@
                 flows.in_flight_at_request[row] = self.in_flight
             flows.awaits_answer[row] = awaits_answer
 
+    def record_upstream_restart(self, now: int) -> None:
+        """Records that the upstream has restarted, and that none of its flows are left.
+
+        Until the record of the new process arrives, the upstream counts as cold.
+        """
+        self.upstream_restarted_at = now
+        self.openings_limit.assume_cold_until(now + DEFAULT_COLD_MS)
+        self.counters.add("upstream.restarts")
+        self.log.write(now, "upstream_restarted", silent_ms=now - self.last_upstream_packet_at)
+
     def forget_requests(self) -> None:
         """Stops counting all requests in flight, after a restart of the upstream."""
         for row in self.flows.rows():
@@ -258,6 +277,7 @@
         """
         flows = self.flows
         self.set_stage(row, AgentFlowStage.OPEN)
+        flows.opened_at[row] = flows.last_packet_at[row]
         self.counters.add("flows.opened")
         self._add_key_to_reports(flows.origin[row], flows.key[row], "opened")
 
--- a/shallotshore/packets/agent_tables.py
+++ b/shallotshore/packets/agent_tables.py
@@ -51,6 +51,8 @@
             upstream has sent more than the acceptance.
         ends: Bits CLIENT_ENDED and UPSTREAM_ENDED.
         last_packet_at: Time of the flow's last packet, in ms.
+        opened_at: When the flow opened, or this process learned of it, in ms.
+        idle_ms: Time between the client's last packet and the packet before it, in ms.
         in_flight_at_request: Requests in flight when the client's request began, including it.
         awaiting_since: When the client began to wait for an answer, in ms.
         origin: Host of the balancer that delivered the last packet.
@@ -74,11 +76,13 @@
         "ends",
         "has_opening",
         "hops",
+        "idle_ms",
         "in_flight_at_request",
         "is_confirmed",
         "is_searched",
         "last_packet_at",
         "offered_at",
+        "opened_at",
         "opening_sequence",
         "origin",
         "stage",
@@ -97,6 +101,8 @@
         "is_searched": "B",
         "ends": "B",
         "last_packet_at": "q",
+        "opened_at": "q",
+        "idle_ms": "q",
         "awaiting_since": "q",
         "origin": "Q",
         "hops": "B",
@@ -116,6 +122,8 @@
     is_searched: array[int]
     ends: array[int]
     last_packet_at: array[int]
+    opened_at: array[int]
+    idle_ms: array[int]
     awaiting_since: array[int]
     origin: array[int]
     hops: array[int]
--- a/shallotshore/packets/client_packets.py
+++ b/shallotshore/packets/client_packets.py
@@ -167,6 +167,7 @@
     state: AgentState, row: int, carry: Carry, packet: Packet, now: int
 ) -> None:
     flows = state.flows
+    flows.idle_ms[row] = now - flows.last_packet_at[row]
     flows.last_packet_at[row] = now
     flows.origin[row] = carry.origin
     if carry.kind == CarryKind.SEARCH:
--- a/shallotshore/packets/openings.py
+++ b/shallotshore/packets/openings.py
@@ -24,6 +24,7 @@
 # One request queued at the upstream keeps the upstream busy while the next request is on its way.
 MAX_UPSTREAM_QUEUED_REQUESTS = 1
 MAX_HOPS = 3
+_PENDING_STAGES = (AgentFlowStage.OFFERED, AgentFlowStage.ACCEPTED)
 _UPSTREAM_MAY_HOLD = (AgentFlowStage.OFFERED, AgentFlowStage.ACCEPTED, AgentFlowStage.OPEN)
 
 
@@ -80,7 +81,12 @@
     state.held_openings.remove_declared(packet.key)
     flows = state.flows
     row = flows.row(packet.key)
-    if row != MISSING and flows.stage[row] in (AgentFlowStage.OFFERED, AgentFlowStage.ACCEPTED):
+    is_pending = row != MISSING and flows.stage[row] in _PENDING_STAGES
+    if is_pending and flows.offered_at[row] < state.upstream_restarted_at:
+        # The restarted upstream does not know the flow, so that the copy opens a new one.
+        state.remove_flow(row)
+        row = MISSING
+    elif is_pending:
         flows.last_packet_at[row] = now
         state.send_to_upstream(carry.frame)
         return
--- a/shallotshore/packets/own_upstream.py
+++ b/shallotshore/packets/own_upstream.py
@@ -4,7 +4,7 @@
 
 __all__ = ["HealthSystem", "OwnUpstreamSystem"]
 
-from shallotshore.packets.agent_state import AgentState
+from shallotshore.packets.agent_state import DEFAULT_COLD_MS, AgentState
 from shallotshore.packets.agent_tables import AgentFlowStage
 from shallotshore.packets.hosts import host_number, host_text
 from shallotshore.packets.node_messages import UpstreamHealth
@@ -12,8 +12,6 @@
 from shallotshore.packets.record_choice import ReportedUpstream, choose_record
 from shallotshore.packets.view import Upstream
 
-# An upstream without a record is treated as cold for this long, since it starts with its agent.
-DEFAULT_COLD_MS = 4_000
 MAX_OPENING_SILENCE_MS = 120  # an upstream accepts or returns an opening packet within 1 ms
 # An upstream acknowledges every second data packet, and answers the packets in between within this
 # time.
@@ -175,6 +173,7 @@
                 silent_ms=now - state.last_upstream_packet_at,
             )
             state.health = health
+            state.is_upstream_silent |= health == UpstreamHealth.SILENT
 
     def _observe_health(self, now: int) -> UpstreamHealth:
         """Returns the health, judged by the records and by how long packets have been unanswered.
--- a/shallotshore/packets/upstream_packets.py
+++ b/shallotshore/packets/upstream_packets.py
@@ -13,6 +13,7 @@
 from shallotshore.scheduling.terms import RequestTerms
 from shallotshore.tables import MISSING
 
+MAX_KEPT_IDLE_MS = 5_000  # an upstream may abandon flows that are idle for longer
 _UNSEEN_STAGES = (AgentFlowStage.PROBED, AgentFlowStage.NOT_HELD)
 
 
@@ -28,6 +29,9 @@
         """Runs the step at `now` (ms)."""
         state = self._state
         for _, packet in state.inbox.take(Packet):
+            if not state.openings_limit.is_unlimited and _shows_restart(state, packet):
+                state.record_upstream_restart(now)
+            state.is_upstream_silent = False
             state.last_upstream_packet_at = now
             state.unanswered_opening_at = state.unanswered_data_at = 0
             if packet.flags & RETURNED:
@@ -36,6 +40,28 @@
                 _handle_upstream_packet(state, packet, now)
 
 
+def _shows_restart(state: AgentState, packet: Packet) -> bool:
+    """Whether a packet shows that the upstream has restarted, or may have.
+
+    A restarted upstream returns the packets of flows that it held. One that was silent and now
+    accepts a flow may have restarted; one that goes on with a flow has not. A flow that was idle,
+    or that the client has ended, may have been abandoned.
+    """
+    flows = state.flows
+    if not packet.flags & RETURNED:
+        return state.is_upstream_silent and bool(packet.flags & OPENS)
+    row = flows.row(packet.key)
+    return (
+        row != MISSING
+        and not packet.is_opening
+        and flows.stage[row] == AgentFlowStage.OPEN
+        and bool(flows.is_confirmed[row])
+        and not flows.ends[row]
+        and flows.opened_at[row] > state.upstream_restarted_at
+        and flows.idle_ms[row] <= MAX_KEPT_IDLE_MS
+    )
+
+
 def _handle_upstream_packet(state: AgentState, packet: Packet, now: int) -> None:
     flows = state.flows
     row = flows.row(packet.key)
--- a/tests/test_packet_flows.py
+++ b/tests/test_packet_flows.py
@@ -435,6 +435,70 @@
         world.run(300)
         self.assertNotIn(None, [one.opened_at for one in clients])
 
+    def crash_upstream(self, world: PacketWorld, down_ms: int) -> None:
+        """Lets the upstream crash and start again; its new entry follows within a heartbeat."""
+        upstream = world.upstreams[AGENTS[0]]
+        upstream.restart()
+        upstream.is_silent = True
+        world.call_later(down_ms, lambda: setattr(upstream, "is_silent", False))
+        world.call_later(down_ms, upstream.opening_times_ms.clear)
+        world.call_later(down_ms + 700, lambda: world.publish(AGENTS[0], cold_ms=3_000))
+
+    def test_upstream_that_comes_back_cold_is_limited_before_its_entry_says_so(self) -> None:
+        """Guards against overloading an upstream that restarts beside a running agent.
+
+        Review case 8: the new entry follows within a heartbeat, and copies of opening packets from
+        the time before the restart went to the upstream without a limit.
+        """
+        for down_ms in (40, 600, 2_000):
+            world = make_world(cold_per_s=2.0, agents=AGENTS[:1])
+            world.run(IN_FORCE_MS)
+            clients = [world.open_flow(3000 + number) for number in range(5)]
+            world.run(300)
+            self.crash_upstream(world, down_ms)
+            for number in range(140):
+                world.open_flow(4000 + number)
+                if number % 4 == 0:
+                    clients[number // 4 % 5].request(b"x")
+                world.run(25)
+            self.check_rate(world)
+
+    def test_silent_upstream_that_goes_on_with_its_flows_is_not_limited(self) -> None:
+        """Guards against a limit on a warm upstream that did not answer for a moment."""
+        world = make_world(cold_per_s=2.0, agents=AGENTS[:1])
+        world.run(IN_FORCE_MS)
+        client = world.open_flow(3000)
+        world.run(300)
+        world.upstreams[AGENTS[0]].is_silent = True
+        client.request(b"x")
+        world.run(1_000)
+        world.upstreams[AGENTS[0]].is_silent = False
+        world.run(1_200)
+        self.assertEqual([b"200 x"], client.answers)
+        clients = []
+        for number in range(20):
+            clients.append(world.open_flow(5000 + number))
+            world.run(25)
+        world.run(300)
+        self.assertNotIn(None, [one.opened_at for one in clients])
+
+    def test_upstream_that_abandons_an_idle_flow_is_not_limited(self) -> None:
+        """Guards against a limit on a warm upstream that has discarded a flow after a time-out."""
+        world = make_world(cold_per_s=2.0, agents=AGENTS[:1])
+        world.run(IN_FORCE_MS)
+        client = world.open_flow(3000)
+        world.run(20_000)
+        world.upstreams[AGENTS[0]].restart()
+        client.request(b"x")
+        world.run(300)
+        self.assertIsNotNone(client.reset_at)
+        clients = []
+        for number in range(20):
+            clients.append(world.open_flow(5000 + number))
+            world.run(25)
+        world.run(300)
+        self.assertNotIn(None, [one.opened_at for one in clients])
+
     def check_rate(self, world: PacketWorld) -> None:
         """Checks the limit of two flows a second times 1.5, and five on top, in any second."""
         times_ms = world.upstreams[AGENTS[0]].opening_times_ms
