Refuse flows of a route whose split has no weight

What callers saw: no answer, and a balancer with no other load ended after 100 failed ticks.

Cause: a route whose weights are all 0 has no services, and drawing one of them raised IndexError for each opening packet.

--- a/shallotshore/packets/balancer_state.py
+++ b/shallotshore/packets/balancer_state.py
@@ -58,7 +58,7 @@
 
     Attributes:
         name: The operator's name for the route.
-        services: Ids of the route's services, without repeats.
+        services: Ids of the route's services, without repeats; none if the route serves nothing.
         weights: Weights of the services, in the same order.
         terms: Priority, target latency and time limit of the route's requests.
     """
--- a/shallotshore/packets/pending_flows.py
+++ b/shallotshore/packets/pending_flows.py
@@ -139,7 +139,7 @@
         if flows.offer_count[row] >= MAX_TRIED_UPSTREAMS:
             return
         route = state.routes.get(packet.vip)
-        if route is None:
+        if route is None or not route.services:
             return
         if route.terms.is_declared and state.attempts.has_ended(packet.key, now):
             flows.pending_packet[row] = None
--- a/shallotshore/packets/routing.py
+++ b/shallotshore/packets/routing.py
@@ -176,6 +176,11 @@
         # The copy was on its way when the flow was refused, or the reset was lost.
         send_reset(state, packet, Code.OVERLOADED, now)
         return
+    if not route.services:
+        # All weights of the route's split are 0.
+        state.counters.add("flows.no_upstream")
+        send_reset(state, packet, Code.NO_UPSTREAM, now)
+        return
     flows = state.flows
     row = flows.row(packet.key)
     if row == MISSING:
--- a/tests/test_packet_routing.py
+++ b/tests/test_packet_routing.py
@@ -15,7 +15,7 @@
 from shallotshore.packets.hosts import host_number, host_text
 from shallotshore.packets.node_messages import Carry, CarryKind, Report, UpstreamHealth
 from shallotshore.packets.opening_queue import OpeningQueue
-from shallotshore.packets.packet import Packet
+from shallotshore.packets.packet import Packet, ResetPacket
 from shallotshore.packets.routing import MAX_OPENINGS_PER_TICK, MAX_QUEUED_MS
 from shallotshore.packets.store_messages import StoreChanges, StoreSnapshot
 from shallotshore.packets.view import Configuration, Feed, Route, Upstream
@@ -122,6 +122,42 @@
         self.assertEqual(1, len(offers(self.core)))
 
 
+class UnservedRouteTest(unittest.TestCase):
+    """Routes whose split has no weight above 0, so that no service gets their flows."""
+
+    def setUp(self) -> None:
+        self.core = make_balancer({"10.1.1.1": "a", "10.1.1.2": "a"})
+
+    def configure(self, *routes: Route) -> None:
+        change = ConfigurationChange("c", 2, Configuration(2, routes))
+        self.core.receive(STORE_ADDRESS, StoreChanges(Feed.OPERATOR, 2, [change]))
+
+    def test_opening_is_refused_at_once_and_other_routes_are_served(self) -> None:
+        """Guards against an exception for each opening packet, which ended the process."""
+        other = ("198.18.0.2", 443)
+        self.configure(Route("none", *other, ()), Route("r", *VIP, (("s", 1),)))
+        self.core.tick(START + 2)
+        for number in range(3):
+            client = ("100.64.0.1", 3_000 + number)
+            packet = decode_packet(write_packet(client, other, SYN, 1, 0)).unwrap()
+            self.core.receive(client, packet)
+        self.core.receive(("100.64.0.1", 2_000), opening(2_000))
+        self.core.tick(START + 3)
+        sent = self.core.outbox.drain()
+        resets = [message for _, message in sent if isinstance(message, ResetPacket)]
+        carried = [message for _, message in sent if isinstance(message, Carry)]
+        self.assertEqual((3, 1), (len(resets), len(carried)))
+
+    def test_offered_flow_whose_route_loses_its_weights_is_left_alone(self) -> None:
+        """Guards against an exception when an offer is due to be repeated."""
+        self.core.receive(("100.64.0.1", 2_000), opening(2_000))
+        self.core.tick(START + 2)
+        self.configure(Route("r", *VIP, ()))
+        for at in range(START + 22, START + 400, 20):
+            self.core.tick(at)
+        self.assertEqual(1, self.core.counters["flows.opening"])
+
+
 class DeclaredTermsTest(unittest.TestCase):
     """Opening packets of a route that declares a target and a limit."""
 
