Do not take a lost path to the store for an outage

Cause: a balancer that starts in an outage uses upstreams of which only their agents tell, for 2.2 s after its end. It took its own lost path for an outage, and as a reader it asked no other reader.

Change: a reader that has not read the store yet asks the others for their status, and an outage counts only while none of them passes on what the store holds.

--- a/shallotshore/packets/directory.py
+++ b/shallotshore/packets/directory.py
@@ -53,11 +53,14 @@
 
         They do while no list of upstreams is known. A balancer that started in an outage of the
         store goes on for a while after its end, since entries that lapsed in the outage return
-        later. At any other time an upstream that is not in the list has left.
+        later. A reader whose calls succeed shows that there is no outage. At any other time an
+        upstream that is not in the list has left.
         """
-        copy = self._state.feeds.upstreams
+        feeds = self._state.feeds
+        copy = feeds.upstreams
         self._was_complete |= copy.is_complete
-        if not self._was_complete and copy.failing_since != NEVER:
+        is_failing = copy.failing_since != NEVER and not feeds.is_following
+        if not self._was_complete and is_failing:
             self._unlisted_until = now + LAPSE_GRACE_MS
         is_back = self._was_complete and now < self._unlisted_until
         self._state.upstreams.are_unlisted_usable = is_back or not copy.revision
--- a/shallotshore/packets/feed_following.py
+++ b/shallotshore/packets/feed_following.py
@@ -98,9 +98,19 @@
             self._next_check_at = now + READERS_CHECK_INTERVAL_MS
             self._choose_readers(now)
             self._decide(now)
-        if not state.feeds.is_reading or state.feeds.is_backup:
+        if self._must_follow():
             self._follow(now)
 
+    def _must_follow(self) -> bool:
+        """Whether other readers are asked for their status.
+
+        A reader that has not been able to read the store yet asks too, since their answers tell an
+        outage of the store from a lost path to it.
+        """
+        feeds = self._state.feeds
+        has_read = feeds.operator.is_complete and feeds.upstreams.is_complete
+        return not feeds.is_reading or feeds.is_backup or not has_read
+
     def _choose_readers(self, now: int) -> None:
         state = self._state
         self._followers = {
--- a/tests/test_departed_upstreams.py
+++ b/tests/test_departed_upstreams.py
@@ -11,6 +11,7 @@
 BALANCERS = ("10.1.0.1", "10.1.0.2")
 AGENTS = ("10.1.1.1", "10.1.1.2", "10.1.1.3", "10.1.1.4")
 OTHER_SERVICE_AGENT = "10.1.1.9"
+FLEET = tuple(f"10.1.0.{number}" for number in range(1, 6))
 SETTLE_MS = 600
 MAX_RESET_MS = 500  # of a client whose upstream's incarnation is gone, after its next packet
 DRAIN_MS = 1_000
@@ -205,5 +206,64 @@
         self.assertIsNotNone(client.reset_at)
 
 
+class UnlistedUpstreamTest(unittest.TestCase):
+    """An upstream that has left, whose entry is gone, and whose agent still reports."""
+
+    def make_world(self) -> PacketWorld:
+        """Returns a world whose store no longer lists the upstream."""
+        world = PacketWorld()
+        world.configure()
+        for host in AGENTS:
+            world.add_agent(host)
+            world.publish(host)
+        for host in FLEET:
+            world.add_balancer(host, seeds=FLEET[:3])
+        world.run(3_000)
+        world.publish(AGENTS[0], is_leaving=True)
+        world.run(DRAIN_MS)
+        world.remove_upstream_record(AGENTS[0])
+        world.add_agent(AGENTS[0], is_first_start=False)  # it does not know that it leaves
+        world.run(2_500)
+        return world
+
+    def open_flows(self, world: PacketWorld, duration: int) -> int:
+        """Opens flows for a duration in ms, and returns how many the upstream has got."""
+        before = len(world.upstreams[AGENTS[0]].opening_times_ms)
+        for number in range(duration // 20):
+            world.open_flow(10_000 + world.now // 20 + number)
+            world.run(20)
+        return len(world.upstreams[AGENTS[0]].opening_times_ms) - before
+
+    def test_balancer_that_starts_cut_off_from_the_store_does_not_use_it(self) -> None:
+        """Guards against a lost path to the store that is taken for an outage of the store.
+
+        After an outage, upstreams whose entries have lapsed are used until they are back. Found by
+        the random drills with seed 450.
+        """
+        world = self.make_world()
+        host = next(host for host, core in world.balancers.items() if core.feeds.is_reading)
+        world.hosts_without_store.add(host)
+        world.add_balancer(host, seeds=FLEET[:3])
+        world.run(2_500)  # its first call to the store fails after 2.1 s
+        world.hosts_without_store.clear()
+        self.assertEqual(0, self.open_flows(world, 3_000))
+
+    def test_balancers_that_start_in_an_outage_use_it_for_a_while(self) -> None:
+        """Guards against flows without an upstream after an outage in which entries have lapsed."""
+        world = self.make_world()
+        for upstream in AGENTS[1:]:
+            world.remove_upstream_record(upstream)
+        world.store.is_down = True
+        world.store.remove_watches()
+        for host in FLEET:
+            world.add_balancer(host, seeds=FLEET[:3])
+        world.run(1_000)
+        world.store.is_down = False
+        world.run(500)
+        client = world.open_flow(9_000)
+        world.run(300)
+        self.assertIsNotNone(client.opened_at)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_drill_soak.py
+++ b/tests/test_drill_soak.py
@@ -15,6 +15,9 @@
 PLACES = ("bud-a", "bud-b")
 BALANCERS = ("10.1.0.1", "10.2.0.1", "10.1.0.2", "10.2.0.2", "10.1.0.3")
 AGENTS = ("10.1.1.1", "10.2.1.1", "10.1.1.2", "10.2.1.2", "10.1.1.3", "10.2.1.3")
+# 450, 1271 and 1290: a balancer that started cut off from the store took that for an outage, and
+# used upstreams that had left. 1277: one that started in an outage did.
+REGRESSION_SEEDS = (450, 1271, 1277, 1290)
 RUN_MS = 30_000
 STEP_MS = 20
 REQUEST_MS = 400
@@ -254,6 +257,12 @@
             with self.subTest(seed=seed):
                 self.assertEqual([], DrillRun(seed).play()[:5])
 
+    def test_seeds_that_failed(self) -> None:
+        """Fails when a fault that the drills have found is back."""
+        for seed in REGRESSION_SEEDS:
+            with self.subTest(seed=seed):
+                self.assertEqual([], DrillRun(seed).play()[:5])
+
 
 if __name__ == "__main__":
     unittest.main()
