Route held opening packets through the queue of opening packets

Cause: a packet that had waited for its route was routed directly, past the bounded queue and past the record of the client's attempt that routes with declared terms need. A process that had a newer copy offered to it counted as kept current while its calls to the store failed.

Change: a held packet whose route has arrived is queued like any other; a newer copy on offer always counts as catching up.

--- a/shallotshore/packets/feed_copies.py
+++ b/shallotshore/packets/feed_copies.py
@@ -341,12 +341,13 @@
     def _is_catching_up(self, copy: FeedCopy) -> bool:
         """Whether newer records may arrive at once.
 
-        While calls to the store fail and no reader answers, there is nothing to wait for.
+        While calls to the store fail and nobody offers a newer copy, there is nothing to wait for.
         """
+        if copy.best_offered > copy.position:
+            return True
         if copy.failing_since != NEVER:
             return False
-        is_behind = copy.best_offered > copy.position
-        return not self.is_watched or not copy.is_complete or is_behind
+        return not self.is_watched or not copy.is_complete
 
     def eras(self) -> tuple[int, int]:
         """Returns the eras of the copies of the operator's and of the upstreams' feed."""
--- a/shallotshore/packets/routing.py
+++ b/shallotshore/packets/routing.py
@@ -70,7 +70,10 @@
         if not self._update_readiness(now):
             return
         for packet in self._unrouted_openings.take_decided(now):
-            self._route_packet(packet, now, is_decided=True)
+            if packet.vip in self._state.routes:
+                self._queue_opening(packet, now)
+            else:
+                reset_unrouted(self._state, packet, now)
         self._route_openings(now)
         while self._queued_packets:
             received_at, packet = self._queued_packets.popleft()
@@ -118,8 +121,7 @@
         )
         return state.is_ready_to_route
 
-    def _route_packet(self, packet: Packet, now: int, is_decided: bool = False) -> None:
-        """Routes a packet; `is_decided` tells that it was held for a route until now."""
+    def _route_packet(self, packet: Packet, now: int) -> None:
         state = self._state
         route = state.routes.get(packet.vip)
         if route is None and not state.is_configured:
@@ -128,7 +130,7 @@
             _route_to_owner(state, packet, now)
         elif route is not None:
             _route_opening(state, packet, route, now)
-        elif is_decided or self._unrouted_openings.judge(packet, now) is Verdict.REFUSE:
+        elif self._unrouted_openings.judge(packet, now) is Verdict.REFUSE:
             reset_unrouted(state, packet, now)
 
 
--- /dev/null
+++ b/tests/test_unrouted.py
@@ -0,0 +1,82 @@
+"""Opening packets to addresses without a route, at a balancer that is not up to date yet."""
+
+import random
+import unittest
+
+from adapter.packets import decode_packet
+
+from shallotshore.packets.attempts import ATTEMPT_MS
+from shallotshore.packets.balancer import PacketBalancer
+from shallotshore.packets.balancer_state import BalancerSettings, BalancerState
+from shallotshore.packets.feed_content import ConfigurationChange
+from shallotshore.packets.packet import Packet
+from shallotshore.packets.unrouted import MAX_HELD_MS, UnroutedOpenings
+from shallotshore.packets.view import Configuration, Route
+from shallotshore.unknown_flows import Verdict
+from standins.packet_wire import SYN, write_packet
+from standins.packet_world import VIP, PacketWorld
+
+NOW = 100_000
+NEW_VIP = ("198.18.0.7", 443)
+
+
+def opening(port: int = 2_000) -> Packet:
+    """Returns a client's opening packet to the new address."""
+    return decode_packet(write_packet(("100.64.0.1", port), NEW_VIP, SYN, 1, 0)).unwrap()
+
+
+class UnroutedOpeningsTest(unittest.TestCase):
+    """The packets that are held."""
+
+    def setUp(self) -> None:
+        core = PacketBalancer(BalancerSettings(1, "a", 7720), random.Random(1), decode_packet)
+        self.state: BalancerState = core.state
+        self.state.feeds.is_reading = False  # of a process that has just started
+        self.held = UnroutedOpenings(self.state)
+
+    def test_packet_waits_for_its_route(self) -> None:
+        """Guards against refusals of a new route by a balancer that has just started."""
+        packet = opening()
+        self.assertEqual(Verdict.WAIT, self.held.judge(packet, NOW))
+        self.assertEqual([], self.held.take_decided(NOW + 20))
+        configuration = Configuration(2, (Route("r", *NEW_VIP, (("s", 1),)),))
+        operator = self.state.feeds.operator
+        operator.content.configuration = ConfigurationChange("c", 2, configuration).configuration
+        self.state.routes = {NEW_VIP: None}  # type: ignore[dict-item]
+        self.assertEqual([packet], self.held.take_decided(NOW + 40))
+        self.assertEqual([], self.held.take_decided(NOW + 60))
+
+    def test_packet_is_refused_once_the_copy_is_complete(self) -> None:
+        """Guards against clients of an address without a route that wait for their time limit."""
+        self.held.judge(opening(), NOW)
+        self.assertTrue(self.state.feeds.operator.check.is_wanted)
+        self.state.feeds.operator.check.record_as_of(NOW)
+        self.assertEqual(1, len(self.held.take_decided(NOW + 20)))
+
+    def test_copy_of_a_packet_does_not_prolong_its_wait(self) -> None:
+        """Guards against clients that are answered only after they have given up."""
+        self.assertLess(MAX_HELD_MS, ATTEMPT_MS)
+        self.held.judge(opening(), NOW)
+        self.held.judge(opening(), NOW + 600)
+        self.assertEqual(1, len(self.held.take_decided(NOW + MAX_HELD_MS + 1)))
+
+
+class AddedBalancerTest(unittest.TestCase):
+    """A balancer that knows no other one, and hears of no change for 1.3 s."""
+
+    def test_flows_of_a_new_route_open(self) -> None:
+        """Guards against refusals of routes that were added after the first read of the store."""
+        world = PacketWorld()
+        world.configure()
+        world.add_agent("10.1.1.1")
+        world.publish("10.1.1.1")
+        world.add_balancer("10.1.0.1", seeds=("10.8.0.1",))
+        world.run(300)
+        world.configure({VIP: "spend", NEW_VIP: "spend"})
+        clients = [world.open_flow(4_000 + number, NEW_VIP) for number in range(5)]
+        world.run(150)
+        self.assertNotIn(None, [client.opened_at for client in clients])
+
+
+if __name__ == "__main__":
+    unittest.main()
