Keep checks of copies out of ticks that need none

Cause: the two systems of the checks looked at both copies in each tick, held opening packets were gone through, and an agent looked at each packet of its upstream for flows of before.

Change: the systems return at once unless something is pending (`FeedCheck.is_pending`), and an agent ends its assumption of a cold upstream where it learns of a flow.

--- a/shallotshore/packets/feed_check.py
+++ b/shallotshore/packets/feed_check.py
@@ -31,6 +31,7 @@
             which that copy is complete; None when no answer is pending.
         requesters: Other processes that want to know, with the number to send back and when the
             request was received, in ms.
+        is_pending: Whether a request or an answer is pending; false nearly all the time.
     """
 
     __slots__ = (
@@ -38,6 +39,7 @@
         "asked_at",
         "calls_in_flight",
         "expected",
+        "is_pending",
         "requesters",
         "store_retry_at",
         "timeouts",
@@ -55,6 +57,7 @@
         self.store_retry_at = NEVER
         self.expected: tuple[tuple[int, int], int] | None = None
         self.requesters: list[tuple[Address, int, int]] = []
+        self.is_pending = False
 
     @property
     def is_wanted(self) -> bool:
@@ -64,6 +67,11 @@
     def request(self, time: int) -> None:
         """Requests a check of whether the copy contains all changes up to a time in ms."""
         self.wanted_as_of = max(self.wanted_as_of, time)
+        self.is_pending = True
+
+    def update_pending(self) -> None:
+        """Finds out whether anything is still pending."""
+        self.is_pending = self.is_wanted or bool(self.requesters or self.expected)
 
     def record_request(self, timeouts: int, now: int) -> None:
         """Records that another process, or the store, was asked at `now` (ms)."""
--- a/shallotshore/packets/feed_checking.py
+++ b/shallotshore/packets/feed_checking.py
@@ -60,9 +60,10 @@
                 check.request(now)
         for source, answer in state.inbox.take(FeedChecked):
             self._handle_answer(source, answer, now)
-        for copy in (state.feeds.operator, state.feeds.upstreams):
-            self._apply_expected(copy)
-            if copy.check.requesters:
+        feeds = state.feeds
+        if feeds.operator.check.is_pending or feeds.upstreams.check.is_pending:
+            for copy in (feeds.operator, feeds.upstreams):
+                self._apply_expected(copy)
                 self._answer_requesters(copy, now)
 
     def _handle_answer(self, source: Address, answer: FeedChecked, now: int) -> None:
@@ -72,6 +73,7 @@
             return
         position = (answer.era, answer.revision)
         copy.check.expected = (position, answer.number)
+        copy.check.is_pending = True
         is_near = self._state.is_member_near(host_number(source[0]))
         copy.record_offer(source, position, now, is_near)
 
@@ -112,9 +114,12 @@
 
     def run(self, now: int) -> None:
         """Runs the step at `now` (ms)."""
-        for copy in (self._state.feeds.operator, self._state.feeds.upstreams):
-            if copy.check.is_wanted and copy.is_check_of_use(now):
-                self._send_requests(copy, now)
+        feeds = self._state.feeds
+        if feeds.operator.check.is_pending or feeds.upstreams.check.is_pending:
+            for copy in (feeds.operator, feeds.upstreams):
+                copy.check.update_pending()
+                if copy.check.is_wanted and copy.is_check_of_use(now):
+                    self._send_requests(copy, now)
 
     def _send_requests(self, copy: FeedCopy, now: int) -> None:
         """Asks the store or a reader, and one more each time that there is no answer."""
--- a/shallotshore/packets/feed_following.py
+++ b/shallotshore/packets/feed_following.py
@@ -98,7 +98,7 @@
             self._next_check_at = now + READERS_CHECK_INTERVAL_MS
             self._choose_readers(now)
             self._decide(now)
-        if self._must_follow():
+        if now - self._followed_at >= FOLLOW_INTERVAL_MS and self._must_follow():
             self._follow(now)
 
     def _must_follow(self) -> bool:
@@ -156,8 +156,6 @@
             )
 
     def _follow(self, now: int) -> None:
-        if now - self._followed_at < FOLLOW_INTERVAL_MS:
-            return
         self._followed_at = now
         for host in self._followed():
             answers = self._answers.setdefault(host, _Reader())
--- a/shallotshore/packets/routing.py
+++ b/shallotshore/packets/routing.py
@@ -69,11 +69,8 @@
                 self._queued_packets.append((now, packet))
         if not self._update_readiness(now):
             return
-        for packet in self._unrouted_openings.take_decided(now):
-            if packet.vip in self._state.routes:
-                self._queue_opening(packet, now)
-            else:
-                reset_unrouted(self._state, packet, now)
+        if len(self._unrouted_openings):
+            self._release_unrouted(now)
         self._route_openings(now)
         while self._queued_packets:
             received_at, packet = self._queued_packets.popleft()
@@ -90,6 +87,14 @@
             asked_at = state.attempts.record_copy(packet, now)
             self._queued_openings.push_declared(packet, route.terms, asked_at, now)
 
+    def _release_unrouted(self, now: int) -> None:
+        """Queues the held opening packets whose route has arrived, and refuses those without."""
+        for packet in self._unrouted_openings.take_decided(now):
+            if packet.vip in self._state.routes:
+                self._queue_opening(packet, now)
+            else:
+                reset_unrouted(self._state, packet, now)
+
     def _route_openings(self, now: int) -> None:
         state = self._state
         queue = self._queued_openings
@@ -127,7 +132,7 @@
         if route is None and not state.is_configured:
             state.counters.add("packets.no_route")
         elif not packet.is_opening:
-            _route_to_owner(state, packet, now)
+            _route_to_owner(state, packet, route, now)
         elif route is not None:
             _route_opening(state, packet, route, now)
         elif self._unrouted_openings.judge(packet, now) is Verdict.REFUSE:
@@ -306,7 +311,9 @@
     )
 
 
-def _route_to_owner(state: BalancerState, packet: Packet, now: int) -> None:
+def _route_to_owner(
+    state: BalancerState, packet: Packet, route: RouteView | None, now: int
+) -> None:
     """Sends a packet of an open flow to its owner, or to all hosts that may own it.
 
     The address of the flow need not have a route: another balancer may have opened the flow by a
@@ -314,7 +321,6 @@
     """
     flows = state.flows
     row = flows.row(packet.key)
-    route = state.routes.get(packet.vip)
     if route is None:
         seen_at = now if row == MISSING else flows.last_packet_at[row]
         if judge_unrouted(state, packet.vip, seen_at, now) is Verdict.REFUSE:
--- a/shallotshore/packets/unrouted.py
+++ b/shallotshore/packets/unrouted.py
@@ -50,6 +50,9 @@
         self._state = state
         self._held: dict[int, tuple[int, Packet]] = {}
 
+    def __len__(self) -> int:
+        return len(self._held)
+
     def judge(self, packet: Packet, now: int) -> Verdict:
         """Decides on an opening packet, and holds the packet if the verdict is to wait."""
         received_at, _ = self._held.get(packet.key, (now, packet))
@@ -60,8 +63,6 @@
 
     def take_decided(self, now: int) -> list[Packet]:
         """Removes and returns the packets that need not wait any longer at `now` (ms)."""
-        if not self._held:
-            return []
         decided = [
             packet
             for received_at, packet in self._held.values()
--- a/shallotshore/packets/upstream_packets.py
+++ b/shallotshore/packets/upstream_packets.py
@@ -65,10 +65,6 @@
 def _handle_upstream_packet(state: AgentState, packet: Packet, now: int) -> None:
     flows = state.flows
     row = flows.row(packet.key)
-    is_known = row != MISSING and flows.stage[row] not in _UNSEEN_STAGES
-    if not is_known and not packet.flags & OPENS:
-        # The upstream holds a flow of the time before this agent's start, and has run since then.
-        state.openings_limit.end_assumption()
     if row == MISSING:
         row = _add_unknown_flow(state, packet)
     if row != MISSING:
@@ -81,6 +77,7 @@
             flows.is_confirmed[row] = True
             if flows.stage[row] in _UNSEEN_STAGES:
                 state.record_open(row)
+                state.openings_limit.end_assumption()
                 # The balancer that searches for the owner may not have subscribed to this process
                 # yet, and would then get no report.
                 state.send(flows.origin[row], OwnedFlow(packet.key))
@@ -109,6 +106,9 @@
         The row of the flow, or MISSING when the table is full.
     """
     row = state.flows.add(packet.key)
+    if not packet.flags & OPENS:
+        # The upstream has run since before this agent's start.
+        state.openings_limit.end_assumption()
     if row != MISSING:
         state.counters.add("flows.learnt")
         state.set_stage(
