Tests: an agent that wakes during a series of changes

Guards against denials by an agent with an old copy and a full queue. It passes, for new routes and for new upstreams; an agent denies a flow only by what it has seen of its upstream.

--- a/tests/test_old_copies.py
+++ b/tests/test_old_copies.py
@@ -138,6 +138,21 @@
         storm.run(SETTLE_MS)
         self.check(storm)
 
+    def test_wake_of_an_agent(self) -> None:
+        """Guards against denials by an agent that wakes with an old copy and a full queue."""
+        storm = self.make_storm(balancers=6)
+        for host in list(storm.world.agents)[:2]:
+            storm.change_for(PAUSE_MS + 1_000)
+            storm.start_balancer(6)
+            storm.run(300)
+            storm.world.paused_hosts.add(host)
+            storm.run(PAUSE_MS)
+            storm.world.paused_hosts.clear()
+            storm.run(SETTLE_MS)
+            storm.stop_balancer(BALANCERS[6])
+            storm.run(SETTLE_MS)
+        self.check(storm)
+
     def test_return_of_a_balancer_that_was_cut_off(self) -> None:
         """Guards against resets by a balancer that has heard nothing for some seconds."""
         storm = self.make_storm(balancers=7)
