Request front end: forget a withheld reset when the owner sends a hint

What callers would see: a reset of a flow whose owner had just been found. Found by reading the change.

Cause: a withheld reset was only forgotten when the owner answered the caller, not when its agent named itself by a hint.

Change: a hint ends the wait too, since it shows who owns the flow.

Result: the new test saw the reset before, and passes now, with tests.test_forwarding, test_balancer and test_propagation.

--- a/shallotshore/forwarding.py
+++ b/shallotshore/forwarding.py
@@ -230,6 +230,7 @@
             state.counters.add("hints.unknown_upstream")
             return
         state.counters.add("hints.taken")
+        self._withheld_resets.remove(hint.key)
         state.hints.put(hint.key, hint.upstream, now + min(hint.lease, HINT_LEASE_MS))
         targets = state.peers.hint_targets(source)
         if not targets:
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -243,6 +243,13 @@
         self.as_of = self.bench.now
         self.assertEqual([], only(self.bench.run(wait=MAX_WITHHELD_MS), CallerReset))
 
+    def test_flow_whose_owner_sends_a_hint_is_not_reset_later(self) -> None:
+        """Guards against a withheld reset that ends a flow whose owner has named itself."""
+        self.assertEqual([], self.search())
+        self.bench.run(FlowHint(KEY, self.order[3], 30_000))
+        self.as_of = self.bench.now
+        self.assertEqual([], only(self.bench.run(wait=MAX_WITHHELD_MS), CallerReset))
+
     def test_service_without_upstreams_in_old_records_resets_no_flow(self) -> None:
         """Guards against the reset of flows at the first upstream of a service."""
         self.bench.catalog.upstreams.clear()
