--- /dev/null
+++ b/review/fleet_3.py
@@ -0,0 +1,178 @@
+"""Runs the programs of the deploy file on loopback addresses, for the cases of the third review.
+
+The programs are started with the commands of `deploy/system.toml`, the variable of the settings
+file and nothing else of the caller's environment. Store, upstreams and clients run in this process.
+"""
+
+__all__ = ["CaseFleet", "Record", "exit_status", "is_troubled", "sleep_until"]
+
+import asyncio
+import json
+import os
+import random
+import socket
+import sys
+import time
+import tomllib
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import standins.packet_processes as processes
+from standins.packet_processes import ROOT, LoopbackFleet
+
+RULE_HELD, RULE_BROKEN, NOT_RUN = 0, 1, 2
+LONGEST_RUN_S = 115
+PROBE_INTERVAL_S = 0.5  # of the routers in front of the balancers
+
+
+def is_troubled() -> bool:
+    """Whether the disruption is to be played."""
+    return os.environ.get("TROUBLE", "1") != "0"
+
+
+async def sleep_until(time: float) -> None:
+    """Sleeps until a time of the event loop."""
+    await asyncio.sleep(max(0.0, time - asyncio.get_running_loop().time()))
+
+
+class Record:
+    """The file that says what was sent, answered and run."""
+
+    def __init__(self, folder: Path) -> None:
+        self._path = folder / "record.txt"
+        self._started_at = time.monotonic()
+        self._lines: list[str] = []
+
+    def write(self, text: str) -> None:
+        """Adds a line with the time since the start."""
+        self._lines.append(f"{time.monotonic() - self._started_at:8.3f} {text}")
+
+    def save(self) -> None:
+        """Writes the file."""
+        self._path.write_text("\n".join(self._lines) + "\n")
+
+
+def exit_status(folder: Path, play: Callable[[Record], Awaitable[bool]]) -> int:
+    """Plays a case and returns the exit status of its script.
+
+    Args:
+        folder: Folder of the case.
+        play: Plays the case, and returns whether the rule was broken.
+    """
+    record = Record(folder)
+    record.write(f"disruption: {'on' if is_troubled() else 'off'}")
+    try:
+        is_broken = asyncio.run(asyncio.wait_for(play(record), LONGEST_RUN_S))
+        status = RULE_BROKEN if is_broken else RULE_HELD
+    except Exception as error:
+        record.write(f"the case could not run: {error!r}")
+        status = NOT_RUN
+    record.write(f"exit status {status}")
+    record.save()
+    return status
+
+
+def _find_free_network() -> int:
+    """Returns the second number of a loopback network in which no other case runs."""
+    numbers = random.sample(range(20, 250), 50)
+    for number in numbers:
+        with socket.socket() as probe:
+            try:
+                probe.bind((f"127.{number}.3.1", processes.STORE_ADDRESS[1]))
+            except OSError:
+                continue
+            return number
+    raise OSError("no free loopback network")
+
+
+class CaseFleet(LoopbackFleet):
+    """A fleet in a loopback network of its own, with the settings of a small deployment.
+
+    Attributes:
+        network: Second number of all addresses.
+        data_centre_by_host: Data centres of hosts; `zone-a` for hosts that are not named.
+        service_by_host: Services of the upstreams beside agents; `spend` where none is named.
+    """
+
+    def __init__(self, seeds: tuple[str, ...] = ()) -> None:
+        self.network = _find_free_network()
+        # Module constants of the project's stand-in, read when its methods run.
+        processes.STORE_ADDRESS = (self.address("3.1"), processes.STORE_ADDRESS[1])
+        processes.CLIENT_HOST = self.address("9.1")
+        super().__init__(seeds=[self.address(seed) for seed in seeds])
+        self.data_centre_by_host: dict[str, str] = {}
+        self.service_by_host: dict[str, str] = {}
+        self._rotation: list[str] | None = None
+        self._probe_misses: dict[str, int] = {}
+        with (ROOT / "deploy" / "system.toml").open("rb") as file:
+            self._roles = tomllib.load(file)["roles"]
+
+    def address(self, end: str) -> str:
+        """Returns the address with these last two numbers."""
+        return f"127.{self.network}.{end}"
+
+    async def route_by_probes(self, balancers: list[str]) -> None:
+        """Probes balancers and spreads clients over those in rotation, as the routers do.
+
+        A balancer is out of rotation after two misses, until it answers 200 again. If fewer than
+        half are in rotation, all are used.
+        """
+        while True:
+            statuses = await asyncio.gather(*(self._probe(host) for host in balancers))
+            for host, status in zip(balancers, statuses, strict=True):
+                misses = 0 if status == 200 else self._probe_misses.get(host, 2) + 1
+                self._probe_misses[host] = misses
+            ready = [host for host in balancers if self._probe_misses[host] < 2]
+            self._rotation = ready if 2 * len(ready) >= len(balancers) else balancers
+            await asyncio.sleep(PROBE_INTERVAL_S)
+
+    async def _probe(self, host: str) -> int:
+        try:
+            status, _ = await asyncio.wait_for(
+                self.get(host, processes.READY_PORT, "/api/ready"), PROBE_INTERVAL_S
+            )
+        except (TimeoutError, OSError, IndexError):
+            return 0
+        return status
+
+    def _send_from_client(self, port: int, frame: bytes) -> None:
+        if self._rotation is not None:
+            self._ingress_balancers[port] = self._rotation[port % len(self._rotation)]
+        super()._send_from_client(port, frame)
+
+    async def _start_process(self, role: str, host: str) -> None:
+        settings = {
+            "name": f"{role}-{host}",
+            "data_centre": self.data_centre_by_host.get(host, "zone-a"),
+            "host": host,
+            "client_address": f"{host}:{processes.CLIENT_PORT}",
+            "upstream_address": f"{host}:{processes.UPSTREAM_PORT}" if role == "agent" else "",
+            "outbound_address": f"{host}:{processes.OUTBOUND_PORT}" if role == "agent" else "",
+            "service": self.service_by_host.get(host, processes.SERVICE) if role == "agent" else "",
+            "ready_address": f"{host}:{processes.READY_PORT}",
+            "node_port": processes.NODE_PORT,
+            "seeds": [f"{seed}:{processes.READY_PORT}" for seed in self._seeds],
+            "store_address": ":".join(map(str, processes.STORE_ADDRESS)),
+            "first_start": False,
+            "cold_over": 1.5,
+            "cold_slack": 5,
+            "flow_life_s": 60,
+            "link_mbps": "1000.0",
+        }
+        path = Path(self._settings_folder.name) / f"{host}.json"
+        path.write_text(json.dumps(settings))
+        program, *arguments = self._roles[role]["run"].split()
+        environment = {name: os.environ[name] for name in ("PATH", "HOME") if name in os.environ}
+        process = await asyncio.create_subprocess_exec(
+            sys.executable if program == "python3" else program,
+            *arguments,
+            cwd=ROOT,
+            env={
+                **environment,
+                "PYTHONPATH": str(ROOT / "target" / "deps"),
+                "SHALLOTSHORE_NODE_FILE": str(path),
+            },
+            stdout=asyncio.subprocess.PIPE,
+        )
+        self._processes[host] = process
+        self._log_readers.append(asyncio.ensure_future(self._read_log_lines(process)))
