--- a/review/fleet_3.py
+++ b/review/fleet_3.py
@@ -4,7 +4,16 @@
 file and nothing else of the caller's environment. Store, upstreams and clients run in this process.
 """
 
-__all__ = ["CaseFleet", "Record", "exit_status", "is_troubled", "sleep_until"]
+__all__ = [
+    "HEARTBEAT_MS",
+    "CaseFleet",
+    "ListedServer",
+    "Record",
+    "exit_status",
+    "is_troubled",
+    "most_in_one_second",
+    "sleep_until",
+]
 
 import asyncio
 import json
@@ -22,6 +31,7 @@
 
 RULE_HELD, RULE_BROKEN, NOT_RUN = 0, 1, 2
 LONGEST_RUN_S = 115
+HEARTBEAT_MS = 770
 PROBE_INTERVAL_S = 0.5  # of the routers in front of the balancers
 
 
@@ -92,6 +102,7 @@
         network: Second number of all addresses.
         data_centre_by_host: Data centres of hosts; `zone-a` for hosts that are not named.
         service_by_host: Services of the upstreams beside agents; `spend` where none is named.
+        next_probe_at: When the routers probe the balancers next, in s of the event loop.
     """
 
     def __init__(self, seeds: tuple[str, ...] = ()) -> None:
@@ -102,6 +113,9 @@
         super().__init__(seeds=[self.address(seed) for seed in seeds])
         self.data_centre_by_host: dict[str, str] = {}
         self.service_by_host: dict[str, str] = {}
+        self.next_probe_at = 0.0
+        self._is_closed = False
+        self._tombstones: dict[str, int] = {}
         self._rotation: list[str] | None = None
         self._probe_misses: dict[str, int] = {}
         with (ROOT / "deploy" / "system.toml").open("rb") as file:
@@ -111,12 +125,41 @@
         """Returns the address with these last two numbers."""
         return f"127.{self.network}.{end}"
 
+    async def close(self) -> None:
+        """Ends all processes and closes all sockets, without late packets of the stand-ins."""
+        self._is_closed = True
+        for upstream in self.upstreams.values():
+            upstream.restart()
+        await super().close()
+
+    def remove(self, key: str) -> None:
+        """Removes an entry of the store; watches get a tombstone."""
+        self._revision += 1
+        self._store_entries.pop(key, None)
+        self._tombstones[key] = self._revision
+
+    def publish(self, key: str, value: object) -> None:
+        """Writes an entry to the store."""
+        self._tombstones.pop(key, None)
+        super().publish(key, value)
+
+    def _select_entries(self, prefix: str, after: int) -> list[dict[str, object]]:
+        entries = super()._select_entries(prefix, after)
+        if after:
+            entries += [
+                {"key": key, "rev": revision, "tombstone": True}
+                for key, revision in self._tombstones.items()
+                if key.startswith(prefix) and revision > after
+            ]
+        return sorted(entries, key=lambda entry: entry["rev"])
+
     async def route_by_probes(self, balancers: list[str]) -> None:
         """Probes balancers and spreads clients over those in rotation, as the routers do.
 
         A balancer is out of rotation after two misses, until it answers 200 again. If fewer than
         half are in rotation, all are used.
         """
+        self.next_probe_at = asyncio.get_running_loop().time()
         while True:
             statuses = await asyncio.gather(*(self._probe(host) for host in balancers))
             for host, status in zip(balancers, statuses, strict=True):
@@ -124,7 +167,8 @@
                 self._probe_misses[host] = misses
             ready = [host for host in balancers if self._probe_misses[host] < 2]
             self._rotation = ready if 2 * len(ready) >= len(balancers) else balancers
-            await asyncio.sleep(PROBE_INTERVAL_S)
+            self.next_probe_at += PROBE_INTERVAL_S
+            await sleep_until(self.next_probe_at)
 
     async def _probe(self, host: str) -> int:
         try:
@@ -136,6 +180,8 @@
         return status
 
     def _send_from_client(self, port: int, frame: bytes) -> None:
+        if self._is_closed:
+            return
         if self._rotation is not None:
             self._ingress_balancers[port] = self._rotation[port % len(self._rotation)]
         super()._send_from_client(port, frame)
@@ -176,3 +222,100 @@
         )
         self._processes[host] = process
         self._log_readers.append(asyncio.ensure_future(self._read_log_lines(process)))
+
+
+class ListedServer:
+    """An upstream with its entry in the store, which it writes at its heartbeats.
+
+    Attributes:
+        name: Id of the upstream.
+        cold_spans: Start and end of the times in which it was cold, in s of the event loop.
+        arrivals: Time and client's port of each opening packet that it took.
+    """
+
+    def __init__(self, fleet: CaseFleet, host: str, name: str, record: Record) -> None:
+        """Creates a server that has not written its entry yet; its agent has been started."""
+        self._fleet, self._host, self.name, self._record = fleet, host, name, record
+        self._beats = 0
+        self._cold_until = 0.0
+        self.cold_spans: list[tuple[float, float]] = []
+        self.arrivals: list[tuple[float, int]] = []
+        self._is_up = True
+        self._written: dict[str, object] | None = None
+        self._watch_openings()
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def _watch_openings(self) -> None:
+        upstream = self._fleet.upstreams[self._host]
+        handle = upstream._handle_opening
+
+        def handle_and_note(packet, now):  # noqa: ANN001, ANN202
+            taken = len(upstream.opening_times_ms)
+            handle(packet, now)
+            if len(upstream.opening_times_ms) > taken:
+                self.arrivals.append((self._now(), packet.client[1]))
+
+        upstream._handle_opening = handle_and_note
+
+    async def beat(self, first_delay_s: float) -> None:
+        """Writes the entry at each heartbeat if more than `seq` has changed."""
+        await asyncio.sleep(first_delay_s)
+        while self._is_up:
+            self._beats += 1
+            remaining_ms = max(0, round((self._cold_until - self._now()) * 1000))
+            before = self._written
+            if before is None or bool(remaining_ms) != bool(before["coldRemainingMs"]):
+                self._written = {
+                    "service": self._fleet.service_by_host.get(self._host, processes.SERVICE),
+                    "address": f"{self._host}:{processes.UPSTREAM_PORT}",
+                    "zone": self._fleet.data_centre_by_host.get(self._host, "zone-a"),
+                    "version": "v1",
+                    "slots": self._fleet.upstreams[self._host].slots,
+                    "state": "ready",
+                    "coldRemainingMs": remaining_ms,
+                    "seq": self._beats,
+                }
+                self._fleet.publish(f"servers/{self.name}", self._written)
+                self._record.write(f"{self.name} writes its entry, cold {remaining_ms} ms")
+            await asyncio.sleep(HEARTBEAT_MS / 1000)
+
+    def become_cold(self, cold_ms: int) -> None:
+        """Lets the server be cold from now on."""
+        self._cold_until = self._now() + cold_ms / 1000
+        self.cold_spans.append((self._now(), self._cold_until))
+
+    def crash(self) -> None:
+        """Ends the server; it is dark, and writes nothing."""
+        self._record.write(f"{self.name} crashes")
+        self._is_up = False
+        upstream = self._fleet.upstreams[self._host]
+        upstream.restart()
+        upstream.is_silent = True
+
+    def start_again(self, cold_ms: int) -> None:
+        """Starts the server under the same id, without flows, and cold."""
+        self._record.write(f"{self.name} is back, cold")
+        self._is_up, self._written, self._beats = True, None, 0
+        self.become_cold(cold_ms)
+        self._fleet.upstreams[self._host].is_silent = False
+        asyncio.ensure_future(self.beat(HEARTBEAT_MS / 1000))
+
+
+def most_in_one_second(server: ListedServer, sent_at: dict[int, float], record: Record) -> int:
+    """Returns the most flows that a cold server got, sent and arrived inside one second.
+
+    Args:
+        server: The server.
+        sent_at: When the client of each port sent its opening packet.
+        record: Gets a line for each time in which the server was cold.
+    """
+    worst = 0
+    for start, end in server.cold_spans:
+        cold = [(sent_at[port], at) for at, port in server.arrivals if start <= at < end]
+        counts = [sum(sent >= since and at < since + 1.0 for sent, at in cold) for since, _ in cold]
+        most = max(counts, default=0)
+        worst = max(worst, most)
+        record.write(f"{server.name} cold: {len(cold)} new flows, {most} within one second")
+    return worst
