Review case 12: flows of a route that is back are reset by a late balancer

A route comes back as the second of two versions 0.2 s apart, while a balancer that is being restarted leaves the rotation.

--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,7 +1,8 @@
-"""An upstream crashes, comes back cold, and the first packet that it gets is of an idle flow."""
+"""A route comes back in a series of changes while balancers are stopped and started in turn."""
 
 import asyncio
 import random
+import signal
 import sys
 from pathlib import Path
 
@@ -9,248 +10,192 @@
 sys.path.insert(0, str(ROOT))
 
 import standins.packet_processes as processes  # noqa: E402
-from review.fleet_3 import CaseFleet, Record, exit_status, is_troubled  # noqa: E402
+from review.fleet_3 import (  # noqa: E402
+    CaseFleet,
+    ListedServer,
+    Record,
+    exit_status,
+    is_troubled,
+    sleep_until,
+)
+from shallotshore.hashing import flow_key  # noqa: E402
 from standins.packet_client import PacketClient  # noqa: E402
 
-COLD_PER_S, COLD_OVER, COLD_SLACK = 2.0, 1.5, 5
-COLD_MS = 3_000  # coldStartS of the configuration
-HEARTBEAT_MS = 770
-DASHBOARDS = 10
-POLL_INTERVAL_S = 6.0  # less than idleTimeoutMs, after which a flow may be discarded
-POLL_SPREAD_S = 0.2
-EXPORTS_PER_S = 40
-DEADLINE_S = 2.0
-# Of a round of polls: the upstream crashes in the pause before the next one.
-CRASH_AFTER_POLL_S = 4.6
-DOWN_S = 1.3
-CRASHES = 3
 SERVICE = processes.SERVICE
-VIPS = {"feed": ("198.18.0.1", 443), "export": ("198.18.0.1", 8443)}
-CONFIG = {
-    "version": 7,
-    "routes": [
-        {
-            "name": f"r-{name}",
-            "host": vip[0],
-            "prefix": f"/{vip[1]}/",
-            "type": "safe",
-            "timeoutMs": 2_000,
-            "targetLatencyMs": 250,
-            "priority": 2,
-            "service": SERVICE,
+FEED, EDIT = ("198.18.0.1", 443), ("198.18.0.2", 443)  # the second route is dropped and comes back
+EDITORS = 60
+TRY_INTERVAL_S, EDIT_INTERVAL_S = 0.2, 0.15
+ROUNDS = 10
+DROPPED_S = 3.5
+STORM_GAP_S = 0.2  # between two configurations
+# A balancer gets SIGTERM this long before a probe, and the series of changes begins after it. The
+# second probe that it misses takes it out of rotation.
+STOP_BEFORE_PROBE_S = 0.03
+SERIES_AFTER_STOP_S = 0.11
+RESTART_DELAY_S = 0.6
+KEPT_S = 5.0
+
+
+class Operator:
+    """Writes configurations, with or without the second route."""
+
+    def __init__(self, fleet: CaseFleet, record: Record) -> None:
+        self._fleet, self._record = fleet, record
+        self._version = 1
+
+    def write(self, has_edit: bool, feed_timeout_ms: int = 2_000) -> None:
+        """Writes a new version."""
+        self._version += 3
+        vips = {"feed": FEED} | ({"edit": EDIT} if has_edit else {})
+        routes = [
+            {
+                "name": f"r-{name}",
+                "host": vip[0],
+                "prefix": f"/{vip[1]}/",
+                "type": "unsafe" if name == "edit" else "safe",
+                "timeoutMs": 2_500 if name == "edit" else feed_timeout_ms,
+                "targetLatencyMs": 300,
+                "priority": 1,
+                "service": SERVICE,
+            }
+            for name, vip in vips.items()
+        ]
+        config = {
+            "version": self._version,
+            "routes": routes,
+            "services": [{"name": SERVICE, "coldStartS": 2.0, "coldPerS": 0.0}],
+            "limits": {"idleTimeoutMs": 15_000},
         }
-        for name, vip in VIPS.items()
-    ],
-    "services": [{"name": SERVICE, "coldStartS": COLD_MS / 1000, "coldPerS": COLD_PER_S}],
-    "limits": {"idleTimeoutMs": 15_000},
-}
+        self._fleet.publish("op/config", config)
+        self._record.write(f"version {self._version}: routes {', '.join(vips)}")
 
 
-class Server:
-    """An upstream with its entry in the store, which it writes at its heartbeats."""
+class Editors:
+    """Clients that send edits on long flows, and open a new flow when they have none."""
 
-    def __init__(self, fleet: CaseFleet, host: str, name: str, record: Record) -> None:
-        self._fleet, self._host, self.name, self._record = fleet, host, name, record
-        self._beats = 0
-        self._cold_until = 0.0
-        self.cold_spans: list[tuple[float, float]] = []
-        self.arrivals: list[tuple[float, int]] = []  # time of a taken opening packet, client port
-        self._is_up = True
-        self._written: dict[str, object] | None = None
-        upstream = fleet.upstreams[host]
-        upstream.on_opening = lambda port: self.arrivals.append((self._now(), port))
+    def __init__(self, fleet: CaseFleet, record: Record) -> None:
+        self._fleet, self._record = fleet, record
+        self._rng = random.Random(14)
+        self._next_port = 20_000
+        self.allowed_since = 0.0  # when the newest version with the route was acknowledged
+        self.is_allowed = True
+        self.opened = self.sent = self.answered = self.wrong_resets = self.lost_edits = 0
 
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
 
-    async def beat(self, first_delay_s: float) -> None:
-        """Writes the entry at each heartbeat if more than `seq` has changed."""
-        await asyncio.sleep(first_delay_s)
-        while self._is_up:
-            self._beats += 1
-            remaining_ms = max(0, round((self._cold_until - self._now()) * 1000))
-            if self._written is None or bool(remaining_ms) != bool(
-                self._written["coldRemainingMs"]
-            ):
-                self._written = {
-                    "service": SERVICE,
-                    "address": f"{self._host}:{processes.UPSTREAM_PORT}",
-                    "zone": "zone-a",
-                    "version": "v1",
-                    "slots": 3,
-                    "state": "ready",
-                    "coldRemainingMs": remaining_ms,
-                    "seq": self._beats,
-                }
-                self._fleet.publish(f"servers/{self.name}", self._written)
-                self._record.write(f"{self.name} writes its entry, cold {remaining_ms} ms")
-            await asyncio.sleep(HEARTBEAT_MS / 1000)
-
-    def crash(self) -> None:
-        """Ends the server; it is dark, and writes nothing."""
-        self._record.write(f"{self.name} crashes")
-        self._is_up = False
-        upstream = self._fleet.upstreams[self._host]
-        upstream.restart()
-        upstream.is_silent = True
-
-    def start_again(self) -> None:
-        """Starts the server under the same id, without flows, and cold."""
-        self._record.write(f"{self.name} is back, cold")
-        self._is_up, self._written, self._beats = True, None, 0
-        self._cold_until = self._now() + COLD_MS / 1000
-        self.cold_spans.append((self._now(), self._cold_until))
-        self._fleet.upstreams[self._host].is_silent = False
-        asyncio.ensure_future(self.beat(HEARTBEAT_MS / 1000))
-
-
-def watch_openings(fleet: CaseFleet, host: str) -> None:
-    """Lets an upstream name the client of each flow that it takes."""
-    upstream = fleet.upstreams[host]
-    handle = upstream._handle_opening
-
-    def handle_and_tell(packet, now):  # noqa: ANN001, ANN202
-        taken = len(upstream.opening_times_ms)
-        handle(packet, now)
-        if len(upstream.opening_times_ms) > taken:
-            upstream.on_opening(packet.client[1])
-
-    upstream._handle_opening = handle_and_tell
-
-
-class Clients:
-    """Dashboards that poll on flows which stay open, and exports on a flow each."""
-
-    def __init__(self, fleet: CaseFleet, balancers: list[str], record: Record) -> None:
-        self._fleet, self._balancers, self._record = fleet, balancers, record
-        self._rng = random.Random(11)
-        self._next_port = 20_000
-        self.sent_at: dict[int, float] = {}
-        self.answered = 0
-        self.asked = 0
-
-    def open(self, kind: str) -> PacketClient:
-        """Opens a flow through one of the balancers."""
-        port = self._next_port
-        self._next_port += 1
-        self.sent_at[port] = asyncio.get_running_loop().time()
-        return self._fleet.open_flow(port, self._rng.choice(self._balancers), VIPS[kind])
-
-    async def poll_round(self, flows: list[PacketClient | None]) -> None:
-        """Sends one poll on the flow of each dashboard; a lost flow is replaced."""
+    def _find_holders(self, flow: PacketClient) -> list[str]:
+        key = flow_key(flow.address, EDIT, 0)
+        return [host for host, one in self._fleet.upstreams.items() if one.holds(key)]
 
-        async def poll(number: int) -> None:
-            await asyncio.sleep(self._rng.random() * POLL_SPREAD_S)
-            for _ in range(3):  # the first try and two retries
-                flow = flows[number]
-                if flow is None or flow.reset_at is not None:
-                    flow = flows[number] = self.open("feed")
-                self.asked += 1
-                if await self._is_answered(flow, b"poll"):
-                    self.answered += 1
-                    return
-                flows[number] = None
-
-        await asyncio.gather(*(poll(number) for number in range(len(flows))))
-
-    async def _is_answered(self, flow: PacketClient, data: bytes) -> bool:
-        """Sends a request, and returns whether its answer arrives before the deadline."""
-        before = len(flow.answers)
-        flow.request(data)
-        await self._fleet.wait_until(
-            lambda: len(flow.answers) > before or flow.reset_at is not None, DEADLINE_S
-        )
-        return len(flow.answers) > before
-
-    async def send_exports(self) -> None:
-        """Sends exports at random times, each on a flow of its own."""
+    async def run(self) -> None:
+        """Runs one client."""
         while True:
-            await asyncio.sleep(self._rng.expovariate(EXPORTS_PER_S))
-            flow = self.open("export")
-            self.asked += 1
-            flow.request(b"export")
-            flow.on_packet = lambda flow=flow: self._end_when_answered(flow)
-
-    def _end_when_answered(self, flow: PacketClient) -> None:
-        if flow.answers and not getattr(flow, "is_ended", False):
-            flow.is_ended = True
-            self.answered += 1
-            flow.end_flow()
+            port = self._next_port
+            self._next_port += 1
+            started_at = self._now()
+            flow = self._fleet.open_flow(port, "", EDIT)
+            flow.on_packet = lambda flow=flow, at=started_at: self._look(flow, at)
+            await self._fleet.wait_until(
+                lambda flow=flow: flow.opened_at is not None or flow.reset_at is not None, 1.4
+            )
+            if flow.opened_at is None or flow.reset_at is not None:
+                flow.reset_at = flow.reset_at or 1
+                await asyncio.sleep(TRY_INTERVAL_S * (0.5 + self._rng.random()))
+                continue
+            self.opened += 1
+            answered = 0
+            while flow.reset_at is None:
+                if not flow.has_unanswered_request:
+                    self.answered += len(flow.answers) - answered
+                    answered = len(flow.answers)
+                    self.sent += 1
+                    flow.request(b"edit %d.%d" % (port, self.sent))
+                await asyncio.sleep(EDIT_INTERVAL_S * (0.5 + self._rng.random()))
+
+    def _look(self, flow: PacketClient, started_at: float) -> None:
+        """Notes a reset of a flow that was opened under the version in force."""
+        if flow.reset_at is None or flow.opened_at is None or getattr(flow, "is_noted", False):
+            return
+        flow.is_noted = True
+        holders = self._find_holders(flow)
+        if self.is_allowed and started_at >= self.allowed_since and holders:
+            self.wrong_resets += 1
+            self.lost_edits += flow.has_unanswered_request
+            self._record.write(
+                f"port {flow.address[1]}: reset {self._now() - started_at:.3f} s after the first "
+                f"packet, held by {holders}, unanswered edit: {flow.has_unanswered_request}"
+            )
+
+
+async def restart(fleet: CaseFleet, host: str, record: Record) -> None:
+    """Stops a balancer by SIGTERM and starts it again."""
+    record.write(f"balancer {host} gets SIGTERM")
+    await fleet.stop(host, signal.SIGTERM)
+    await asyncio.sleep(RESTART_DELAY_S)
+    await fleet.start_balancer(host)
+    record.write(f"balancer {host} is started")
 
 
 async def play(record: Record) -> bool:
     """Plays the case; returns whether the rule was broken."""
-    fleet = CaseFleet(seeds=("1.1", "1.2"))
-    balancers = [fleet.address("1.1"), fleet.address("1.2")]
-    hosts = [fleet.address("2.1"), fleet.address("2.2")]
+    fleet = CaseFleet(seeds=("1.1", "1.2", "1.3"))
+    balancers = [fleet.address(f"1.{n}") for n in range(1, 5)]
+    hosts = [fleet.address(f"2.{n}") for n in range(1, 5)]
     await fleet.start()
     tasks = []
     try:
-        fleet.publish("op/config", CONFIG)
-        for host in hosts:
+        operator = Operator(fleet, record)
+        operator.write(has_edit=True)
+        for number, host in enumerate(hosts):
             await fleet.start_agent(host)
-            watch_openings(fleet, host)
-        servers = [Server(fleet, host, f"i-{n}", record) for n, host in enumerate(hosts)]
-        tasks += [asyncio.ensure_future(server.beat(0.0)) for server in servers]
+            server = ListedServer(fleet, host, f"i-{number}", record)
+            tasks.append(asyncio.ensure_future(server.beat(0.0)))
         for host in balancers:
             await fleet.start_balancer(host)
         for host in balancers:
             if not await fleet.wait_until_balancer_ready(host):
                 raise TimeoutError(f"{host} is not ready")
-        await asyncio.sleep(5.0)  # until a start no longer counts as cold
-        clients = Clients(fleet, balancers, record)
-        flows: list[PacketClient | None] = [None] * DASHBOARDS
-        await clients.poll_round(flows)
-        record.write(f"{sum(flow is not None for flow in flows)} dashboards have a flow")
-        tasks.append(asyncio.ensure_future(clients.send_exports()))
-        await asyncio.sleep(POLL_INTERVAL_S)
-        for number in range(CRASHES):
-            crashed = servers[number % len(servers)]
-            poll_at = asyncio.get_running_loop().time()
-            await clients.poll_round(flows)
-            await sleep_until(poll_at + CRASH_AFTER_POLL_S)
-            if is_troubled():
-                crashed.crash()
-            await asyncio.sleep(DOWN_S)
+        tasks.append(asyncio.ensure_future(fleet.route_by_probes(balancers)))
+        await asyncio.sleep(4.0)
+        editors = Editors(fleet, record)
+        tasks += [asyncio.ensure_future(editors.run()) for _ in range(EDITORS)]
+        await asyncio.sleep(2.0)
+        for number in range(ROUNDS):
+            start = asyncio.get_running_loop().time()
+            editors.is_allowed = False
+            operator.write(has_edit=False)
+            await sleep_until(start + DROPPED_S)
+            await sleep_until(fleet.next_probe_at - STOP_BEFORE_PROBE_S)
             if is_troubled():
-                crashed.start_again()
-            await sleep_until(poll_at + POLL_INTERVAL_S)
-            await clients.poll_round(flows)
-            await asyncio.sleep(COLD_MS / 1000 + 5.0)
-        record.write(f"{clients.asked} requests sent, {clients.answered} answered")
-        if clients.answered < clients.asked * 0.8:
-            raise RuntimeError("too few requests were answered")
-        return judge(servers, clients, record)
+                host = balancers[number % len(balancers)]
+                tasks.append(asyncio.ensure_future(restart(fleet, host, record)))
+            await asyncio.sleep(SERIES_AFTER_STOP_S)
+            operator.write(has_edit=False, feed_timeout_ms=2_000 + 10 * number)
+            await asyncio.sleep(STORM_GAP_S)
+            operator.write(has_edit=True, feed_timeout_ms=2_000 + 10 * number)
+            editors.is_allowed, editors.allowed_since = True, asyncio.get_running_loop().time()
+            await asyncio.sleep(KEPT_S)
+        record.write(
+            f"{editors.opened} flows opened; {editors.sent} edits sent, "
+            f"{editors.answered} answered"
+        )
+        if not editors.answered:
+            raise RuntimeError("no edit was answered")
+        record.write(
+            f"{editors.wrong_resets} flows of the version in force were reset while their upstream "
+            f"held them; {editors.lost_edits} with an unanswered edit"
+        )
+        for line in [
+            one for one in fleet.log_lines if one["event"] == "flow_reset" and one["is_withdrawn"]
+        ][:3]:
+            record.write(f"log: {line}")
+        return editors.wrong_resets > 0
     finally:
         for task in tasks:
             task.cancel()
         await fleet.close()
 
 
-async def sleep_until(time: float) -> None:
-    """Sleeps until a time of the event loop."""
-    await asyncio.sleep(max(0.0, time - asyncio.get_running_loop().time()))
-
-
-def judge(servers: list[Server], clients: Clients, record: Record) -> bool:
-    """Counts the flows that a cold server got, sent and arrived inside one second."""
-    allowed = COLD_PER_S * COLD_OVER + COLD_SLACK
-    worst = 0
-    for server in servers:
-        for start, end in server.cold_spans:
-            cold = [
-                (clients.sent_at[port], at) for at, port in server.arrivals if start <= at < end
-            ]
-            counts = [
-                sum(sent_at >= since and at < since + 1.0 for sent_at, at in cold)
-                for since, _ in cold
-            ]
-            most = max(counts, default=0)
-            worst = max(worst, most)
-            record.write(f"{server.name} cold: {len(cold)} new flows, {most} within one second")
-    record.write(f"allowed within one second: {allowed:g}; most: {worst}")
-    return worst > allowed
-
-
 if __name__ == "__main__":
     sys.exit(exit_status(Path(__file__).resolve().parent, play))
