--- a/review/12/case.py
+++ b/review/12/case.py
@@ -4,6 +4,7 @@
 import random
 import signal
 import sys
+from datetime import UTC, datetime
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -79,6 +80,7 @@
         self._next_port = 20_000
         self.allowed_since = 0.0  # when the newest version with the route was acknowledged
         self.is_allowed = True
+        self.wrongly_reset: set[int] = set()
         self.opened = self.sent = self.answered = self.wrong_resets = self.lost_edits = 0
 
     def _now(self) -> float:
@@ -88,6 +90,22 @@
         key = flow_key(flow.address, EDIT, 0)
         return [host for host, one in self._fleet.upstreams.items() if one.holds(key)]
 
+    def find_resets_in_touch(self) -> int:
+        """Returns the number of wrong resets by balancers that had run for long, from their logs.
+
+        A balancer leaves out log lines beyond a rate, so that there may be more.
+        """
+        now, wall = self._now(), datetime.now(UTC)
+        count = 0
+        for line in self._fleet.log_lines:
+            if line["event"] != "flow_reset":
+                continue
+            host = line["process"].removeprefix("balancer-")
+            port = int(line["flow"].partition("-")[0].rpartition(":")[2])
+            logged_at = now - (wall - datetime.fromisoformat(line["timestamp"])).total_seconds()
+            count += port in self.wrongly_reset and self._fleet.is_calm(host, logged_at)
+        return count
+
     async def run(self) -> None:
         """Runs one client."""
         while True:
@@ -121,6 +139,7 @@
         holders = self._find_holders(flow)
         if self.is_allowed and started_at >= self.allowed_since and holders:
             self.wrong_resets += 1
+            self.wrongly_reset.add(flow.address[1])
             self.lost_edits += flow.has_unanswered_request
             self._record.write(
                 f"port {flow.address[1]}: reset {self._now() - started_at:.3f} s after the first "
@@ -186,6 +205,8 @@
             f"{editors.wrong_resets} flows of the version in force were reset while their upstream "
             f"held them; {editors.lost_edits} with an unanswered edit"
         )
+        in_touch = editors.find_resets_in_touch()
+        record.write(f"of these, {in_touch} by a balancer in touch")
         for line in [
             one for one in fleet.log_lines if one["event"] == "flow_reset" and one["is_withdrawn"]
         ][:3]:
--- a/review/fleet_3.py
+++ b/review/fleet_3.py
@@ -19,6 +19,7 @@
 import json
 import os
 import random
+import signal
 import socket
 import sys
 import time
@@ -32,6 +33,7 @@
 RULE_HELD, RULE_BROKEN, NOT_RUN = 0, 1, 2
 LONGEST_RUN_S = 115
 HEARTBEAT_MS = 770
+STABLE_S = 4.0  # stableWindowMs
 PROBE_INTERVAL_S = 0.5  # of the routers in front of the balancers
 
 
@@ -114,6 +116,7 @@
         self.data_centre_by_host: dict[str, str] = {}
         self.service_by_host: dict[str, str] = {}
         self.next_probe_at = 0.0
+        self._disturbed_at: dict[str, list[float]] = {}
         self._is_closed = False
         self._tombstones: dict[str, int] = {}
         self._rotation: list[str] | None = None
@@ -132,6 +135,20 @@
             upstream.restart()
         await super().close()
 
+    async def stop(self, host: str, number: int = signal.SIGTERM) -> int:
+        """Sends a signal to the process of a host, waits for its end, returns the exit status."""
+        self._note_disturbance(host)
+        return await super().stop(host, number)
+
+    def _note_disturbance(self, host: str) -> None:
+        now = asyncio.get_running_loop().time()
+        self._disturbed_at.setdefault(host, []).append(now)
+
+    def is_calm(self, host: str, at: float) -> bool:
+        """Whether a process ran without a start or signal for STABLE_S before a time."""
+        disturbed = [one for one in self._disturbed_at.get(host, []) if one <= at]
+        return bool(disturbed) and at - disturbed[-1] > STABLE_S
+
     def remove(self, key: str) -> None:
         """Removes an entry of the store; watches get a tombstone."""
         self._revision += 1
@@ -221,6 +238,7 @@
             stdout=asyncio.subprocess.PIPE,
         )
         self._processes[host] = process
+        self._note_disturbance(host)
         self._log_readers.append(asyncio.ensure_future(self._read_log_lines(process)))
 
 
@@ -236,6 +254,7 @@
     def __init__(self, fleet: CaseFleet, host: str, name: str, record: Record) -> None:
         """Creates a server that has not written its entry yet; its agent has been started."""
         self._fleet, self._host, self.name, self._record = fleet, host, name, record
+        self._rng = random.Random(name)
         self._beats = 0
         self._cold_until = 0.0
         self.cold_spans: list[tuple[float, float]] = []
@@ -266,7 +285,7 @@
             self._beats += 1
             remaining_ms = max(0, round((self._cold_until - self._now()) * 1000))
             before = self._written
-            if before is None or bool(remaining_ms) != bool(before["coldRemainingMs"]):
+            if before is None or remaining_ms != before["coldRemainingMs"]:
                 self._written = {
                     "service": self._fleet.service_by_host.get(self._host, processes.SERVICE),
                     "address": f"{self._host}:{processes.UPSTREAM_PORT}",
@@ -295,12 +314,15 @@
         upstream.is_silent = True
 
     def start_again(self, cold_ms: int) -> None:
-        """Starts the server under the same id, without flows, and cold."""
+        """Starts the server under the same id, without flows, and cold.
+
+        Its first heartbeat comes at a random moment of an interval, as on the users' bench.
+        """
         self._record.write(f"{self.name} is back, cold")
         self._is_up, self._written, self._beats = True, None, 0
         self.become_cold(cold_ms)
         self._fleet.upstreams[self._host].is_silent = False
-        asyncio.ensure_future(self.beat(HEARTBEAT_MS / 1000))
+        asyncio.ensure_future(self.beat(self._rng.random() * HEARTBEAT_MS / 1000))
 
 
 def most_in_one_second(server: ListedServer, sent_at: dict[int, float], record: Record) -> int:
