Review case 11: one process at a time, loopback addresses only

The next process of a roll is stopped 1.2 s after the one before has been started; processes are told whether the system starts for the first time; the route's address is a loopback address.

--- a/review/11/case.py
+++ b/review/11/case.py
@@ -15,12 +15,13 @@
 from standins.packet_client import PacketClient  # noqa: E402
 
 OLD, NEW = "tagging", "tagging-next"
-VIP = ("198.18.0.1", 443)
+VIP = ("127.0.18.1", 443)  # the route's address; it stands in packets only
 FLOWS = 40
 EDIT_INTERVAL_S = 0.5
 # The platform starts a process this long after its end.
-RESTART_DELAY_S = 1.0
-ROLL_GAP_S = 1.2  # between two processes of one roll
+RESTART_DELAY_S = 0.8
+ROLL_GAP_S = 1.2  # between the start of a process and the stop of the next one of a roll
+ROLL_SHIFT_S = 0.7  # the agents' roll begins later by this time in each further roll
 SETTLE_S = 4.0
 ROLLS = 3  # within the time for which a flow may live
 
@@ -89,22 +90,20 @@
             await asyncio.sleep(EDIT_INTERVAL_S * (0.5 + random.random()))
 
 
-async def roll(fleet: CaseFleet, hosts: list[str], role: str, record: Record) -> None:
+async def roll(
+    fleet: CaseFleet, hosts: list[str], role: str, record: Record, delay_s: float = 0.0
+) -> None:
     """Stops the processes of hosts by SIGTERM and starts them again, one after the other."""
     start = fleet.start_balancer if role == "balancer" else fleet.start_agent
 
-    async def restart(host: str) -> None:
+    await asyncio.sleep(delay_s)
+    for host in hosts:
         record.write(f"{role} {host} gets SIGTERM")
         await fleet.stop(host, signal.SIGTERM)
         await asyncio.sleep(RESTART_DELAY_S)
         await start(host)
         record.write(f"{role} {host} is started")
-
-    restarts = []
-    for host in hosts:
-        restarts.append(asyncio.ensure_future(restart(host)))
         await asyncio.sleep(ROLL_GAP_S)
-    await asyncio.gather(*restarts)
 
 
 async def play(record: Record) -> bool:
@@ -135,11 +134,11 @@
         fleet.publish("op/config", make_config(8, NEW))
         record.write(f"the route leads to {NEW}, and {OLD} is no longer named")
         await asyncio.sleep(SETTLE_S)
-        for _ in range(ROLLS):
+        for number in range(ROLLS):
             if is_troubled():
                 await asyncio.gather(
                     roll(fleet, balancers, "balancer", record),
-                    roll(fleet, old_hosts, "agent", record),
+                    roll(fleet, old_hosts, "agent", record, number * ROLL_SHIFT_S),
                 )
             await asyncio.sleep(SETTLE_S)
         return judge(fleet, editors, record)
--- a/review/fleet_3.py
+++ b/review/fleet_3.py
@@ -36,6 +36,8 @@
 STABLE_S = 4.0  # stableWindowMs
 PROBE_INTERVAL_S = 0.5  # of the routers in front of the balancers
 
+_started: list[asyncio.subprocess.Process] = []  # all processes that the case has started
+
 
 def is_troubled() -> bool:
     """Whether the disruption is to be played."""
@@ -79,6 +81,10 @@
     except Exception as error:
         record.write(f"the case could not run: {error!r}")
         status = NOT_RUN
+    finally:
+        for process in _started:
+            if process.returncode is None:
+                os.kill(process.pid, signal.SIGKILL)
     record.write(f"exit status {status}")
     record.save()
     return status
@@ -216,7 +222,8 @@
             "node_port": processes.NODE_PORT,
             "seeds": [f"{seed}:{processes.READY_PORT}" for seed in self._seeds],
             "store_address": ":".join(map(str, processes.STORE_ADDRESS)),
-            "first_start": False,
+            # True only when the whole system starts for the first time.
+            "first_start": host not in self._disturbed_at,
             "cold_over": 1.5,
             "cold_slack": 5,
             "flow_life_s": 60,
@@ -238,6 +245,7 @@
             stdout=asyncio.subprocess.PIPE,
         )
         self._processes[host] = process
+        _started.append(process)
         self._note_disturbance(host)
         self._log_readers.append(asyncio.ensure_future(self._read_log_lines(process)))
 
