--- a/review/12/case.py
+++ b/review/12/case.py
@@ -23,7 +23,8 @@
 from standins.packet_client import PacketClient  # noqa: E402
 
 SERVICE = processes.SERVICE
-FEED, EDIT = ("198.18.0.1", 443), ("198.18.0.2", 443)  # the second route is dropped and comes back
+# Addresses of routes; they stand in packets only. The second route is dropped and comes back.
+FEED, EDIT = ("127.0.18.1", 443), ("127.0.18.2", 443)
 EDITORS = 60
 TRY_INTERVAL_S, EDIT_INTERVAL_S = 0.2, 0.15
 ROUNDS = 10
