Reset no open flow because its route was dropped once

Cause: a flow of an address that the copy once had a route for, and that a newer version had dropped, was reset without a check. The copy is newer than the flows that were open when the route was dropped, and older than those that opened after the route was back. The second and third reader of the store and their followers read up to 0.8 s after a change.

Change: one rule for all open flows without a route. A reset needs a copy of the configuration that is complete up to the time at which a packet of the flow was read. UnroutedPackets keeps the packet until the check is answered; the packet itself goes on to the owner of the flow. The time of a packet of the same key that was seen earlier no longer counts, since that packet may belong to an attempt under an older version.

Why it works: what let the flow open was acknowledged before any of its packets could arrive. A read of the store that began after the packet was read contains it, unless a later version has dropped the route.

--- a/shallotshore/balancer_state.py
+++ b/shallotshore/balancer_state.py
@@ -111,9 +111,9 @@
         """Whether the VM list says that the VM at an address is leaving."""
 
 
-def _know_all(is_withdrawn: bool = False) -> Knowledge:
+def _know_all() -> Knowledge:
     """Returns that the records are complete: no other process changes them."""
-    return Knowledge(True, ALWAYS, is_withdrawn)
+    return Knowledge(True, ALWAYS)
 
 
 def _query_nobody(now: int) -> None:
@@ -192,7 +192,7 @@
         self.is_suspended = True
         self.last_packet_at = 0
         self.record_peer_revision: Callable[[Address, int, int], None] = _ignore_revision
-        self.knowledge: Callable[[bool], Knowledge] = _know_all
+        self.knowledge: Callable[[], Knowledge] = _know_all
         self.query_peers: Callable[[int], None] = _query_nobody
 
     def answer(self, caller: Address, vip: Address, payload: Message) -> None:
--- a/shallotshore/forwarding.py
+++ b/shallotshore/forwarding.py
@@ -87,7 +87,7 @@
             self._state.record_peer_revision(source, reset.revision, now)
             self._handle_flow_reset(reset, now)
         if self._withheld_resets:
-            knowledge = self._state.knowledge(False)
+            knowledge = self._state.knowledge()
             for reset in self._withheld_resets.take_decided(knowledge, now):
                 self._answer_reset(reset)
 
@@ -166,7 +166,7 @@
             state.hints.remove(key)
             return 0
         if not state.catalog.is_data_centre_in_service(view.data_centre):
-            if judge_open_flow(state.knowledge(True), now) is Verdict.WAIT:
+            if judge_open_flow(state.knowledge(), now) is Verdict.WAIT:
                 # Newer records may have the data centre back in service. The agents know.
                 return 0
             state.hints.remove(key)
@@ -286,7 +286,7 @@
     def _reset_unknown_flow(self, reset: FlowReset, searched_since: int, now: int) -> None:
         """Resets a flow that no known upstream owns, once the records are known to be complete."""
         state = self._state
-        if judge_open_flow(state.knowledge(False), searched_since) is Verdict.REFUSE:
+        if judge_open_flow(state.knowledge(), searched_since) is Verdict.REFUSE:
             self._answer_reset(reset)
             return
         if not self._withheld_resets:
--- a/shallotshore/ingress.py
+++ b/shallotshore/ingress.py
@@ -84,7 +84,7 @@
 
     @_refuse_packet.register
     def _refuse_open(self, message: CallerOpen, packet: FabricPacket) -> None:
-        if judge_opening(self._state.knowledge(False), self._state.last_packet_at) is Verdict.WAIT:
+        if judge_opening(self._state.knowledge(), self._state.last_packet_at) is Verdict.WAIT:
             return  # the caller sends the packet again
         reset = CallerReset(message.flow, Code.UNKNOWN_ADDRESS)
         self._state.answer(packet.caller, packet.vip, reset)
--- a/shallotshore/packets/balancer_state.py
+++ b/shallotshore/packets/balancer_state.py
@@ -82,7 +82,7 @@
         readers: Balancers that are to read the store, in an order that all balancers agree on.
         routes: Routes by virtual address.
         withdrawn_vips: Virtual addresses whose route a newer version of the configuration has
-            dropped, the latest last.
+            dropped, the latest last; for logs, since the route may be back by a later version.
         timed_services: Ids of services to which a route with a target latency leads.
         median_service_ms: Median of the learned service times in ms, by service; only of timed
             services with a known value.
--- a/shallotshore/packets/feed_copies.py
+++ b/shallotshore/packets/feed_copies.py
@@ -326,17 +326,11 @@
         """Returns the copy of a feed."""
         return self.operator if feed is Feed.OPERATOR else self.upstreams
 
-    def knowledge(self, feed: Feed, now: int, is_withdrawn: bool = False) -> Knowledge:
-        """Returns what the copy of a feed says of flows that depend on it.
-
-        Args:
-            feed: Which feed.
-            now: Time in ms.
-            is_withdrawn: Whether the copy had the record in question before.
-        """
+    def knowledge(self, feed: Feed, now: int) -> Knowledge:
+        """Returns what the copy of a feed says of flows that depend on it, at a time in ms."""
         copy = self.copy(feed)
         as_of = copy.check.as_of if copy.is_complete_as_of(copy.check.as_of, now) else NEVER
-        return Knowledge(not self._is_catching_up(copy), as_of, is_withdrawn)
+        return Knowledge(not self._is_catching_up(copy), as_of)
 
     def _is_catching_up(self, copy: FeedCopy) -> bool:
         """Whether newer records may arrive at once.
--- a/shallotshore/packets/pending_flows.py
+++ b/shallotshore/packets/pending_flows.py
@@ -9,7 +9,7 @@
 from shallotshore.packets.flow_cache import MAX_TRIED_UPSTREAMS, CachedFlowStage
 from shallotshore.packets.hosts import host_text
 from shallotshore.packets.packet import Packet
-from shallotshore.packets.routing import offer_flow, reset_unrouted, send_reset
+from shallotshore.packets.routing import offer_flow, send_reset
 from shallotshore.packets.search import (
     find_possible_owners,
     is_denied_by_all,
@@ -18,7 +18,6 @@
     widen_search,
 )
 from shallotshore.packets.selection import choose_service, has_free_slot, rank_upstreams
-from shallotshore.packets.unrouted import judge_unrouted
 from shallotshore.packets.view import Feed
 from shallotshore.tables import MISSING
 from shallotshore.unknown_flows import NEVER, Verdict, judge_open_flow
@@ -174,9 +173,6 @@
         flows = state.flows
         searched_ms = now - flows.search_started_at[row]
         packet = flows.pending_packet[row]
-        if packet is not None and self._is_unrouted(packet, flows.search_started_at[row], now):
-            reset_unrouted(state, packet, now)
-            return
         if searched_ms > MAX_SEARCH_MS:
             self._abandon_search(row, possible_owners, now)
             return
@@ -195,13 +191,6 @@
         state.counters.add("flows.unknown_to_all")
         send_reset(state, packet, Code.NO_SUCH_FLOW, now)
 
-    def _is_unrouted(self, packet: Packet, seen_at: int, now: int) -> bool:
-        """Whether the address of a searched flow is known to have no route."""
-        state = self._state
-        if packet.vip in state.routes:
-            return False
-        return judge_unrouted(state, packet.vip, seen_at, now) is Verdict.REFUSE
-
     def _knows_all_upstreams(self, search_started_at: int, now: int) -> bool:
         """Whether no upstream that the table lacks can own a flow.
 
--- a/shallotshore/packets/routing.py
+++ b/shallotshore/packets/routing.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-__all__ = ["RoutingSystem", "offer_flow", "reset_unrouted", "send_reset"]
+__all__ = ["RoutingSystem", "offer_flow", "send_reset"]
 
 from collections import deque
 
@@ -23,7 +23,7 @@
     widen_search,
 )
 from shallotshore.packets.selection import choose_service, count_recent_offer, rank_upstreams
-from shallotshore.packets.unrouted import UnroutedOpenings, judge_unrouted
+from shallotshore.packets.unrouted import UnroutedPackets
 from shallotshore.packets.upstream_table import Listing
 from shallotshore.tables import MISSING
 from shallotshore.unknown_flows import NEVER, Verdict
@@ -49,7 +49,7 @@
         "_queued_openings",
         "_queued_packets",
         "_state",
-        "_unrouted_openings",
+        "_unrouted",
     )
 
     def __init__(self, state: BalancerState) -> None:
@@ -57,7 +57,7 @@
         self._configured_at = 0
         self._queued_packets: deque[tuple[int, Packet]] = deque(maxlen=MAX_QUEUED_PACKETS)
         self._queued_openings = OpeningQueue(MAX_QUEUED_PACKETS, MAX_QUEUED_MS)
-        self._unrouted_openings = UnroutedOpenings(state)
+        self._unrouted = UnroutedPackets(state)
 
     def run(self, now: int) -> None:
         """Runs the step at `now` (ms)."""
@@ -69,7 +69,7 @@
                 self._queued_packets.append((now, packet))
         if not self._update_readiness(now):
             return
-        if len(self._unrouted_openings):
+        if len(self._unrouted):
             self._release_unrouted(now)
         self._route_openings(now)
         while self._queued_packets:
@@ -88,12 +88,12 @@
             self._queued_openings.push_declared(packet, route.terms, asked_at, now)
 
     def _release_unrouted(self, now: int) -> None:
-        """Queues the held opening packets whose route has arrived, and refuses those without."""
-        for packet in self._unrouted_openings.take_decided(now):
-            if packet.vip in self._state.routes:
-                self._queue_opening(packet, now)
+        """Refuses the held packets without a route, and queues those whose route has arrived."""
+        for packet, verdict in self._unrouted.take_decided(now):
+            if verdict is Verdict.REFUSE:
+                self._reset_unrouted(packet, now)
             else:
-                reset_unrouted(self._state, packet, now)
+                self._queue_opening(packet, now)
 
     def _route_openings(self, now: int) -> None:
         state = self._state
@@ -131,19 +131,19 @@
         route = state.routes.get(packet.vip)
         if route is None and not state.is_configured:
             state.counters.add("packets.no_route")
+        elif route is None and self._unrouted.judge(packet, now) is Verdict.REFUSE:
+            self._reset_unrouted(packet, now)
         elif not packet.is_opening:
             _route_to_owner(state, packet, route, now)
         elif route is not None:
             _route_opening(state, packet, route, now)
-        elif self._unrouted_openings.judge(packet, now) is Verdict.REFUSE:
-            reset_unrouted(state, packet, now)
-
 
-def reset_unrouted(state: BalancerState, packet: Packet, now: int) -> None:
-    """Resets a flow whose address has no route."""
-    state.counters.add("packets.no_route")
-    state.flows.remove(packet.key)
-    send_reset(state, packet, Code.UNKNOWN_ADDRESS, now)
+    def _reset_unrouted(self, packet: Packet, now: int) -> None:
+        """Resets a flow whose address has no route."""
+        state = self._state
+        state.counters.add("packets.no_route")
+        state.flows.remove(packet.key)
+        send_reset(state, packet, Code.UNKNOWN_ADDRESS, now)
 
 
 def send_reset(state: BalancerState, packet: Packet, code: Code, now: int) -> None:
@@ -322,10 +322,6 @@
     flows = state.flows
     row = flows.row(packet.key)
     if route is None:
-        seen_at = now if row == MISSING else flows.last_packet_at[row]
-        if judge_unrouted(state, packet.vip, seen_at, now) is Verdict.REFUSE:
-            reset_unrouted(state, packet, now)
-            return
         state.counters.add("packets.unknown_route")
     if row == MISSING:
         row = flows.add(packet.key)
--- a/shallotshore/packets/unrouted.py
+++ b/shallotshore/packets/unrouted.py
@@ -1,82 +1,91 @@
-"""Opening packets to virtual addresses without a route, while newer records may name one."""
+"""Packets to virtual addresses without a route, while newer records may name one."""
 
 from __future__ import annotations
 
-__all__ = ["UnroutedOpenings", "judge_unrouted"]
+__all__ = ["UnroutedPackets"]
 
 from typing import TYPE_CHECKING
 
 from shallotshore.packets.packet import Packet
 from shallotshore.packets.view import Feed
-from shallotshore.unknown_flows import Verdict, judge_open_flow, judge_opening
+from shallotshore.unknown_flows import NEVER, Verdict, judge_open_flow, judge_opening
 
 if TYPE_CHECKING:
-    from shallotshore.messages import Address
     from shallotshore.packets.balancer_state import BalancerState
 
 MAX_HELD_PACKETS = 1_000
-# A client ends its attempt 1.4 s after its first packet.
-MAX_HELD_MS = 1_000
+MAX_HELD_OPENING_MS = 1_000  # a client ends its attempt 1.4 s after its first packet
+MAX_HELD_MS = 5_000  # a client's requests have ended by then
+CHECK_INTERVAL_MS = 20  # while no copy has been checked
 
 
-def judge_unrouted(state: BalancerState, vip: Address, seen_at: int, now: int) -> Verdict:
-    """Decides on a flow that may be open, and whose address has no route.
+class UnroutedPackets:
+    """Held packets by flow, each with the time at which the first one was read.
 
-    Requests a check of the configuration while the verdict is to wait.
-
-    Args:
-        state: The balancer's state.
-        vip: Virtual address of the flow.
-        seen_at: When a packet of the flow was first received, in ms.
-        now: Time in ms.
-    """
-    is_withdrawn = vip in state.withdrawn_vips
-    verdict = judge_open_flow(state.feeds.knowledge(Feed.OPERATOR, now, is_withdrawn), seen_at)
-    if verdict is Verdict.WAIT:
-        state.feeds.operator.check.request(seen_at)
-    return verdict
-
-
-class UnroutedOpenings:
-    """Held opening packets by flow; a later copy of a packet replaces the earlier one.
-
-    It answers the first moments of a process, and those after a pause: clients use routes that the
-    process has not read yet.
+    An opening packet waits here for its route. A packet of an open flow has gone on to the owner of
+    the flow, and is kept to answer it once it is known that the flow has no route.
     """
 
-    __slots__ = ("_held", "_state")
+    __slots__ = ("_checked_as_of", "_checked_at", "_held", "_state")
 
     def __init__(self, state: BalancerState) -> None:
         self._state = state
+        self._checked_as_of = self._checked_at = NEVER
         self._held: dict[int, tuple[int, Packet]] = {}
 
     def __len__(self) -> int:
         return len(self._held)
 
     def judge(self, packet: Packet, now: int) -> Verdict:
-        """Decides on an opening packet, and holds the packet if the verdict is to wait."""
-        received_at, _ = self._held.get(packet.key, (now, packet))
-        verdict = self._judge(received_at, now)
-        if verdict is Verdict.WAIT and len(self._held) < MAX_HELD_PACKETS:
-            self._held[packet.key] = (received_at, packet)
+        """Decides on a packet, and holds it if the verdict is to wait.
+
+        Args:
+            packet: A packet to an address without a route; a later copy replaces an earlier one.
+            now: Time in ms.
+        """
+        read_at, held = self._held.get(packet.key, (now, packet))
+        if held.is_opening != packet.is_opening:
+            read_at = now  # the flow has opened meanwhile, or the client has begun anew
+        verdict = self._judge(packet, read_at, now)
+        if verdict is Verdict.REFUSE:
+            self._held.pop(packet.key, None)
+        elif len(self._held) < MAX_HELD_PACKETS or packet.key in self._held:
+            self._held[packet.key] = (read_at, packet)
         return verdict
 
-    def take_decided(self, now: int) -> list[Packet]:
-        """Removes and returns the packets that need not wait any longer at `now` (ms)."""
-        decided = [
-            packet
-            for received_at, packet in self._held.values()
-            if packet.vip in self._state.routes or self._judge(received_at, now) is Verdict.REFUSE
-        ]
-        for packet in decided:
-            del self._held[packet.key]
+    def take_decided(self, now: int) -> list[tuple[Packet, Verdict]]:
+        """Removes the packets that need not wait any longer at `now` (ms).
+
+        Returns:
+            The packets that are to be refused, and opening packets whose route has arrived, with
+            the verdict to wait.
+        """
+        as_of = self._state.feeds.operator.check.as_of
+        if as_of == self._checked_as_of and now - self._checked_at < CHECK_INTERVAL_MS:
+            return []
+        self._checked_as_of, self._checked_at = as_of, now
+        decided = []
+        for key, (read_at, packet) in list(self._held.items()):
+            is_routed = packet.vip in self._state.routes
+            verdict = Verdict.WAIT if is_routed else self._judge(packet, read_at, now)
+            if verdict is Verdict.REFUSE or (is_routed and packet.is_opening):
+                decided.append((packet, verdict))
+            elif not is_routed and (packet.is_opening or now - read_at <= MAX_HELD_MS):
+                continue
+            del self._held[key]
         return decided
 
-    def _judge(self, received_at: int, now: int) -> Verdict:
-        feeds = self._state.feeds
-        if now - received_at > MAX_HELD_MS:
+    def _judge(self, packet: Packet, read_at: int, now: int) -> Verdict:
+        state = self._state
+        knowledge = state.feeds.knowledge(Feed.OPERATOR, now)
+        if not packet.is_opening:
+            verdict = judge_open_flow(knowledge, read_at)
+            if verdict is Verdict.WAIT:
+                state.feeds.operator.check.request(read_at)
+            return verdict
+        if now - read_at > MAX_HELD_OPENING_MS:
             return Verdict.REFUSE
-        verdict = judge_opening(feeds.knowledge(Feed.OPERATOR, now), received_at)
-        if verdict is Verdict.WAIT and not feeds.is_watched:
-            feeds.operator.check.request(received_at)
+        verdict = judge_opening(knowledge, read_at)
+        if verdict is Verdict.WAIT and not state.feeds.is_watched:
+            state.feeds.operator.check.request(read_at)
         return verdict
--- a/shallotshore/propagation.py
+++ b/shallotshore/propagation.py
@@ -108,15 +108,11 @@
         """Whether a balancer has answered after `time` (ms) and this process is not behind."""
         return self._peering.last_answer_at > time and not self._receiver.is_behind
 
-    def knowledge(self, is_withdrawn: bool = False) -> Knowledge:
-        """Returns what the records say of a flow that they do not lead to an upstream.
-
-        Args:
-            is_withdrawn: Whether the records say that the flow's owner is out of service.
-        """
+    def knowledge(self) -> Knowledge:
+        """Returns what the records say of a flow that they do not lead to an upstream."""
         is_behind = self._receiver.is_behind
         as_of = FLOWS_NEVER if is_behind else self._peering.last_answer_at
-        return Knowledge(not is_behind, as_of, is_withdrawn)
+        return Knowledge(not is_behind, as_of)
 
     def run(self, now: int) -> None:
         """Handles messages, applies a step of the updates and sends what is due.
--- a/shallotshore/unknown_flows.py
+++ b/shallotshore/unknown_flows.py
@@ -2,7 +2,7 @@
 
 A process learns of a change some time after others do, and a flow of another process may rest on
 that change. Both front ends decide here, for flows without a route and for flows that no known
-upstream holds.
+upstream holds. docs/design/old-copies.md has the rules and their proof.
 """
 
 from __future__ import annotations
@@ -29,46 +29,38 @@
         is_kept_current: Whether the process gets changes as they come, as far as it can tell. A
             process that has just started or woken, or has heard of a newer revision, does not.
         as_of: Time up to which the records contain every change, in ms; NEVER when not known.
-        is_withdrawn: Whether the records had what the flow depends on, and a newer version has
-            dropped it.
     """
 
-    __slots__ = ("as_of", "is_kept_current", "is_withdrawn")
+    __slots__ = ("as_of", "is_kept_current")
 
-    def __init__(
-        self, is_kept_current: bool, as_of: int = NEVER, is_withdrawn: bool = False
-    ) -> None:
+    def __init__(self, is_kept_current: bool, as_of: int = NEVER) -> None:
         self.is_kept_current = is_kept_current
         self.as_of = as_of
-        self.is_withdrawn = is_withdrawn
 
 
-def judge_opening(knowledge: Knowledge, received_at: int) -> Verdict:
+def judge_opening(knowledge: Knowledge, read_at: int) -> Verdict:
     """Decides on a packet that opens a flow.
 
     A refusal ends no flow, so that a copy that is kept current suffices.
 
     Args:
         knowledge: What the process knows.
-        received_at: When the packet was received, in ms.
+        read_at: When the packet was read, in ms.
     """
-    if knowledge.is_kept_current or knowledge.as_of >= received_at:
+    if knowledge.is_kept_current or knowledge.as_of >= read_at:
         return Verdict.REFUSE
     return Verdict.WAIT
 
 
-def judge_open_flow(knowledge: Knowledge, seen_at: int) -> Verdict:
+def judge_open_flow(knowledge: Knowledge, read_at: int) -> Verdict:
     """Decides on a packet of a flow that may be open.
 
-    Whatever let the flow open was acknowledged before the flow's first packet arrived here. Only
-    records that are complete up to that time show that nothing serves the flow. Records that were
-    withdrawn are known to be older than the change that dropped them.
+    Whatever let the flow open was acknowledged before the flow's packet was read. Only records that
+    are complete up to that time show that nothing serves the flow. Records that once had the route
+    or the upstream show nothing more, since it may be back.
 
     Args:
         knowledge: What the process knows.
-        seen_at: When a packet of the flow was first received, in ms.
+        read_at: When a packet of the open flow was read, in ms.
     """
-    is_known_withdrawn = knowledge.is_withdrawn and knowledge.is_kept_current
-    if is_known_withdrawn or knowledge.as_of >= seen_at:
-        return Verdict.REFUSE
-    return Verdict.WAIT
+    return Verdict.REFUSE if knowledge.as_of >= read_at else Verdict.WAIT
