Wait for listed upstreams whose service is no longer named

Cause: an upstream whose service no known configuration had named, and whose agent had not been heard, was taken for an entry of another writer and left out of the possible owners. A balancer that has just started knows only the newest configuration, so that the upstreams of a former service looked the same until their agents were back.

Change: such an upstream is left out only if no configuration can have sent it a flow that may be open. Its first entry is newer than the revision from which on this process has applied every change one after the other, or the process has done so for longer than a flow can live. The services are taken from each version as it is applied, since an answer may contain several of which the last one alone reaches the routes.

Why it works: a flow opens at an upstream only after its entry and a version that names its service. If neither lies before the history that the process knows, it knows whether there was such a version.

--- a/shallotshore/packets/directory.py
+++ b/shallotshore/packets/directory.py
@@ -35,6 +35,8 @@
         if Feed.OPERATOR in state.feeds.changed:
             self._apply_configuration(now)
         upstreams = state.upstreams
+        operator = state.feeds.operator
+        upstreams.record_history(operator.followed_from, operator.followed_since)
         if Feed.UPSTREAMS in state.feeds.changed or upstreams.must_apply_records:
             records = state.feeds.upstreams.content.upstreams.values()
             upstreams.apply_records(records, now, state.feeds.lapsed_hosts)
@@ -85,9 +87,8 @@
         state = self._state
         content = state.feeds.operator.content
         self._replace_routes(content.configuration)
-        routed = {service for route in state.routes.values() for service in route.services}
-        limited = {name_id("service", one.name) for one in content.configuration.services}
-        state.upstreams.name_services(routed | limited)
+        named = state.feeds.operator.named_services
+        state.upstreams.name_services(name_id("service", name) for name in named)
         state.timed_services = {
             name_id("service", name)
             for route in content.configuration.routes
--- a/shallotshore/packets/feed_copies.py
+++ b/shallotshore/packets/feed_copies.py
@@ -20,7 +20,7 @@
 from shallotshore.packets.feed_content import Change, FeedContent
 from shallotshore.packets.feed_entries import FeedEntry, to_entry
 from shallotshore.packets.restored_store import RetainedValues
-from shallotshore.packets.view import Feed, FeedState
+from shallotshore.packets.view import Configuration, Feed, FeedState
 from shallotshore.unknown_flows import NEVER, Knowledge
 
 if TYPE_CHECKING:
@@ -71,6 +71,10 @@
         fetch_started_at: When another process's changes or copy were last requested, in ms.
         needs_whole_copy: Whether the changes since this copy's revision are not to be had.
         check: Up to which time the copy is known to be complete.
+        followed_from: Revision of the store from which on every change has been applied, one after
+            the other, since the content was last replaced as a whole.
+        followed_since: When the content was last replaced as a whole, in ms.
+        named_services: Names of all services that a configuration in the copy has named.
         content: The records.
         retained: Entries in `content` whose value is older than the era.
         seeks_retained: Whether this process has read the store without knowing anything of the
@@ -92,11 +96,14 @@
         "failures",
         "feed",
         "fetch_started_at",
+        "followed_from",
+        "followed_since",
         "is_best_offer_same_data_centre",
         "is_call_pending",
         "is_complete",
         "is_fetch_pending",
         "is_fetch_urgent",
+        "named_services",
         "needs_whole_copy",
         "next_call_at",
         "next_fetch_at",
@@ -132,6 +139,9 @@
         self.fetch_started_at = NEVER
         self.needs_whole_copy = False
         self.check = FeedCheck()
+        self.followed_from = 0
+        self.followed_since = NEVER
+        self.named_services: set[str] = set()
         self.content = FeedContent()
         self.retained = RetainedValues()
         self.seeks_retained = False
@@ -253,10 +263,18 @@
         while len(self._kept_changes) > MAX_KEPT_CHANGES:
             self._changes_since = self._kept_changes.popleft().revision
 
-    def forget_changes(self) -> None:
-        """Removes the kept changes, when the content has been replaced as a whole."""
+    def forget_changes(self, now: int) -> None:
+        """Removes the kept changes, when the content has been replaced as a whole at `now` (ms)."""
         self._kept_changes.clear()
-        self._changes_since = self.revision
+        self._changes_since = self.followed_from = self.revision
+        self.followed_since = now
+        self.name_services(self.content.configuration)
+
+    def name_services(self, configuration: Configuration) -> None:
+        """Records the services that a configuration names."""
+        self.named_services.update(limits.name for limits in configuration.services)
+        for route in configuration.routes:
+            self.named_services.update(name for name, _ in route.shares)
 
     def changes_after(self, era: int, revision: int) -> tuple[FeedEntry, ...] | None:
         """Returns the changes after a revision of an era, or None if some are no longer kept."""
--- a/shallotshore/packets/feed_updates.py
+++ b/shallotshore/packets/feed_updates.py
@@ -10,6 +10,7 @@
 from shallotshore.codes import Code
 from shallotshore.packets.feed_content import (
     Change,
+    ConfigurationChange,
     FeedContent,
     UnreadableEntry,
     UpstreamChange,
@@ -105,7 +106,7 @@
         copy.content = content
         copy.era = era
         copy.revision = revision
-        copy.forget_changes()
+        copy.forget_changes(now)
         self._feeds.changed.add(copy.feed)
         self.log_adopted(copy, source, now)
 
@@ -142,6 +143,8 @@
     def apply_write(self, copy: FeedCopy, change: Change, now: int) -> bool:
         """Applies a write of the copy's era, and returns whether the records have changed."""
         copy.keep_change(change)
+        if isinstance(change, ConfigurationChange):
+            copy.name_services(change.configuration)
         retained = len(copy.retained)
         if not copy.retained.admit_write(change, copy.content, now):
             return False
--- a/shallotshore/packets/search.py
+++ b/shallotshore/packets/search.py
@@ -245,7 +245,7 @@
     return {
         upstreams.key[row]
         for row in upstreams.rows()
-        if not upstreams.is_foreign(row) and not is_gone(state, row, now)
+        if not upstreams.is_foreign(row, now) and not is_gone(state, row, now)
     }
 
 
--- a/shallotshore/packets/upstream_table.py
+++ b/shallotshore/packets/upstream_table.py
@@ -16,6 +16,7 @@
 from shallotshore.packets.view import Upstream
 from shallotshore.packets.vm_state import VmState
 from shallotshore.tables import MISSING, Table
+from shallotshore.unknown_flows import NEVER
 
 MAX_UPSTREAM_ROWS = 200_000  # the system is planned for 150,000 upstreams
 UNLISTED_EXPIRY_MS = 60_000  # a flow may live this long on an upstream without a store entry
@@ -43,6 +44,8 @@
         listing: A Listing.
         leaving: 1 when the upstream's record says that it accepts no new flows.
         added_at: When the row was added, in ms.
+        is_new: 1 when the upstream's first entry was written after the configurations began to be
+            followed one by one.
         lapsed_at: When the store's entry was found removed, in ms.
         cold_until: When the upstream stops being cold, in ms.
         reported_at: Time of the agent's last report, in ms.
@@ -79,6 +82,8 @@
     __slots__ = (
         "_by_service",
         "_disputed",
+        "_followed_from",
+        "_followed_since",
         "added_at",
         "agent_data_centre",
         "agent_port",
@@ -93,6 +98,7 @@
         "heard_at",
         "in_flight",
         "incarnation",
+        "is_new",
         "is_reporting",
         "is_subscribed",
         "lapsed_at",
@@ -123,6 +129,7 @@
         "listing": "B",
         "leaving": "B",
         "added_at": "q",
+        "is_new": "B",
         "lapsed_at": "q",
         "cold_until": "q",
         "reported_at": "q",
@@ -156,6 +163,7 @@
     listing: array[int]
     leaving: array[int]
     added_at: array[int]
+    is_new: array[int]
     lapsed_at: array[int]
     cold_until: array[int]
     reported_at: array[int]
@@ -186,6 +194,8 @@
         super().__init__(MAX_UPSTREAM_ROWS)
         self._by_service: dict[int, list[int]] = {}
         self._disputed: dict[int, list[Upstream]] = {}
+        self._followed_from = 0
+        self._followed_since = NEVER
         self.are_unlisted_usable = True
         self.must_apply_records = False
         self.must_settle_disputes = False
@@ -307,9 +317,29 @@
         self.named_services.update(services)
         self.must_settle_disputes |= len(self.named_services) != before
 
-    def is_foreign(self, row: int) -> bool:
-        """Whether an upstream is known only by an entry of a service that was never named."""
-        return self.service[row] not in self.named_services and not self.heard_at[row]
+    def record_history(self, revision: int, since: int) -> None:
+        """Records from when on every configuration is known.
+
+        Args:
+            revision: Revision of the store after which no configuration was missed.
+            since: When that revision was read, in ms.
+        """
+        if (revision, since) == (self._followed_from, self._followed_since):
+            return
+        self._followed_from, self._followed_since = revision, since
+        for row in self.rows():
+            self.is_new[row] = 0
+
+    def is_foreign(self, row: int, now: int) -> bool:
+        """Whether no configuration can have sent a flow to an upstream that may be open.
+
+        Its service must not have been named in the life of a flow, or since its first entry. What
+        was named before this process started is not known: its agent then has to answer, though
+        the service is not named now.
+        """
+        if self.service[row] in self.named_services or self.heard_at[row]:
+            return False
+        return bool(self.is_new[row]) or now - self._followed_since > UNLISTED_EXPIRY_MS
 
     def expire_unlisted(self, now: int) -> None:
         """Removes hosts that have no entry in the store and have been silent for long."""
@@ -395,9 +425,14 @@
             self.lapsed_at[row] = now
 
     def _apply_record(self, host: int, upstream: Upstream, now: int) -> None:
-        row = self.ensure_row(host, name_id("service", upstream.service), now)
+        service = name_id("service", upstream.service)
+        known = self.row(host)
+        is_added = known == MISSING or self.service[known] != service
+        row = self.ensure_row(host, service, now)
         if row == MISSING:
             return
+        if is_added:
+            self.is_new[row] = upstream.revision > self._followed_from > 0
         self.listing[row] = Listing.LISTED
         self.data_centre[row] = name_id("data_centre", upstream.data_centre)
         self.slots[row] = max(1, upstream.slots)
