Answer an opening packet only while no other process has a copy

What callers saw: a flow that had just opened was reset with code 407 while balancers were restarted in turn and routes were added.

Cause: a reset of an opening packet was taken to end no flow. The client sends copies after 200 and 600 ms, and a copy may have opened the flow at another balancer by a newer configuration when the first packet is read late, after a start or a pause, or is refused after it was held for 1 s.

Change: judge_opening refuses only if this process has received every copy that the client can have sent, and has offered none. DatagramPort records when its socket was known to be empty, and Packet.arrived_after passes it on, so that a packet that waited to be read is told from a new one. Held packets are dropped after 1 s without an answer. Refusals of overloaded services, their repetition and the reset for a route without weights use the same condition.

Why it works: a flow opens by a copy that some process has offered. If all copies that are out have come here and were not offered, none is open, and the reset reaches the client before its next copy is sent. A new packet to an unknown address is answered in the same tick as before, without a call.

--- a/shallotshore/ingress.py
+++ b/shallotshore/ingress.py
@@ -84,7 +84,11 @@
 
     @_refuse_packet.register
     def _refuse_open(self, message: CallerOpen, packet: FabricPacket) -> None:
-        if judge_opening(self._state.knowledge(), self._state.last_packet_at) is Verdict.WAIT:
+        # The message does not tell whether it is a copy that another balancer may have got too.
+        verdict = judge_opening(
+            self._state.knowledge(), self._state.last_packet_at, is_only_copy=True
+        )
+        if verdict is Verdict.WAIT:
             return  # the caller sends the packet again
         reset = CallerReset(message.flow, Code.UNKNOWN_ADDRESS)
         self._state.answer(packet.caller, packet.vip, reset)
--- a/shallotshore/packets/application.py
+++ b/shallotshore/packets/application.py
@@ -12,7 +12,7 @@
 from functools import singledispatchmethod
 from typing import TYPE_CHECKING, Protocol
 
-from result import Err, Result
+from result import Err, Ok, Result
 
 from shallotshore.clock import clock
 from shallotshore.codes import Code
@@ -34,6 +34,7 @@
 from shallotshore.packets.vm_checks import CheckVm, VmChecked
 from shallotshore.packets.vm_probe import probe_vm
 from shallotshore.systems import Counters, Outbox
+from shallotshore.unknown_flows import NEVER
 
 if TYPE_CHECKING:
     from shallotshore.messages import Address
@@ -147,6 +148,7 @@
         self._tick_handle: asyncio.Handle | None = None
         self._exit_status: asyncio.Future[int] | None = None
         self._failed_ticks = 0
+        self._timer_at = NEVER
 
     async def run(self) -> int:
         """Runs until a signal has stopped the core.
@@ -241,7 +243,10 @@
         self._core.log.write(clock(), "reload_requested", is_needed=False)
 
     def _handle_client_frame(self, frame: bytes, source: Address) -> None:
-        self._handle_packet(self._adapter.decode(frame), source)
+        packet = self._adapter.decode(frame)
+        if isinstance(packet, Ok):
+            packet.ok_value.arrived_after = self._packet_port.emptied_at
+        self._handle_packet(packet, source)
 
     def _handle_upstream_frame(self, frame: bytes, source: Address) -> None:
         self._handle_packet(self._adapter.decode(frame, is_from_upstream=True), source)
@@ -272,6 +277,10 @@
             self._tick_handle = self._loop.call_soon(self._tick)
 
     def _on_timer(self) -> None:
+        # The event loop has polled the sockets since the last timer, and has run their readers.
+        for port in self._ports:
+            port.record_poll(self._timer_at)
+        self._timer_at = clock()
         self._timers["tick"] = self._loop.call_later(TICK_INTERVAL_MS / 1000, self._on_timer)
         self._schedule_tick()
 
--- a/shallotshore/packets/attempts.py
+++ b/shallotshore/packets/attempts.py
@@ -18,6 +18,7 @@
 
 from shallotshore.packets.packet import Packet
 from shallotshore.tables import MISSING, Table
+from shallotshore.unknown_flows import NEVER
 
 COPY_SENT_AFTER_MS = (0, 200, 600)  # after the client's first opening packet
 ATTEMPT_MS = 1_400  # after its first opening packet a client ends the attempt
@@ -26,6 +27,9 @@
 HANDOVER_MS = 50
 EXPIRY_MS = 2 * ATTEMPT_MS  # late messages of agents still find the attempt
 COPY_MARGIN_MS = 30  # a copy may arrive later or earlier than the first one by this time
+# The sockets of a process that runs are known to be polled within two timer intervals of 20 ms. A
+# packet that was read later may have waited meanwhile.
+MAX_POLL_MS = 45
 MAX_OFFERS = 16  # agents of one attempt
 MAX_ATTEMPT_ROWS = 10_000  # twice as many as a balancer can route before they expire
 
@@ -67,17 +71,20 @@
     """Attempts by the key of the flow.
 
     Columns:
-        asked_at: When the client sent the first copy, in ms.
+        asked_at: When the client sent the first copy, in ms, if no copy had to wait to be read.
+        asked_after: Time after which the client has sent the first copy, in ms; NEVER when not
+            known.
         copies_seen: Bit n is set when this balancer has received copy n.
         is_refused: 1 when the client was told that the request has not run.
         offers: An OfferState for each agent that got a copy, by host, or None.
     """
 
-    __slots__ = ("asked_at", "copies_seen", "is_refused", "offers")
+    __slots__ = ("asked_after", "asked_at", "copies_seen", "is_refused", "offers")
 
-    COLUMNS = {"asked_at": "q", "copies_seen": "B", "is_refused": "B"}
+    COLUMNS = {"asked_after": "q", "asked_at": "q", "copies_seen": "B", "is_refused": "B"}
     OBJECT_COLUMNS = {"offers": None}
 
+    asked_after: array[int]
     asked_at: array[int]
     copies_seen: array[int]
     is_refused: array[int]
@@ -105,6 +112,11 @@
             if row == MISSING:
                 return find_asked_at(packet, now)
             self.asked_at[row] = find_asked_at(packet, now)
+            self.asked_after[row] = NEVER
+        was_read_at_once = now - packet.arrived_after <= MAX_POLL_MS
+        arrived_after = now if was_read_at_once else packet.arrived_after
+        asked_after = find_asked_at(packet, arrived_after) - COPY_MARGIN_MS
+        self.asked_after[row] = max(self.asked_after[row], asked_after)
         self.copies_seen[row] |= 1 << _copy_number(packet)
         return self.asked_at[row]
 
@@ -169,18 +181,27 @@
         if offers.get(host) == OfferState.OFFERED:
             offers[host] = OfferState.REFUSED
 
-    def is_known_not_offered(self, row: int, now: int) -> bool:
-        """Whether no upstream can have got a copy of an opening packet.
+    def has_all_copies(self, key: int, now: int) -> bool:
+        """Whether this balancer has received each copy that a client can have sent at `now` (ms).
 
-        This balancer must have received each copy that the client has sent by now, since another
-        balancer may have offered any other one.
+        Another balancer may have offered any other one, or may be about to. A copy that waited to
+        be read tells less: the client may have sent the next one meanwhile.
         """
-        sent_ms = now - self.asked_at[row] + COPY_MARGIN_MS
-        for number, sent_after_ms in enumerate(COPY_SENT_AFTER_MS):
-            if sent_after_ms <= sent_ms and not self.copies_seen[row] >> number & 1:
-                return False
+        row = self.row(key)
+        if row == MISSING:
+            return False
+        asked_before_ms = now - self.asked_after[row]
+        return all(
+            self.copies_seen[row] >> number & 1
+            for number, sent_after_ms in enumerate(COPY_SENT_AFTER_MS)
+            if sent_after_ms <= asked_before_ms
+        )
+
+    def is_known_not_offered(self, row: int, now: int) -> bool:
+        """Whether no upstream can have got a copy of an opening packet at `now` (ms)."""
         offers = self.offers[row] or {}
-        return bool(offers) and all(one == OfferState.REFUSED for one in offers.values())
+        has_all_refused = all(one == OfferState.REFUSED for one in offers.values())
+        return bool(offers) and has_all_refused and self.has_all_copies(self.key[row], now)
 
     def expire(self, now: int) -> None:
         """Removes attempts that ended some time ago, the first recorded ones first."""
--- a/shallotshore/packets/balancer_state.py
+++ b/shallotshore/packets/balancer_state.py
@@ -139,6 +139,14 @@
         route = self.routes.get(vip)
         return route.services if route is not None else ()
 
+    def is_only_copy(self, key: int, now: int) -> bool:
+        """Whether no upstream can get, or have got, the opening packet of a flow from others.
+
+        This balancer has received every copy that the client has sent by `now` (ms), and has
+        offered none of them, so that no flow ends if the client is reset.
+        """
+        return self.flows.row(key) == MISSING and self.attempts.has_all_copies(key, now)
+
     def is_member_near(self, host: int) -> bool:
         """Whether a balancer is in this balancer's own data centre."""
         row = self.members.row(host)
--- a/shallotshore/packets/packet.py
+++ b/shallotshore/packets/packet.py
@@ -23,6 +23,7 @@
 
 from shallotshore.codes import Code
 from shallotshore.hashing import flow_key
+from shallotshore.unknown_flows import NEVER
 
 if TYPE_CHECKING:
     from shallotshore.messages import Address
@@ -50,9 +51,21 @@
         size: Number of bytes of data.
         frame: The packet as received.
         key: Key of the flow, the same in every process.
+        arrived_after: Time after which the packet has arrived at this VM, in ms; NEVER when not
+            known. It may have waited in the socket's buffer since then.
     """
 
-    __slots__ = ("acknowledged", "client", "flags", "frame", "key", "sequence", "size", "vip")
+    __slots__ = (
+        "acknowledged",
+        "arrived_after",
+        "client",
+        "flags",
+        "frame",
+        "key",
+        "sequence",
+        "size",
+        "vip",
+    )
 
     def __init__(
         self,
@@ -72,6 +85,7 @@
         self.size = size
         self.frame = frame
         self.key = flow_key(client, vip, 0)
+        self.arrived_after = NEVER
 
     @property
     def name(self) -> str:
--- a/shallotshore/packets/routing.py
+++ b/shallotshore/packets/routing.py
@@ -181,12 +181,15 @@
     """Offers the flow of an opening packet to an upstream, and schedules a check of the offer."""
     if route.terms.is_declared and state.attempts.was_refused(packet.key):
         # The copy was on its way when the flow was refused, or the reset was lost.
-        send_reset(state, packet, Code.OVERLOADED, now)
+        if state.attempts.has_all_copies(packet.key, now):
+            send_reset(state, packet, Code.OVERLOADED, now)
         return
     if not route.services:
         # All weights of the route's split are 0.
         state.counters.add("flows.no_upstream")
-        send_reset(state, packet, Code.NO_UPSTREAM, now)
+        state.attempts.record_copy(packet, now)
+        if state.is_only_copy(packet.key, now):
+            send_reset(state, packet, Code.NO_UPSTREAM, now)
         return
     flows = state.flows
     row = flows.row(packet.key)
--- a/shallotshore/packets/unrouted.py
+++ b/shallotshore/packets/unrouted.py
@@ -46,6 +46,8 @@
         read_at, held = self._held.get(packet.key, (now, packet))
         if held.is_opening != packet.is_opening:
             read_at = now  # the flow has opened meanwhile, or the client has begun anew
+        if packet.is_opening:
+            self._state.attempts.record_copy(packet, now)
         verdict = self._judge(packet, read_at, now)
         if verdict is Verdict.REFUSE:
             self._held.pop(packet.key, None)
@@ -70,11 +72,15 @@
             verdict = Verdict.WAIT if is_routed else self._judge(packet, read_at, now)
             if verdict is Verdict.REFUSE or (is_routed and packet.is_opening):
                 decided.append((packet, verdict))
-            elif not is_routed and (packet.is_opening or now - read_at <= MAX_HELD_MS):
+            elif not is_routed and not self._has_expired(packet, read_at, now):
                 continue
             del self._held[key]
         return decided
 
+    def _has_expired(self, packet: Packet, read_at: int, now: int) -> bool:
+        """Whether the client no longer waits for the answer to a packet."""
+        return now - read_at > (MAX_HELD_OPENING_MS if packet.is_opening else MAX_HELD_MS)
+
     def _judge(self, packet: Packet, read_at: int, now: int) -> Verdict:
         state = self._state
         knowledge = state.feeds.knowledge(Feed.OPERATOR, now)
@@ -83,9 +89,8 @@
             if verdict is Verdict.WAIT:
                 state.feeds.operator.check.request(read_at)
             return verdict
-        if now - read_at > MAX_HELD_OPENING_MS:
-            return Verdict.REFUSE
-        verdict = judge_opening(knowledge, read_at)
+        is_only_copy = state.is_only_copy(packet.key, now)
+        verdict = judge_opening(knowledge, read_at, is_only_copy)
         if verdict is Verdict.WAIT and not state.feeds.is_watched:
             state.feeds.operator.check.request(read_at)
         return verdict
--- a/shallotshore/unknown_flows.py
+++ b/shallotshore/unknown_flows.py
@@ -38,16 +38,20 @@
         self.as_of = as_of
 
 
-def judge_opening(knowledge: Knowledge, read_at: int) -> Verdict:
+def judge_opening(knowledge: Knowledge, read_at: int, is_only_copy: bool) -> Verdict:
     """Decides on a packet that opens a flow.
 
-    A refusal ends no flow, so that a copy that is kept current suffices.
+    While no other process can have a copy of the packet, a refusal ends no flow, so that records
+    that are kept current suffice. Otherwise the flow may open elsewhere at any moment, by records
+    that are newer than any check.
 
     Args:
         knowledge: What the process knows.
         read_at: When the packet was read, in ms.
+        is_only_copy: Whether this process has received every copy that the client has sent, and
+            has offered none of them.
     """
-    if knowledge.is_kept_current or knowledge.as_of >= read_at:
+    if is_only_copy and (knowledge.is_kept_current or knowledge.as_of >= read_at):
         return Verdict.REFUSE
     return Verdict.WAIT
 
--- a/standins/packet_world.py
+++ b/standins/packet_world.py
@@ -26,7 +26,7 @@
 )
 from shallotshore.packets.feeds import STORE_ADDRESS
 from shallotshore.packets.hosts import host_number
-from shallotshore.packets.packet import PacketToClient, PacketToUpstream, ResetPacket
+from shallotshore.packets.packet import Packet, PacketToClient, PacketToUpstream, ResetPacket
 from shallotshore.packets.record_decoding import decode_state
 from shallotshore.packets.store_messages import (
     CheckFeed,
@@ -47,6 +47,7 @@
 from shallotshore.packets.vm_checks import CHECK_TIMEOUT_MS, CheckVm, VmChecked
 from shallotshore.packets.vm_state import VmState
 from shallotshore.scheduling.terms import RequestTerms
+from shallotshore.unknown_flows import NEVER
 from standins.packet_client import PacketClient
 from standins.packet_store import StoreStandin
 from standins.packet_upstream import PacketUpstream
@@ -105,6 +106,7 @@
         self.version = 0
         self.sent_by_balancers: Counter[str] = Counter()
         self._rng = random.Random(seed)
+        self._ticked_at: dict[str, int] = {}  # since the start of a host's process
         self._events: list[tuple[int, int, Callable[[], object]]] = []
         self._event_numbers = itertools.count()
 
@@ -151,6 +153,7 @@
         settings = BalancerSettings(host_number(host), place, NODE_PORT, seed_numbers)
         rng = random.Random(self._rng.random())
         self.balancers[host] = PacketBalancer(settings, rng, decode_packet)
+        self._ticked_at.pop(host, None)
 
     def add_agent(
         self,
@@ -268,6 +271,7 @@
         if core is None or host in self.paused_hosts:
             return
         core.tick(self.now)
+        self._ticked_at[host] = self.now
         for destination, message in core.outbox.drain():
             self._dispatch_message(host, core, destination, message)
 
@@ -351,6 +355,8 @@
         """Delivers a message; it is lost when the process that it was sent to has ended."""
         running = self.balancers.get(host) or self.agents.get(host)
         if running is not None and running is core:
+            if isinstance(message, Packet):
+                message.arrived_after = self._ticked_at.get(host, NEVER)
             running.receive(source, message)
             self._tick_node(host)
 
--- a/tests/test_packet_routing.py
+++ b/tests/test_packet_routing.py
@@ -140,6 +140,7 @@
         for number in range(3):
             client = ("100.64.0.1", 3_000 + number)
             packet = decode_packet(write_packet(client, other, SYN, 1, 0)).unwrap()
+            packet.arrived_after = START + 2
             self.core.receive(client, packet)
         self.core.receive(("100.64.0.1", 2_000), opening(2_000))
         self.core.tick(START + 3)
