Search again for a flow that was found to be lost a moment ago

What callers would see: a client that uses its port again opens a flow at another balancer. When its packets move to a balancer that knew the first flow of that port as lost, they are reset for up to 75 s.

Cause: a row in the stage LOST was an answer for as long as the row lived. The belief is older than the second flow.

Change: it answers packets for 150 ms, which were under way when the flow was found to be lost. A later packet starts a search.

Why it works: a search decides on what the agents say after the packet.

Test: test_at_another_balancer_after_the_first_flow_was_lost fails before (reset 0.1 s after the move) and passes after.

--- a/shallotshore/packets/flow_cache.py
+++ b/shallotshore/packets/flow_cache.py
@@ -17,6 +17,7 @@
 # Limit on the upstreams that one flow is offered to. After this number of offers the flow is
 # offered again only when the client retransmits its opening packet.
 MAX_TRIED_UPSTREAMS = 3
+MAX_LOST_MS = 150  # for packets that were under way when the flow was found to be lost
 MAX_WAITING_PACKETS = 16  # of one flow; a client has no more in flight
 
 
@@ -54,6 +55,7 @@
         queried_hosts: Number of agents in the scope.
         repeat_count: How often the balancer itself has repeated the queries of the search.
         repeated_at: When the queries were first sent or last repeated, in ms.
+        lost_at: When the flow was found to be lost, in ms.
         pending_packet: The client's packet while an offer or a search is pending, else None.
         waiting: Further packets of the client that arrived during a search, or None.
         denied: Hosts that do not hold the flow, each with the time of its denial in ms, or None.
@@ -66,6 +68,7 @@
         "first_host",
         "last_packet_at",
         "last_sent_at",
+        "lost_at",
         "offer_count",
         "owner",
         "pending_packet",
@@ -98,6 +101,7 @@
         "repeat_count": "B",
         "repeated_at": "q",
         "offer_count": "B",
+        "lost_at": "q",
     }
     OBJECT_COLUMNS = {"pending_packet": None, "denied": None, "waiting": None}
 
@@ -116,6 +120,7 @@
     repeat_count: array[int]
     repeated_at: array[int]
     offer_count: array[int]
+    lost_at: array[int]
     pending_packet: list[Packet | None]
     denied: list[dict[int, int] | None]
     waiting: list[list[Packet] | None]
@@ -170,6 +175,19 @@
         self.pending_packet[row] = None
         self.denied[row] = None
 
+    def mark_lost(self, row: int, now: int) -> None:
+        """Records at `now` (ms) that no upstream holds a flow any more."""
+        self.stage[row] = CachedFlowStage.LOST
+        self.lost_at[row] = now
+        self.pending_packet[row] = self.waiting[row] = None
+
+    def is_lost(self, row: int, now: int) -> bool:
+        """Whether a flow was found to be lost a moment ago.
+
+        The client may use its port again, and open the flow at another balancer.
+        """
+        return self.stage[row] == CachedFlowStage.LOST and now - self.lost_at[row] <= MAX_LOST_MS
+
     def add_waiting(self, row: int, packet: Packet) -> None:
         """Keeps a packet until the owner of its flow is found, unless the limit is reached."""
         waiting = self.waiting[row]
--- a/shallotshore/packets/ownership.py
+++ b/shallotshore/packets/ownership.py
@@ -196,7 +196,7 @@
         flows = state.flows
         if flows.stage[row] == CachedFlowStage.OWNED and flows.owner[row] != host:
             return
-        flows.stage[row] = CachedFlowStage.LOST
+        flows.mark_lost(row, now)
         state.counters.add("flows.lost")
         if packet is not None:
             send_reset(state, packet, Code.FLOW_LOST, now)
--- a/shallotshore/packets/pending_flows.py
+++ b/shallotshore/packets/pending_flows.py
@@ -186,8 +186,7 @@
         ):
             flows.schedule_check(row)
             return
-        flows.stage[row] = CachedFlowStage.LOST
-        flows.pending_packet[row] = flows.waiting[row] = None
+        flows.mark_lost(row, now)
         state.counters.add("flows.unknown_to_all")
         send_reset(state, packet, Code.NO_SUCH_FLOW, now)
 
--- a/shallotshore/packets/routing.py
+++ b/shallotshore/packets/routing.py
@@ -334,7 +334,11 @@
         _log_search(state, packet, now)
         start_search(state, row, now)
     flows.last_packet_at[row] = now
-    if flows.stage[row] == CachedFlowStage.OPENING and not flows.tried(row):
+    if flows.is_lost(row, now):
+        send_reset(state, packet, Code.FLOW_LOST, now)
+        return
+    is_untried = flows.stage[row] == CachedFlowStage.OPENING and not flows.tried(row)
+    if is_untried or flows.stage[row] == CachedFlowStage.LOST:
         start_search(state, row, now)
     stage = flows.stage[row]
     if stage == CachedFlowStage.OWNED:
@@ -347,8 +351,6 @@
         kind = CarryKind.OWNED if len(tried) == 1 else CarryKind.SEARCH
         for host in tried:
             send_carry(state, host, kind, find_service(state, host), packet)
-    elif stage == CachedFlowStage.LOST:
-        send_reset(state, packet, Code.FLOW_LOST, now)
     else:
         flows.pending_packet[row] = packet
         if now - flows.last_sent_at[row] >= SEARCH_RETRY_MS:
--- a/tests/test_reused_ports.py
+++ b/tests/test_reused_ports.py
@@ -59,6 +59,25 @@
         self.world.run(ROUND_TRIP_MS)
         self.assertEqual([b"200 first", b"200 third"], self.first.answers)
 
+    def test_at_another_balancer_after_the_first_flow_was_lost(self) -> None:
+        """Guards against a balancer that takes the second flow for the one it knows to be lost."""
+        self.world._rotation = [BALANCERS[0]]
+        for upstream in self.world.upstreams.values():
+            upstream.restart()
+        self.first.request(b"third")
+        self.world.run(ROUND_TRIP_MS)
+        self.assertIsNotNone(self.first.reset_at)
+        self.world.run(1_000)
+        self.world._rotation = [BALANCERS[1]]
+        self.world.cut_links.update((host, BALANCERS[0]) for host in AGENTS)
+        second = self.open_again()
+        self.world.cut_links.clear()
+        self.world._rotation = [BALANCERS[0]]
+        second.request(b"fourth")
+        self.world.run(ROUND_TRIP_MS)
+        self.assertIsNone(second.reset_at)
+        self.assertEqual([b"200 second", b"200 fourth"], second.answers)
+
 
 if __name__ == "__main__":
     unittest.main()
