Let an agent deny a searched flow only by what its upstream holds

What callers would see: a reset of a flow whose balancer has an old record of the owner's VM, after the owner's agent was restarted.

Cause: an agent that has not seen all flows denied a flow if the search named another service than its own. The name comes from the balancer's list, which may be that of an earlier upstream of the VM. A denial of the owner that did not come from a search counted as its answer to the search, too.

Change: a search is answered by the table or by the upstream, whatever service it names. A host that denies a packet sent to it as the owner is searched like the others.

Why it works: each denial that counts now rests on the upstream or on a table that has every flow of it. Searches already go to the agents of all services, so that no packet goes where none went before.

Test: tests.test_misdirected_searches fails before and passes after.

--- a/shallotshore/packets/client_packets.py
+++ b/shallotshore/packets/client_packets.py
@@ -135,9 +135,14 @@
 def _handle_unknown_flow(
     state: AgentState, carry: Carry, packet: Packet, now: int, is_searched: bool
 ) -> None:
-    """Denies a flow that the table lacks, or probes whether the upstream holds it."""
+    """Denies a flow that the table lacks, or probes whether the upstream holds it.
+
+    A search goes to the agents of all services, and may rest on the record of an earlier upstream
+    of the VM. It is answered by what the upstream holds, whatever service it names.
+    """
     flows = state.flows
-    if carry.service != state.service or state.knows_all_flows(now):
+    is_misdirected = carry.service != state.service and carry.kind != CarryKind.SEARCH
+    if is_misdirected or state.knows_all_flows(now):
         _deny(state, carry, packet, is_searched)
         return
     row = flows.add(packet.key)
--- a/shallotshore/packets/ownership.py
+++ b/shallotshore/packets/ownership.py
@@ -171,8 +171,9 @@
         if flows.stage[row] == CachedFlowStage.SEARCHING:
             record_denial(state, row, host, now)
         elif self._record_offer_denial(row, host, now):
+            # The host is searched too: it may have denied the flow for the service that the packet
+            # was sent for.
             start_search(state, row, now)
-            flows.denied[row] = {host: now}
             flows.pending_packet[row] = packet
             if packet is not None:
                 query_agents(state, row, packet, now)
