Answer for a lost flow for 5 s

Cause: after 150 ms each further packet of an ended flow was searched for and needed a check: test_added_balancers_call_the_store_no_more_than_before counted 87 calls (at most 50 are allowed), and the checks of lost flows waited for the budget of calls.

Change: 5 s, in which a client's requests end.

--- a/shallotshore/packets/flow_cache.py
+++ b/shallotshore/packets/flow_cache.py
@@ -17,7 +17,8 @@
 # Limit on the upstreams that one flow is offered to. After this number of offers the flow is
 # offered again only when the client retransmits its opening packet.
 MAX_TRIED_UPSTREAMS = 3
-MAX_LOST_MS = 150  # for packets that were under way when the flow was found to be lost
+# A client that no reset has reached goes on for some seconds. Each search would need a check.
+MAX_LOST_MS = 5_000
 MAX_WAITING_PACKETS = 16  # of one flow; a client has no more in flight
 
 
