Keep the note of a silent upstream until a packet settles it

Cause: any packet of the upstream cleared the note that it had been silent, also a client's packet that it returned. A returned packet of an idle flow does not show a restart, and the first accepted flow showed none any more.

Change: the note goes with a packet that goes on with a flow, or with one that shows the restart.

Why it works: a restarted upstream holds no flow that it could go on with, so that its first accepted flow is still seen as what it is.

Test: test_returned_packet_of_an_idle_flow_leaves_the_restart_open fails before (40 new flows within a second, at most 8) and passes after. Without a declared limit nothing changes.

--- a/shallotshore/packets/upstream_packets.py
+++ b/shallotshore/packets/upstream_packets.py
@@ -29,9 +29,12 @@
         """Runs the step at `now` (ms)."""
         state = self._state
         for _, packet in state.inbox.take(Packet):
-            if not state.openings_limit.is_unlimited and _shows_restart(state, packet):
+            shows_restart = _shows_restart(state, packet)
+            if shows_restart and not state.openings_limit.is_unlimited:
                 state.record_upstream_restart(now)
-            state.is_upstream_silent = False
+            if shows_restart or not packet.flags & (RETURNED | OPENS):
+                # A packet that the upstream only returns leaves open which process it is.
+                state.is_upstream_silent = False
             state.last_upstream_packet_at = now
             state.unanswered_opening_at = state.unanswered_data_at = 0
             if packet.flags & RETURNED:
--- a/tests/test_openings_limit.py
+++ b/tests/test_openings_limit.py
@@ -133,6 +133,27 @@
         self.assertIsNotNone(client.reset_at)
         self.check_unlimited(world)
 
+    def test_returned_packet_of_an_idle_flow_leaves_the_restart_open(self) -> None:
+        """Guards against flows without a limit after a crash that only idle flows notice.
+
+        Review case 14: the returned packet cleared the note that the upstream had been silent, so
+        that the first flow that it accepted showed no restart.
+        """
+        world = make_world(cold_per_s=2.0, agents=AGENTS[:1])
+        world.run(IN_FORCE_MS)
+        client = world.open_flow(3000)
+        world.run(6_000)
+        self.crash_upstream(world, 1_600)
+        world.open_flow(3001)
+        world.run(1_610)
+        client.request(b"x")
+        world.run(100)
+        self.assertIsNotNone(client.reset_at)
+        for number in range(40):
+            world.open_flow(4000 + number)
+            world.run(10)
+        self.check_rate(world)
+
     def check_unlimited(self, world: PacketWorld) -> None:
         """Checks that the upstream takes more flows than a cold one would get."""
         clients = []
