Judge held packets at once when the configuration changes

Cause: held opening packets were looked at every 20 ms while no check was answered, so that they waited for up to a tick after their route had arrived. Change: a new revision lets them be judged in the same tick. Measured: tests.test_unrouted and tests.test_late_openings pass.

--- a/shallotshore/packets/unrouted.py
+++ b/shallotshore/packets/unrouted.py
@@ -16,7 +16,7 @@
 MAX_HELD_PACKETS = 1_000
 MAX_HELD_OPENING_MS = 1_000  # a client ends its attempt 1.4 s after its first packet
 MAX_HELD_MS = 5_000  # a client's requests have ended by then
-CHECK_INTERVAL_MS = 20  # while no copy has been checked
+CHECK_INTERVAL_MS = 20  # while the copy stays the same
 
 
 class UnroutedPackets:
@@ -26,11 +26,12 @@
     the flow, and is kept to answer it once it is known that the flow has no route.
     """
 
-    __slots__ = ("_checked_as_of", "_checked_at", "_held", "_state")
+    __slots__ = ("_checked_at", "_checked_copy", "_held", "_state")
 
     def __init__(self, state: BalancerState) -> None:
         self._state = state
-        self._checked_as_of = self._checked_at = NEVER
+        self._checked_at = NEVER
+        self._checked_copy = (0, NEVER)
         self._held: dict[int, tuple[int, Packet]] = {}
 
     def __len__(self) -> int:
@@ -62,10 +63,11 @@
             The packets that are to be refused, and opening packets whose route has arrived, with
             the verdict to wait.
         """
-        as_of = self._state.feeds.operator.check.as_of
-        if as_of == self._checked_as_of and now - self._checked_at < CHECK_INTERVAL_MS:
+        operator = self._state.feeds.operator
+        copy = (operator.revision, operator.check.as_of)
+        if copy == self._checked_copy and now - self._checked_at < CHECK_INTERVAL_MS:
             return []
-        self._checked_as_of, self._checked_at = as_of, now
+        self._checked_copy, self._checked_at = copy, now
         decided = []
         for key, (read_at, packet) in list(self._held.items()):
             is_routed = packet.vip in self._state.routes
